--- /dev/null
+++ b/deploy/build.sh
@@ -0,0 +1,12 @@
+#!/bin/sh
+# Places the libraries under target/deps, anew when the list of them has changed, and
+# compiles the sources, so that processes start sooner.
+set -eu
+stamp=target/deps/.requirements
+wanted="$(cat deploy/requirements.txt constraints.txt)"
+if [ ! -f "$stamp" ] || [ "$(cat "$stamp")" != "$wanted" ]; then
+  rm -rf target/deps
+  python3 -m pip install -q --target target/deps -r deploy/requirements.txt
+  printf '%s' "$wanted" > "$stamp"
+fi
+python3 -m compileall -q target/deps packages platform || true
--- /dev/null
+++ b/packages/persimmonlink-router/src/persimmonlink_router/__init__.py
@@ -0,0 +1,1 @@
+"""The router: passes HTTP requests on to backend servers, with their stages."""
--- /dev/null
+++ b/packages/persimmonlink-router/src/persimmonlink_router/connection_pool.py
@@ -0,0 +1,81 @@
+"""Connections kept to backend servers between requests."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from persimmonlink_router.boot_clock import boot_time
+from persimmonlink_router.http_client import ClientExchange
+
+if TYPE_CHECKING:
+    from collections.abc import Hashable
+
+CONNECT_TIMEOUT_S = 1.0  # The longest that clients themselves wait for a connection.
+DEFAULT_IDLE_LIMIT_S = 4.0  # Idle life where the server states none.
+IDLE_MARGIN_S = 1.0  # Servers round the stated time to whole seconds.
+
+
+class ConnectionPool:
+    """Idle connections by the server incarnation that they lead to."""
+
+    def __init__(self) -> None:
+        self._idle_by_key: dict[Hashable, list[ClientExchange]] = {}
+        self.opened = 0
+
+    async def acquire(
+        self, key: Hashable, address: str, max_idle_s: float = DEFAULT_IDLE_LIMIT_S
+    ) -> ClientExchange:
+        """Return a connection, kept or new; raise `ConnectError` if none opens."""
+        kept = self._take_idle(key, max_idle_s)
+        if kept is not None:
+            return kept
+        connection = ClientExchange(address)
+        await connection.connect(CONNECT_TIMEOUT_S)
+        self.opened += 1
+        return connection
+
+    def release(self, key: Hashable, connection: ClientExchange) -> None:
+        """Keep a connection whose exchange is over, or close it."""
+        if not connection.finish(boot_time()):
+            return
+        self._idle_by_key.setdefault(key, []).append(connection)
+
+    def has_idle(self, key: Hashable) -> bool:
+        """Whether a connection to a server is kept."""
+        return any(c.is_reusable for c in self._idle_by_key.get(key, ()))
+
+    def drop_idle(self, live_keys: set[Hashable]) -> None:
+        """Close what has been idle for long, or leads to servers that are gone."""
+        now = boot_time()
+        for key, connections in list(self._idle_by_key.items()):
+            kept = []
+            for connection in connections:
+                is_fresh = now - connection.idle_since < _idle_limit(connection)
+                if connection.is_reusable and is_fresh and key in live_keys:
+                    kept.append(connection)
+                    continue
+                connection.close()
+            if kept:
+                self._idle_by_key[key] = kept
+            else:
+                del self._idle_by_key[key]
+
+    def _take_idle(self, key: Hashable, max_idle_s: float) -> ClientExchange | None:
+        connections = self._idle_by_key.get(key)
+        now = boot_time()
+        while connections:
+            connection = connections.pop()
+            limit_s = min(_idle_limit(connection), max_idle_s)
+            if connection.is_reusable and now - connection.idle_since < limit_s:
+                return connection
+            connection.close()
+        return None
+
+
+def _idle_limit(connection: ClientExchange) -> float:
+    if connection.idle_limit_s is None:
+        return DEFAULT_IDLE_LIMIT_S
+    return max(0.2, connection.idle_limit_s - IDLE_MARGIN_S)
+
+
+__all__ = ("ConnectionPool",)
--- /dev/null
+++ b/packages/persimmonlink-router/src/persimmonlink_router/decision_log.py
@@ -0,0 +1,99 @@
+"""Structured log lines on standard output, bounded and never waited for."""
+
+from __future__ import annotations
+
+import os
+import sys
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+from loguru import logger
+
+from persimmonlink_router.boot_clock import boot_time
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+LINES_PER_S = 400  # Lines a second; the rest is dropped and counted.
+BURST_LINES = 1600  # Lines that may come at once.
+MAX_PENDING_BYTES = 262144  # Bytes that wait for a reader that is slow.
+
+
+class BoundedLineWriter:
+    """Writes lines to a descriptor without waiting; counts what it drops.
+
+    Parameters
+    ----------
+    descriptor : int
+        Where lines go.
+    clock : callable
+        Returns seconds.
+    """
+
+    def __init__(self, descriptor: int, clock: Callable[[], float]) -> None:
+        self._descriptor = descriptor
+        self._clock = clock
+        self._pending = b""
+        self._allowance = float(BURST_LINES)
+        self._filled_at = clock()
+        self.dropped = 0
+        self._reported = 0
+
+    def write(self, line: bytes) -> None:
+        """Write a line, or drop it if there is no room."""
+        now = self._clock()
+        gained = (now - self._filled_at) * LINES_PER_S
+        self._allowance = min(BURST_LINES, self._allowance + gained)
+        self._filled_at = now
+        if self._allowance < 1 or len(self._pending) > MAX_PENDING_BYTES:
+            self.dropped += 1
+            self._flush()
+            return
+        self._allowance -= 1
+        if self.dropped > self._reported:
+            note = {"event": "log.dropped", "lines": self.dropped}
+            self._pending += msgspec.json.encode(note) + b"\n"
+            self._reported = self.dropped
+        self._pending += line
+        self._flush()
+
+    def _flush(self) -> None:
+        try:
+            written = os.write(self._descriptor, self._pending)
+        except BlockingIOError:
+            return
+        except OSError:
+            # Nobody reads the log any more; serving goes on.
+            self.dropped += self._pending.count(b"\n")
+            self._pending = b""
+            return
+        self._pending = self._pending[written:]
+
+
+def set_up_decision_log(node: str, level: str) -> BoundedLineWriter:
+    """Send the log to standard output, one JSON object a line."""
+    descriptor = sys.stdout.fileno()
+    os.set_blocking(descriptor, False)
+    writer = BoundedLineWriter(descriptor, boot_time)
+
+    def write(message: Any) -> None:
+        record = message.record
+        line = {
+            "time": record["time"].timestamp(),
+            "boot_s": round(boot_time(), 3),
+            "level": record["level"].name,
+            "node": node,
+            "event": record["message"],
+            **record["extra"],
+        }
+        if record["exception"] is not None:
+            line["exception"] = repr(record["exception"].value)
+            line["traceback"] = str(message)[-2000:]
+        writer.write(msgspec.json.encode(line, enc_hook=str) + b"\n")
+
+    logger.remove()
+    logger.add(write, level=level, format="{message}\n{exception}", backtrace=False)
+    return writer
+
+
+__all__ = ("BoundedLineWriter", "set_up_decision_log")
--- /dev/null
+++ b/packages/persimmonlink-router/src/persimmonlink_router/http_client.py
@@ -0,0 +1,227 @@
+"""Connections to backend servers and to the store: framing by h11."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from typing import Any
+
+import h11
+
+from persimmonlink_router.http_messages import Headers, HttpHead
+
+READ_PAUSE_BYTES = 262144  # Unread bytes of an answer at which reading stops.
+MAX_HEAD_BYTES = 65536  # Most bytes of the head of an answer.
+USER_TIMEOUT_MS = 4000  # Unacknowledged bytes end a connection after this time.
+NEED_DATA: Any = h11.NEED_DATA
+
+
+class ConnectError(Exception):
+    """No connection came about: nothing was sent."""
+
+
+class ConnectionLostError(Exception):
+    """The connection broke, or what came over it is no proper answer."""
+
+
+class ClientExchange(asyncio.Protocol):
+    """A connection that carries one request at a time.
+
+    Parameters
+    ----------
+    address : str
+        `IP:PORT` of the other end.
+    """
+
+    def __init__(self, address: str) -> None:
+        self.address = address
+        self._h11 = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
+        self._transport: asyncio.Transport | None = None
+        self._wake = asyncio.Event()
+        self._error: Exception | None = None
+        self._is_open = False
+        self._is_busy = False
+        self._is_dirty = False
+        self._unread = 0
+        self._is_paused = False
+        self._request: h11.Request | None = None
+        self.idle_since = 0.0
+        self.idle_limit_s: float | None = None
+
+    async def connect(self, timeout_s: float) -> None:
+        """Open the connection; raise `ConnectError` if that fails."""
+        host, _, port = self.address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(timeout_s):
+                await loop.create_connection(lambda: self, host, int(port))
+        except (TimeoutError, OSError, ValueError) as error:
+            raise ConnectError(f"{self.address}: {error!r}") from error
+
+    def connection_made(self, transport: Any) -> None:
+        """Set limits on silence."""
+        self._transport = transport
+        self._is_open = True
+        sock = transport.get_extra_info("socket")
+        if sock is None:
+            return
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+
+    def data_received(self, data: bytes) -> None:
+        """Take in bytes of an answer; bytes that no request asked for spoil it."""
+        if not self._is_busy:
+            self._is_dirty = True
+            self.close()
+            return
+        try:
+            self._h11.receive_data(data)
+        except h11.RemoteProtocolError as error:
+            self._error = error
+        self._unread += len(data)
+        if self._unread > READ_PAUSE_BYTES and self._transport is not None:
+            self._is_paused = True
+            self._transport.pause_reading()
+        self._wake.set()
+
+    def eof_received(self) -> bool:
+        """Take in the regular end of the connection."""
+        self._is_open = False
+        if self._is_busy:
+            try:
+                self._h11.receive_data(b"")
+            except h11.RemoteProtocolError as error:
+                self._error = error
+        self._wake.set()
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Note the end of the connection; one with an error completes nothing."""
+        if exc is not None or self._is_open:
+            self._error = self._error or exc or ConnectionResetError("closed")
+        self._is_open = False
+        self._transport = None
+        self._wake.set()
+
+    @property
+    def is_reusable(self) -> bool:
+        """Whether another request may be sent on this connection."""
+        return self._is_open and not self._is_busy and not self._is_dirty
+
+    def send(self, method: bytes, target: bytes, headers: Headers, body: bytes) -> None:
+        """Send a whole request; raise `ConnectionLostError` if it is closed."""
+        if not self.is_reusable or self._transport is None:
+            raise ConnectionLostError(f"{self.address}: closed")
+        self._is_busy = True
+        self._request = h11.Request(method=method, target=target, headers=headers)
+        data = self._h11.send(self._request) or b""
+        if body:
+            data += self._h11.send(h11.Data(data=body)) or b""
+        data += self._h11.send(h11.EndOfMessage()) or b""
+        self._transport.write(data)
+
+    async def read_head(self) -> HttpHead:
+        """Wait for status and headers of the answer."""
+        while True:
+            event = await self._next_event()
+            if isinstance(event, h11.InformationalResponse):
+                continue
+            if not isinstance(event, h11.Response):
+                raise ConnectionLostError(f"{self.address}: no answer")
+            headers = tuple((bytes(k), bytes(v)) for k, v in event.headers)
+            self._note_idle_limit(headers)
+            return HttpHead(event.status_code, headers)
+
+    async def read_part(self) -> bytes | None:
+        """Wait for a part of the body; None at its end."""
+        event = await self._next_event()
+        if isinstance(event, h11.Data):
+            return bytes(event.data)
+        if isinstance(event, h11.EndOfMessage):
+            return None
+        raise ConnectionLostError(f"{self.address}: the answer broke off")
+
+    async def read_body(self, max_bytes: int) -> bytes:
+        """Wait for the whole body."""
+        parts: list[bytes] = []
+        size = 0
+        while (part := await self.read_part()) is not None:
+            size += len(part)
+            if size > max_bytes:
+                raise ConnectionLostError(f"{self.address}: the body is too long")
+            parts.append(part)
+        return b"".join(parts)
+
+    def skip_answer(self) -> None:
+        """Take the answer that was read for a stray one, and wait for the next.
+
+        A server may send an answer a second time, where the next one is due.
+        """
+        if self._request is None or self._h11.their_state is not h11.DONE:
+            raise ConnectionLostError(f"{self.address}: a stray answer broke off")
+        rest, is_closed = self._h11.trailing_data
+        self._h11 = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
+        self._h11.send(self._request)
+        if self._h11.our_state is h11.SEND_BODY:
+            self._h11.send_failed()
+        if rest:
+            self._h11.receive_data(rest)
+        if is_closed:
+            self._h11.receive_data(b"")
+
+    def finish(self, now: float) -> bool:
+        """End the exchange; return whether the connection can be kept."""
+        self._is_busy = False
+        self._request = None
+        rest, _ = self._h11.trailing_data
+        is_sent = (
+            self._transport is not None
+            and self._transport.get_write_buffer_size() == 0
+        )
+        is_done = self._h11.our_state is h11.DONE and self._h11.their_state is h11.DONE
+        if rest or not is_done or not is_sent or not self._is_open:
+            self.close()
+            return False
+        self._h11.start_next_cycle()
+        self.idle_since = now
+        return True
+
+    def close(self) -> None:
+        """Close the connection, which cancels what runs for it."""
+        self._is_dirty = True
+        if self._transport is not None:
+            self._transport.abort()
+
+    async def _next_event(self) -> Any:
+        while True:
+            try:
+                event = self._h11.next_event()
+            except h11.RemoteProtocolError as error:
+                raise ConnectionLostError(f"{self.address}: {error}") from error
+            if event is not NEED_DATA and not isinstance(event, h11.ConnectionClosed):
+                return event
+            if self._error is not None or not self._is_open:
+                raise ConnectionLostError(f"{self.address}: {self._error!r}")
+            if isinstance(event, h11.ConnectionClosed):
+                raise ConnectionLostError(f"{self.address}: closed")
+            self._resume_reading()
+            self._wake.clear()
+            await self._wake.wait()
+
+    def _resume_reading(self) -> None:
+        self._unread = 0
+        if self._is_paused and self._transport is not None:
+            self._is_paused = False
+            self._transport.resume_reading()
+
+    def _note_idle_limit(self, headers: Headers) -> None:
+        for name, value in headers:
+            if name != b"keep-alive":
+                continue
+            for item in value.split(b","):
+                key, _, text = item.strip().partition(b"=")
+                if key.lower() == b"timeout" and text.strip().isdigit():
+                    self.idle_limit_s = float(text)
+
+
+__all__ = ("ClientExchange", "ConnectError", "ConnectionLostError")
--- /dev/null
+++ b/packages/persimmonlink-router/src/persimmonlink_router/http_server.py
@@ -0,0 +1,338 @@
+"""Connections that clients open: framing by h11, one task a connection."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import Any
+
+import h11
+from loguru import logger
+
+from persimmonlink_router.http_messages import Headers, HttpRequest
+
+READ_PAUSE_BYTES = 262144  # Unread bytes of a client at which reading stops.
+LISTEN_BACKLOG = 512  # Connections that may wait for the node to accept them.
+NEED_DATA: Any = h11.NEED_DATA
+
+
+class ClientLeftError(Exception):
+    """The client closed its connection."""
+
+
+@dataclass(slots=True)
+class ServerLimits:
+    """What a client may send; replaced when the configuration changes."""
+
+    header_bytes: int = 16384
+    body_bytes: int = 4194304
+    header_timeout_s: float = 3.0
+    idle_timeout_s: float = 15.0
+
+
+class BadRequestError(Exception):
+    """A request that breaks the protocol or the limits."""
+
+    def __init__(self, status: int, reason: str) -> None:
+        super().__init__(reason)
+        self.status = status
+
+
+class Exchange:
+    """One request of a client, and the answer to it.
+
+    Parameters
+    ----------
+    connection : ClientConnection
+        Where the request came from.
+    request : HttpRequest
+        The request.
+    """
+
+    def __init__(self, connection: ClientConnection, request: HttpRequest) -> None:
+        self._connection = connection
+        self.request = request
+        self.has_started = False
+        self.is_complete = False
+
+    async def answer(
+        self, status: int, headers: Headers | list[tuple[bytes, bytes]], body: bytes
+    ) -> None:
+        """Send a whole answer."""
+        framed = [*headers, (b"content-length", str(len(body)).encode())]
+        self._start(status, framed)
+        if body and self.request.method != b"HEAD":
+            self._connection.send(h11.Data(data=body))
+        await self.end()
+
+    def start_stream(
+        self, status: int, headers: Headers | list[tuple[bytes, bytes]]
+    ) -> None:
+        """Send the head of an answer whose length is not known yet."""
+        self._start(status, [*headers, (b"transfer-encoding", b"chunked")])
+
+    async def send(self, data: bytes) -> None:
+        """Send a part of a stream; wait while the client is slow to read."""
+        self._connection.send(h11.Data(data=data))
+        await self._connection.drain()
+
+    async def end(self) -> None:
+        """Complete the answer."""
+        self._connection.send(h11.EndOfMessage())
+        self.is_complete = True
+        await self._connection.drain()
+
+    def abort(self) -> None:
+        """Close the connection, so that the answer does not look complete."""
+        self._connection.close()
+
+    def _start(self, status: int, headers: list[tuple[bytes, bytes]]) -> None:
+        if self._connection.must_close():
+            headers = [*headers, (b"connection", b"close")]
+        self.has_started = True
+        self._connection.send(h11.Response(status_code=status, headers=headers))
+
+
+Handler = Callable[[Exchange], Awaitable[None]]
+
+
+class ClientConnection(asyncio.Protocol):
+    """A connection of a client; its task serves one request after the other."""
+
+    def __init__(self, server: HttpServer) -> None:
+        self._server = server
+        self._h11 = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=server.limits.header_bytes + 4096
+        )
+        self._transport: asyncio.Transport | None = None
+        self._wake = asyncio.Event()
+        self._can_write = asyncio.Event()
+        self._can_write.set()
+        self._task: asyncio.Task[None] | None = None
+        self._unread = 0
+        self._is_paused = False
+        self.is_serving = False
+
+    def connection_made(self, transport: Any) -> None:
+        """Start the task of the connection."""
+        self._transport = transport
+        self._server.connections.add(self)
+        self._task = asyncio.get_running_loop().create_task(self._run())
+
+    def data_received(self, data: bytes) -> None:
+        """Take in bytes of the client."""
+        try:
+            self._h11.receive_data(data)
+        except h11.RemoteProtocolError:
+            self.close()
+            return
+        self._unread += len(data)
+        if self._unread > READ_PAUSE_BYTES and self._transport is not None:
+            self._is_paused = True
+            self._transport.pause_reading()
+        self._wake.set()
+
+    def eof_received(self) -> bool:
+        """Take the end of what the client sends as its leaving."""
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """End the task: nobody waits for the answer."""
+        self._transport = None
+        self._can_write.set()
+        self._server.connections.discard(self)
+        if self._task is not None and not self._task.done():
+            self._task.cancel()
+
+    def pause_writing(self) -> None:
+        """Note that the client is slow to read."""
+        self._can_write.clear()
+
+    def resume_writing(self) -> None:
+        """Note that the client reads again."""
+        self._can_write.set()
+
+    def send(self, event: Any) -> None:
+        """Write an event to the client."""
+        if self._transport is None:
+            raise ClientLeftError
+        data = self._h11.send(event)
+        if data:
+            self._transport.write(data)
+
+    async def drain(self) -> None:
+        """Wait until the client has read enough."""
+        if not self._can_write.is_set():
+            await self._can_write.wait()
+
+    def must_close(self) -> bool:
+        """Whether the answer must tell the client that the connection ends."""
+        return self._server.is_stopping
+
+    def close(self) -> None:
+        """Close the connection after what was written."""
+        if self._transport is not None:
+            self._transport.close()
+
+    async def _run(self) -> None:
+        try:
+            while await self._serve_one():
+                pass
+        except (ClientLeftError, asyncio.CancelledError):
+            pass
+        except Exception:
+            logger.exception("a client connection failed")
+        finally:
+            self.is_serving = False
+            self.close()
+
+    async def _serve_one(self) -> bool:
+        try:
+            request = await self._read_request()
+        except BadRequestError as error:
+            await self._refuse(error)
+            return False
+        except h11.RemoteProtocolError as error:
+            status = error.error_status_hint or 400
+            await self._refuse(BadRequestError(status, str(error)))
+            return False
+        if request is None:
+            return False
+        exchange = Exchange(self, request)
+        try:
+            await self._server.handler(exchange)
+        finally:
+            self.is_serving = False
+        if not exchange.is_complete:
+            return False
+        if self._h11.our_state is not h11.DONE or self._h11.their_state is not h11.DONE:
+            return False
+        if self._server.is_stopping:
+            return False
+        self._h11.start_next_cycle()
+        return True
+
+    async def _read_request(self) -> HttpRequest | None:
+        limits = self._server.limits
+        first = await self._next_event(limits.idle_timeout_s)
+        if not isinstance(first, h11.Request):
+            return None
+        self.is_serving = True
+        headers = tuple((bytes(k), bytes(v)) for k, v in first.headers)
+        _check_head(headers, bytes(first.target), limits)
+        parts: list[bytes] = []
+        size = 0
+        deadline = asyncio.get_running_loop().time() + max(
+            limits.header_timeout_s, limits.idle_timeout_s
+        )
+        if self._h11.they_are_waiting_for_100_continue:
+            self.send(h11.InformationalResponse(status_code=100, headers=[]))
+        while True:
+            left_s = deadline - asyncio.get_running_loop().time()
+            event = await self._next_event(left_s)
+            if event is None:
+                raise BadRequestError(408, "the body did not arrive in time")
+            if isinstance(event, h11.EndOfMessage):
+                break
+            if not isinstance(event, h11.Data):
+                return None
+            size += len(event.data)
+            if size > limits.body_bytes:
+                raise BadRequestError(413, "the body is over the limit")
+            parts.append(bytes(event.data))
+        return HttpRequest(
+            bytes(first.method), bytes(first.target), headers, b"".join(parts)
+        )
+
+    async def _next_event(self, timeout_s: float) -> Any:
+        """Return the next event, or None if none comes in time."""
+        while True:
+            event = self._h11.next_event()
+            if event is not NEED_DATA:
+                return event
+            self._resume_reading()
+            self._wake.clear()
+            try:
+                async with asyncio.timeout(timeout_s):
+                    await self._wake.wait()
+            except TimeoutError:
+                return None
+
+    def _resume_reading(self) -> None:
+        self._unread = 0
+        if self._is_paused and self._transport is not None:
+            self._is_paused = False
+            self._transport.resume_reading()
+
+    async def _refuse(self, error: BadRequestError) -> None:
+        logger.bind(status=error.status, reason=str(error)).info("request.malformed")
+        if self._h11.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            return
+        body = str(error).encode()
+        headers = [
+            (b"content-type", b"text/plain"),
+            (b"content-length", str(len(body)).encode()),
+            (b"connection", b"close"),
+        ]
+        self.send(h11.Response(status_code=error.status, headers=headers))
+        self.send(h11.Data(data=body))
+        self.send(h11.EndOfMessage())
+
+
+def _check_head(headers: Headers, target: bytes, limits: ServerLimits) -> None:
+    names = [name for name, _ in headers]
+    if b"transfer-encoding" in names and b"content-length" in names:
+        raise BadRequestError(400, "the body has two lengths")
+    if names.count(b"host") != 1:
+        raise BadRequestError(400, "the host header is missing or comes twice")
+    size = len(target) + sum(len(k) + len(v) + 4 for k, v in headers)
+    if size > limits.header_bytes:
+        raise BadRequestError(431, "the head is over the limit")
+
+
+class HttpServer:
+    """Listens at an address and hands each request to a handler.
+
+    Parameters
+    ----------
+    handler : callable
+        Answers one exchange.
+    limits : ServerLimits
+        What clients may send.
+    """
+
+    def __init__(self, handler: Handler, limits: ServerLimits) -> None:
+        self.handler = handler
+        self.limits = limits
+        self.connections: set[ClientConnection] = set()
+        self.is_stopping = False
+        self._server: asyncio.Server | None = None
+
+    async def start(self, host: str, port: int) -> None:
+        """Listen."""
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: ClientConnection(self), host, port, backlog=LISTEN_BACKLOG
+        )
+
+    def count_serving(self) -> int:
+        """Return how many requests are being read or answered."""
+        return sum(1 for connection in self.connections if connection.is_serving)
+
+    def close(self) -> None:
+        """Stop listening and close the connections."""
+        if self._server is not None:
+            self._server.close()
+        for connection in list(self.connections):
+            connection.close()
+
+
+__all__ = (
+    "BadRequestError",
+    "ClientLeftError",
+    "Exchange",
+    "Handler",
+    "HttpServer",
+    "ServerLimits",
+)
--- /dev/null
+++ b/packages/persimmonlink-router/src/persimmonlink_router/placement.py
@@ -0,0 +1,191 @@
+"""Chooses the server that a request goes to.
+
+Answers for plain services under mixed health, and for model servers whose prompts
+share parts: a server that has read a part before need not read it again.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Protocol
+
+from xxhash import xxh3_64_intdigest
+
+if TYPE_CHECKING:
+    from collections.abc import Hashable, Iterable, Mapping, Sequence
+
+    from persimmonlink_router.calls import Call, PromptPart
+    from persimmonlink_router.server_health import ServerHealth
+    from persimmonlink_router.servers import Server
+
+ZONE_COST_S = 0.002  # Worth of staying in the failure domain, for a plain request.
+CONNECT_COST_S = 0.002  # Worth of a kept connection, for a plain request.
+FAILURE_COST_S = 1.0  # Worth of avoiding a server that fails all requests.
+PREFILL_TOKENS_PER_S = 60000.0  # Rate at which engines read prompts, by the sheets.
+QUEUE_COST_S = 0.004  # Delay that a running request adds to the next, on an engine.
+INPUT_COST_S_PER_BYTE = 1.0e-7  # Worth of reading stage results in their domain.
+KNOWN_PARTS = 400  # Prompt parts remembered for each server.
+
+
+@dataclass(frozen=True, slots=True)
+class PlainChoice:
+    """What the choice of a plain server depends on."""
+
+    own_zone: str
+    expected_s: float
+    has_connection: Mapping[Hashable, bool]
+
+
+def choose_plain(
+    servers: Sequence[Server], health: ServerHealth, choice: PlainChoice, now: float
+) -> Server | None:
+    """Return the server at which a plain request is expected to end first."""
+    best: Server | None = None
+    best_cost = 0.0
+    for server in servers:
+        key = server.key
+        waiting = health.in_flight(key) / max(1, server.slots)
+        cost = choice.expected_s * health.slowness(key, now) * (1 + waiting)
+        cost += FAILURE_COST_S * health.failure_share(key, now)
+        if server.zone != choice.own_zone:
+            cost += ZONE_COST_S
+        if not choice.has_connection.get(key, False):
+            cost += CONNECT_COST_S
+        if best is None or cost < best_cost:
+            best, best_cost = server, cost
+    return best
+
+
+class PromptCache:
+    """The prompt parts that each engine was sent lately, in the order of use."""
+
+    def __init__(self) -> None:
+        self._parts_by_key: dict[Hashable, OrderedDict[str, None]] = {}
+
+    def note(self, key: Hashable, parts: Iterable[PromptPart]) -> None:
+        """Note the parts of a prompt that was sent to a server."""
+        known = self._parts_by_key.setdefault(key, OrderedDict())
+        for part in parts:
+            known[part.part_id] = None
+            known.move_to_end(part.part_id)
+        while len(known) > KNOWN_PARTS:
+            known.popitem(last=False)
+
+    def count_known_tokens(self, key: Hashable, parts: Sequence[PromptPart]) -> int:
+        """Return the tokens at the start of a prompt that a server has read."""
+        known = self._parts_by_key.get(key)
+        if known is None:
+            return 0
+        tokens = 0
+        for part in parts:
+            if part.part_id not in known:
+                break
+            tokens += part.tokens
+        return tokens
+
+    def forget_other(self, keys: set[Hashable]) -> None:
+        """Forget servers that are gone."""
+        for key in list(self._parts_by_key):
+            if key not in keys:
+                del self._parts_by_key[key]
+
+
+@dataclass(frozen=True, slots=True)
+class EngineChoice:
+    """What the choice of an engine depends on.
+
+    Parameters
+    ----------
+    call : Call
+        The request.
+    own_zone : str
+        Failure domain of this node.
+    input_bytes_by_zone : Mapping of str to float
+        Bytes of stage results that lie in each failure domain.
+    """
+
+    call: Call
+    own_zone: str
+    input_bytes_by_zone: Mapping[str, float]
+
+
+class EngineLoadView(Protocol):
+    """What is known of engines, with what all nodes have there."""
+
+    def slowness(self, key: Hashable, now: float) -> float:
+        """Return the time that an engine takes against the expected time."""
+        ...
+
+    def failure_share(self, key: Hashable, now: float) -> float:
+        """Return the share of requests that an engine fails."""
+        ...
+
+    def in_flight(self, key: Hashable) -> int:
+        """Return the requests that run at an engine."""
+        ...
+
+    def unread_tokens(self, key: Hashable) -> int:
+        """Return the prompt tokens that an engine has still to read."""
+        ...
+
+
+def choose_engine(
+    servers: Sequence[Server],
+    load: EngineLoadView,
+    cache: PromptCache,
+    choice: EngineChoice,
+    now: float,
+) -> Server | None:
+    """Return the engine that is expected to answer first for the least cost.
+
+    All nodes rank the engines of a failure domain alike for the parts that a prompt
+    shares, so that they agree without messages on where a part is kept.
+    """
+    shared = choice.call.prompt_parts[:-1]
+    home_by_zone = _choose_homes(servers, shared)
+    total_inputs = sum(choice.input_bytes_by_zone.values())
+    best: Server | None = None
+    best_cost = 0.0
+    for server in servers:
+        key = server.key
+        known = cache.count_known_tokens(key, shared)
+        if home_by_zone.get(server.zone) == server.server_id:
+            known = max(known, sum(part.tokens for part in shared) // 2)
+        unread = choice.call.prompt_tokens - known
+        unread += load.unread_tokens(key)
+        cost = unread / PREFILL_TOKENS_PER_S * load.slowness(key, now)
+        cost += QUEUE_COST_S * load.in_flight(key)
+        cost += FAILURE_COST_S * 2 * load.failure_share(key, now)
+        crossing = total_inputs - choice.input_bytes_by_zone.get(server.zone, 0.0)
+        cost += crossing * INPUT_COST_S_PER_BYTE
+        if server.zone != choice.own_zone:
+            cost += ZONE_COST_S
+        if best is None or cost < best_cost:
+            best, best_cost = server, cost
+    return best
+
+
+def _choose_homes(
+    servers: Sequence[Server], shared: Sequence[PromptPart]
+) -> dict[str, str]:
+    if not shared:
+        return {}
+    name = shared[-1].part_id
+    best_by_zone: dict[str, tuple[int, str]] = {}
+    for server in servers:
+        weight = xxh3_64_intdigest(f"{name}\0{server.server_id}".encode())
+        rank = (weight, server.server_id)
+        if rank > best_by_zone.get(server.zone, (-1, "")):
+            best_by_zone[server.zone] = rank
+    return {zone: server_id for zone, (_, server_id) in best_by_zone.items()}
+
+
+__all__ = (
+    "EngineChoice",
+    "EngineLoadView",
+    "PlainChoice",
+    "PromptCache",
+    "choose_engine",
+    "choose_plain",
+)
--- /dev/null
+++ b/packages/persimmonlink-router/src/persimmonlink_router/server_sender.py
@@ -0,0 +1,370 @@
+"""Chooses a server for a request, sends it there and reads the head of the answer."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from loguru import logger
+
+from persimmonlink_router.boot_clock import boot_time
+from persimmonlink_router.calls import Dispatch
+from persimmonlink_router.http_client import ConnectError, ConnectionLostError
+from persimmonlink_router.placement import (
+    EngineChoice,
+    PlainChoice,
+    PromptCache,
+    choose_engine,
+    choose_plain,
+)
+from persimmonlink_router.request_state import FailedError, RefusedError
+
+if TYPE_CHECKING:
+    from collections.abc import Hashable, Mapping
+
+    from persimmonlink_router.beliefs import Beliefs
+    from persimmonlink_router.calls import AnswerInfo, Wire
+    from persimmonlink_router.connection_pool import ConnectionPool
+    from persimmonlink_router.fleet import Fleet
+    from persimmonlink_router.http_client import ClientExchange
+    from persimmonlink_router.http_messages import HttpHead
+    from persimmonlink_router.request_state import RequestState
+    from persimmonlink_router.send_limits import ColdLimit, RetryBudget
+    from persimmonlink_router.server_health import ServerHealth
+    from persimmonlink_router.servers import Server
+
+SERVER_WAIT_S = 0.15  # Longest wait for a server that may take the request.
+POLL_S = 0.02  # How often it is looked for one meanwhile.
+RETRY_AFTER_S = 0.3  # When to come back if no server can take a request.
+MAX_REJECTIONS = 4  # Servers that may reject a request before it is refused.
+UNSAFE_IDLE_S = 2.0  # Idle life of connections for requests that run at most once.
+
+
+@dataclass(frozen=True, slots=True)
+class StageInputs:
+    """Results of a request's stages, for the server that runs it."""
+
+    handles: tuple[str, ...]
+    bytes_by_zone: Mapping[str, float]
+
+
+NO_INPUTS = StageInputs((), {})
+
+
+@dataclass(slots=True)
+class OpenAnswer:
+    """An answer whose head has been read and whose body is still to come.
+
+    Parameters
+    ----------
+    server : Server
+        Where it comes from.
+    connection : ClientExchange
+        What it comes over.
+    head : HttpHead
+        Its status and headers.
+    info : AnswerInfo
+        What the head says.
+    sent_at : float
+        Boot time at which the request was sent, in seconds.
+    """
+
+    server: Server
+    connection: ClientExchange
+    head: HttpHead
+    info: AnswerInfo
+    sent_at: float
+
+
+class NotRunError(Exception):
+    """A server did not run a request: it may be sent elsewhere."""
+
+
+class ServerSender:
+    """Sends requests to servers within the limits of all nodes.
+
+    Parameters
+    ----------
+    own_zone : str
+        Failure domain of this node.
+    beliefs : Beliefs
+        Configuration and servers.
+    fleet : Fleet
+        The other nodes.
+    pool : ConnectionPool
+        Kept connections.
+    wire : Wire
+        Headers of requests and answers.
+    health : ServerHealth
+        Speed and failures of the servers.
+    cold : ColdLimit
+        Sends to cold servers.
+    budget : RetryBudget
+        Second sends.
+    """
+
+    def __init__(
+        self,
+        own_zone: str,
+        beliefs: Beliefs,
+        fleet: Fleet,
+        pool: ConnectionPool,
+        wire: Wire,
+        health: ServerHealth,
+        cold: ColdLimit,
+        budget: RetryBudget,
+    ) -> None:
+        self._own_zone = own_zone
+        self._beliefs = beliefs
+        self._fleet = fleet
+        self._pool = pool
+        self._wire = wire
+        self._health = health
+        self._cold = cold
+        self._budget = budget
+        self.cache = PromptCache()
+
+    async def send(
+        self,
+        state: RequestState,
+        inputs: StageInputs = NO_INPUTS,
+        last_event_id: bytes = b"",
+        answer_limit_s: float | None = None,
+    ) -> OpenAnswer:
+        """Send a request to the best server until one takes it.
+
+        Raises `RefusedError` if none does, and `FailedError` if a server may have run
+        it and gave no answer. The caller must close the answer.
+        """
+        rejected: set[str] = set()
+        while True:
+            server = await self._wait_for_server(state, inputs, rejected)
+            try:
+                return await self._send_to(
+                    server, state, inputs, last_event_id, answer_limit_s
+                )
+            except NotRunError as error:
+                rejected.add(server.server_id)
+                logger.bind(
+                    request=state.call.request_id,
+                    server=server.server_id,
+                    reason=str(error),
+                ).info("request.rejected")
+                if len(rejected) > MAX_REJECTIONS:
+                    raise RefusedError(
+                        "servers reject the request", RETRY_AFTER_S
+                    ) from error
+
+    def has_retry(self, state: RequestState) -> bool:
+        """Whether the budget would allow another send of a request."""
+        nodes = self._fleet.count_nodes()
+        return self._budget.allows(state.service, nodes, boot_time())
+
+    def take_retry(self, state: RequestState) -> bool:
+        """Whether the budget allows another send of a request; counts it if so."""
+        nodes = self._fleet.count_nodes()
+        return self._budget.take(state.service, nodes, boot_time())
+
+    def end(self, state: RequestState, answer: OpenAnswer, *, is_whole: bool) -> None:
+        """End an answer: keep its connection if it was read whole."""
+        key = answer.server.key
+        self._health.end(key, _held_tokens(state))
+        if is_whole:
+            self._pool.release(key, answer.connection)
+        else:
+            answer.connection.close()
+
+    def note_failure(self, server: Server) -> None:
+        """Count a failed answer against a server."""
+        self._health.note_failure(server.key, boot_time())
+
+    def note_first_event(self, state: RequestState, answer: OpenAnswer) -> None:
+        """Count the beginning of an answer in a server's favour."""
+        key = answer.server.key
+        took_s = boot_time() - answer.sent_at
+        self._health.read_prompt(key, state.call.prompt_tokens)
+        expected_s = self._expected_s(state)
+        self._health.note_success(key, min(10.0, took_s / expected_s), boot_time())
+
+    async def _wait_for_server(
+        self, state: RequestState, inputs: StageInputs, rejected: set[str]
+    ) -> Server:
+        waited_until = boot_time() + min(SERVER_WAIT_S, max(0.0, state.time_left_s))
+        while True:
+            server = self._choose(state, inputs, rejected)
+            if server is not None:
+                return server
+            if boot_time() >= waited_until:
+                raise RefusedError("no server can take the request", RETRY_AFTER_S)
+            await asyncio.sleep(POLL_S)
+
+    def _choose(
+        self, state: RequestState, inputs: StageInputs, rejected: set[str]
+    ) -> Server | None:
+        if not self._beliefs.is_fresh():
+            return None
+        now = boot_time()
+        nodes = self._fleet.count_nodes()
+        service = self._beliefs.find_service(state.service)
+        candidates = []
+        for server in self._beliefs.servers.list_usable(state.service):
+            if server.server_id in rejected:
+                continue
+            if self._beliefs.servers.is_cold(server, now) and service is not None:
+                rate = service.cold_rate
+                if not self._cold.may_send(server.key, rate, nodes, now):
+                    continue
+            candidates.append(server)
+        if service is not None and service.engine is not None:
+            choice = EngineChoice(state.call, self._own_zone, inputs.bytes_by_zone)
+            view = _EngineView(self._health, self._fleet, candidates)
+            return choose_engine(candidates, view, self.cache, choice, now)
+        has_connection = {s.key: self._pool.has_idle(s.key) for s in candidates}
+        plain = PlainChoice(self._own_zone, self._expected_s(state), has_connection)
+        return choose_plain(candidates, self._health, plain, now)
+
+    async def _send_to(
+        self,
+        server: Server,
+        state: RequestState,
+        inputs: StageInputs,
+        last_event_id: bytes,
+        answer_limit_s: float | None,
+    ) -> OpenAnswer:
+        if state.sends and not self.take_retry(state):
+            if state.may_have_run:
+                raise FailedError("the retry budget is used up")
+            raise RefusedError("the retry budget is used up", RETRY_AFTER_S)
+        max_idle_s = 60.0 if state.route.is_repeatable else UNSAFE_IDLE_S
+        try:
+            connection = await self._pool.acquire(
+                server.key, server.address, max_idle_s
+            )
+        except ConnectError as error:
+            self._health.note_dead(server.key, boot_time())
+            raise NotRunError(str(error)) from error
+        now = boot_time()
+        if not self._beliefs.may_send(server) or state.time_left_s <= 0:
+            self._pool.release(server.key, connection)
+            raise NotRunError("the server may no longer get work")
+        if not self._take_cold(server, state, now):
+            self._pool.release(server.key, connection)
+            raise NotRunError("the server is cold and has had its share")
+        dispatch = Dispatch(
+            server,
+            state.deadline_at - now,
+            state.account_name,
+            state.priority,
+            inputs.handles,
+            last_event_id or state.call.last_event_id,
+        )
+        request = state.exchange.request
+        headers = self._wire.make_headers(request, dispatch)
+        if state.sends == 0:
+            self._budget.note_request(state.service, now)
+        state.sends += 1
+        state.servers.append(server.server_id)
+        self._health.start(server.key, state.call.prompt_tokens, _held_tokens(state))
+        self.cache.note(server.key, state.call.prompt_parts)
+        is_over = False
+        is_open = False
+        try:
+            connection.send(request.method, request.target, headers, request.body)
+            head, info = await self._read_head(connection, state, answer_limit_s)
+            if info.was_not_run or info.is_other_server:
+                is_over = True
+                await connection.read_body(65536)
+                self._pool.release(server.key, connection)
+                raise NotRunError(f"status {head.status}")
+            is_open = True
+        except ConnectionLostError as error:
+            connection.close()
+            if is_over:
+                raise NotRunError("the server refused and closed") from error
+            state.runs += 1
+            state.may_have_run = True
+            self._health.note_failure(server.key, boot_time())
+            raise FailedError(f"{server.server_id}: {error}") from error
+        except TimeoutError as error:
+            connection.close()
+            state.runs += 1
+            state.may_have_run = True
+            self._health.note_failure(server.key, boot_time())
+            raise FailedError(f"{server.server_id}: silent", 504) from error
+        except asyncio.CancelledError:
+            connection.close()
+            raise
+        finally:
+            if not is_open:
+                self._health.read_prompt(server.key, state.call.prompt_tokens)
+                self._health.end(server.key, _held_tokens(state))
+        state.runs += 1
+        state.may_have_run = True
+        return OpenAnswer(server, connection, head, info, now)
+
+    def _take_cold(self, server: Server, state: RequestState, now: float) -> bool:
+        if not self._beliefs.servers.is_cold(server, now):
+            return True
+        service = self._beliefs.find_service(state.service)
+        rate = service.cold_rate if service is not None else 0.0
+        if not self._cold.may_send(server.key, rate, self._fleet.count_nodes(), now):
+            return False
+        self._cold.note_send(server.key, now)
+        return True
+
+    async def _read_head(
+        self,
+        connection: ClientExchange,
+        state: RequestState,
+        answer_limit_s: float | None,
+    ) -> tuple[HttpHead, AnswerInfo]:
+        limit_s = state.time_left_s
+        if answer_limit_s is not None:
+            limit_s = min(limit_s, answer_limit_s)
+        async with asyncio.timeout(limit_s):
+            while True:
+                head = await connection.read_head()
+                info = self._wire.read_answer(head)
+                is_stray = info.request_id not in ("", state.call.request_id)
+                if not is_stray:
+                    return head, info
+                logger.bind(
+                    request=state.call.request_id, other=info.request_id
+                ).warning("answer.stray")
+                await connection.read_body(1 << 20)
+                connection.skip_answer()
+
+    def _expected_s(self, state: RequestState) -> float:
+        if state.call.model:
+            return 0.05 + state.call.prompt_tokens / 60000.0
+        return 0.04
+
+
+class _EngineView:
+    """Health of engines with what the other nodes have there."""
+
+    def __init__(
+        self, health: ServerHealth, fleet: Fleet, servers: list[Server]
+    ) -> None:
+        self._health = health
+        self._load_by_key = {s.key: fleet.sum_load(s.server_id) for s in servers}
+
+    def slowness(self, key: Hashable, now: float) -> float:
+        return self._health.slowness(key, now)
+
+    def failure_share(self, key: Hashable, now: float) -> float:
+        return self._health.failure_share(key, now)
+
+    def in_flight(self, key: Hashable) -> int:
+        return self._health.in_flight(key) + self._load_by_key[key].in_flight
+
+    def unread_tokens(self, key: Hashable) -> int:
+        return self._health.unread_tokens(key) + self._load_by_key[key].unread_tokens
+
+
+def _held_tokens(state: RequestState) -> int:
+    return state.call.prompt_tokens + state.call.output_tokens
+
+
+__all__ = ("NO_INPUTS", "OpenAnswer", "ServerSender", "StageInputs")
--- /dev/null
+++ b/packages/persimmonlink-router/src/persimmonlink_router/servers.py
@@ -0,0 +1,145 @@
+"""Backend servers as they describe themselves, and which of them may get work."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+
+@dataclass(frozen=True, slots=True)
+class Server:
+    """One incarnation of a backend server.
+
+    Parameters
+    ----------
+    server_id : str
+        Name of the server.
+    born_ms : int
+        Unix time of its start, in milliseconds; 0 if unknown. Tells incarnations
+        with the same name apart.
+    service : str
+        Service that it belongs to.
+    address : str
+        `IP:PORT`.
+    zone : str
+        Failure domain.
+    slots : int
+        Requests that it runs at the same time.
+    is_draining : bool
+        Whether it is about to leave.
+    cold_left_s : float
+        How long it stays cold, in seconds, from when it said so.
+    """
+
+    server_id: str
+    born_ms: int
+    service: str
+    address: str
+    zone: str
+    slots: int
+    is_draining: bool
+    cold_left_s: float
+
+    @property
+    def key(self) -> tuple[str, int, str]:
+        """What tells this incarnation from all others."""
+        return self.server_id, self.born_ms, self.address
+
+
+class ServerDirectory:
+    """The servers that are known, with what makes some of them unfit for new work.
+
+    Answers for any load: which servers may get a request at a moment.
+    """
+
+    def __init__(self) -> None:
+        self.server_by_id: dict[str, Server] = {}
+        self.drained_zones: frozenset[str] = frozenset()
+        self._cold_until_by_key: dict[tuple[str, int, str], float] = {}
+        self._lapsed_until_by_id: dict[str, float] = {}
+
+    def put(self, server: Server, now: float) -> bool:
+        """Take in what a server says; return whether it differs from before."""
+        known = self.server_by_id.get(server.server_id)
+        self._lapsed_until_by_id.pop(server.server_id, None)
+        if known == server:
+            return False
+        self.server_by_id[server.server_id] = server
+        if known is not None and known.key != server.key:
+            self._cold_until_by_key.pop(known.key, None)
+        if server.cold_left_s > 0:
+            self.note_cold(server, now + server.cold_left_s)
+        return known is None or known.key != server.key or known != server
+
+    def remove(self, server_id: str) -> Server | None:
+        """Forget a server at once."""
+        self._lapsed_until_by_id.pop(server_id, None)
+        server = self.server_by_id.pop(server_id, None)
+        if server is not None:
+            self._cold_until_by_key.pop(server.key, None)
+        return server
+
+    def lapse(self, server_id: str, until: float) -> None:
+        """Keep a server whose entry ended during an outage until a time."""
+        if server_id in self.server_by_id:
+            self._lapsed_until_by_id.setdefault(server_id, until)
+
+    def drop_lapsed(self, now: float) -> list[str]:
+        """Forget the servers whose entries have not come back in time."""
+        gone = [
+            server_id
+            for server_id, until in self._lapsed_until_by_id.items()
+            if until <= now
+        ]
+        for server_id in gone:
+            self.remove(server_id)
+        return gone
+
+    def set_drained(
+        self, zones: Iterable[str], now: float, cold_s_by_service: dict[str, float]
+    ) -> None:
+        """Set the failure domains that get no work; those taken back are cold."""
+        zones = frozenset(zones)
+        returned = self.drained_zones - zones
+        self.drained_zones = zones
+        for server in self.server_by_id.values():
+            if server.zone not in returned:
+                continue
+            cold_s = cold_s_by_service.get(server.service, 0.0)
+            if cold_s > 0:
+                self.note_cold(server, now + cold_s)
+
+    def note_cold(self, server: Server, until: float) -> None:
+        """Take a server for cold until a time."""
+        known = self._cold_until_by_key.get(server.key, 0.0)
+        self._cold_until_by_key[server.key] = max(known, until)
+
+    def is_cold(self, server: Server, now: float) -> bool:
+        """Whether a server is taken for cold."""
+        return self._cold_until_by_key.get(server.key, 0.0) > now
+
+    def is_usable(self, server: Server) -> bool:
+        """Whether this incarnation may get new work now."""
+        known = self.server_by_id.get(server.server_id)
+        return (
+            known is not None
+            and known.key == server.key
+            and not known.is_draining
+            and known.zone not in self.drained_zones
+        )
+
+    def list_usable(self, service: str) -> list[Server]:
+        """Return the servers of a service that may get new work, by name."""
+        return [
+            server
+            for _, server in sorted(self.server_by_id.items())
+            if server.service == service
+            and not server.is_draining
+            and server.zone not in self.drained_zones
+        ]
+
+
+__all__ = ("Server", "ServerDirectory")
--- /dev/null
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stage_chain.py
@@ -0,0 +1,181 @@
+"""The stages of one request, and how far they have come."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from persimmonlink_router.servers import Server
+
+
+@dataclass(frozen=True, slots=True)
+class StageNeed:
+    """What a request needs of one stage.
+
+    Parameters
+    ----------
+    service : str
+        Service that runs the stage.
+    after : tuple of int
+        Indexes of the stages whose results it needs.
+    result_bytes : int
+        Approximate size of the result of a piece.
+    pieces : int
+        Pieces; 0 leaves the stage out.
+    """
+
+    service: str
+    after: tuple[int, ...]
+    result_bytes: int
+    pieces: int
+
+
+@dataclass(frozen=True, slots=True)
+class StageJob:
+    """A request whose stages are to be run.
+
+    Parameters
+    ----------
+    request_id : str
+        Name of the request.
+    account : str
+        Client account.
+    priority : int
+        Rank, 0 being the most urgent.
+    objective_left_s : float
+        Time until the first event earns less, in seconds.
+    deadline_left_s : float
+        Time until the request is given up, in seconds.
+    answer_s : float
+        Time that the request itself takes to its first event, in seconds.
+    piece_key : str
+        What the pieces of the first stages are made from.
+    stages : tuple of StageNeed
+        The stages, by index.
+    """
+
+    request_id: str
+    account: str
+    priority: int
+    objective_left_s: float
+    deadline_left_s: float
+    answer_s: float
+    piece_key: str
+    stages: tuple[StageNeed, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class StageResult:
+    """A result that lies at the server which made it."""
+
+    handle: str
+    server: Server
+    size: int
+
+
+class StageChain:
+    """The results of a request's stages so far.
+
+    Parameters
+    ----------
+    job : StageJob
+        What is to be run.
+    now : float
+        Boot time at which it arrived, in seconds.
+    """
+
+    def __init__(self, job: StageJob, now: float) -> None:
+        self.job = job
+        self.arrived_at = now
+        self.objective_at = now + job.objective_left_s
+        self.deadline_at = now + job.deadline_left_s
+        self.has_started = False
+        self.is_over = False
+        self._results: list[list[StageResult | None]] = [
+            [None] * need.pieces for need in job.stages
+        ]
+        self._queued: set[int] = set()
+        self._sent: set[int] = set()
+
+    def take_ready_stages(self) -> list[int]:
+        """Return the stages whose inputs are there, each of them once."""
+        ready = []
+        for index, need in enumerate(self.job.stages):
+            if index in self._queued or need.pieces == 0:
+                continue
+            if not all(self.is_stage_done(other) for other in need.after):
+                continue
+            self._queued.add(index)
+            ready.append(index)
+        return ready
+
+    def is_stage_done(self, index: int) -> bool:
+        """Whether all pieces of a stage have results."""
+        return all(result is not None for result in self._results[index])
+
+    def note_sent(self, index: int) -> None:
+        """Note that pieces of a stage were sent to a server."""
+        self.has_started = True
+        self._sent.add(index)
+
+    def is_stage_sent(self, index: int) -> bool:
+        """Whether pieces of a stage were sent to a server."""
+        return index in self._sent
+
+    def is_done(self) -> bool:
+        """Whether all stages have their results."""
+        return all(self.is_stage_done(i) for i in range(len(self.job.stages)))
+
+    def is_last(self, index: int) -> bool:
+        """Whether no other stage needs the results of a stage."""
+        return not any(index in need.after for need in self.job.stages)
+
+    def put(self, stage: int, number: int, result: StageResult) -> bool:
+        """Take in a result; return False if the piece had one already."""
+        results = self._results[stage]
+        if number >= len(results) or results[number] is not None:
+            return False
+        self._results[stage][number] = result
+        return True
+
+    def find_inputs(self, stage: int) -> tuple[StageResult, ...]:
+        """Return the results that a stage needs."""
+        return self._collect(self.job.stages[stage].after)
+
+    def list_final(self) -> tuple[StageResult, ...]:
+        """Return the results that the request itself needs."""
+        last = [i for i in range(len(self.job.stages)) if self.is_last(i)]
+        return self._collect(last)
+
+    def take_consumed(self) -> list[StageResult]:
+        """Return, and forget, the results that no stage needs any more."""
+        consumed: list[StageResult] = []
+        for index in range(len(self.job.stages)):
+            users = [u for u, n in enumerate(self.job.stages) if index in n.after]
+            is_used = bool(users) and all(self.is_stage_done(u) for u in users)
+            if is_used and self._results[index]:
+                consumed.extend(r for r in self._results[index] if r is not None)
+                self._results[index] = []
+        return consumed
+
+    def take_all(self) -> list[StageResult]:
+        """Return, and forget, all results."""
+        results = [r for stage in self._results for r in stage if r is not None]
+        self._results = [[] for _ in self.job.stages]
+        return results
+
+    def reset_stage(self, index: int) -> None:
+        """Forget the results of a stage, and of those after it, to run them again."""
+        self._results[index] = [None] * self.job.stages[index].pieces
+        self._queued.discard(index)
+        self._sent.discard(index)
+        for user, need in enumerate(self.job.stages):
+            if index in need.after and user in self._queued:
+                self.reset_stage(user)
+
+    def _collect(self, stages: tuple[int, ...] | list[int]) -> tuple[StageResult, ...]:
+        return tuple(r for i in stages for r in self._results[i] if r is not None)
+
+
+__all__ = ("StageChain", "StageJob", "StageNeed", "StageResult")
--- /dev/null
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stage_link.py
@@ -0,0 +1,171 @@
+"""Has the stages of a request run by the node that coordinates them."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+from loguru import logger
+from returns.result import Failure as Err
+
+from persimmonlink_router.boot_clock import boot_time
+from persimmonlink_router.peer_messages import (
+    Done,
+    PrepareStages,
+    ReleaseResults,
+    StagesPrepared,
+)
+from persimmonlink_router.stage_scheduler import StageOutcome
+
+if TYPE_CHECKING:
+    from persimmonlink_router.fleet import Fleet
+    from persimmonlink_router.stage_chain import StageJob
+    from persimmonlink_router.stage_scheduler import StageScheduler
+
+COORDINATED_TASK = "stages"  # Name by which all nodes choose the coordinator.
+CHECK_INTERVAL_S = 0.1  # How often it is looked whether the coordinator lives.
+EXCLUDE_S = 1.0  # Time for which a coordinator that failed a call gets none.
+RELEASE_DELAY_S = 0.03  # Releases that come together travel in one message.
+RELEASE_TIMEOUT_S = 1.0  # Longest wait for the answer to a release.
+MAX_COORDINATORS = 3  # Nodes that are asked for one request, the last being itself.
+
+
+class StageLink:
+    """Passes stage jobs to the coordinator, and to the next if it fails.
+
+    Stages may be run again, so that two nodes which both take themselves for the
+    coordinator cost time but break nothing.
+
+    Parameters
+    ----------
+    fleet : Fleet
+        The other nodes.
+    scheduler : StageScheduler
+        This node's own, for when it is the coordinator or stands alone.
+    """
+
+    def __init__(self, fleet: Fleet, scheduler: StageScheduler) -> None:
+        self._fleet = fleet
+        self._scheduler = scheduler
+        self._excluded_until_by_id: dict[str, float] = {}
+        self._coordinator_by_request: dict[str, str] = {}
+        self._releases_by_id: dict[str, list[str]] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def run(self, job: StageJob) -> StageOutcome:
+        """Run the stages of a request."""
+        started = boot_time()
+        for attempt in range(MAX_COORDINATORS):
+            spent_s = boot_time() - started
+            left_job = _shorten(job, spent_s)
+            if left_job.deadline_left_s <= 0:
+                return StageOutcome("failed")
+            node_id = self._choose(is_last=attempt == MAX_COORDINATORS - 1)
+            self._coordinator_by_request[job.request_id] = node_id
+            if node_id == self._fleet.own.node_id:
+                return await self._scheduler.run(left_job)
+            outcome = await self._ask(node_id, left_job)
+            if outcome is not None:
+                return outcome
+            self._excluded_until_by_id[node_id] = boot_time() + EXCLUDE_S
+            logger.bind(request=job.request_id, member=node_id).warning(
+                "stages.coordinator_failed"
+            )
+        return StageOutcome("failed")
+
+    def release(self, request_id: str) -> None:
+        """Tell the coordinator that a request no longer needs its results."""
+        node_id = self._coordinator_by_request.pop(request_id, None)
+        if node_id is None:
+            return
+        if node_id == self._fleet.own.node_id:
+            self._scheduler.release(request_id)
+            return
+        if node_id not in self._releases_by_id:
+            self._releases_by_id[node_id] = []
+            task = asyncio.get_running_loop().create_task(self._send_releases(node_id))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+        self._releases_by_id[node_id].append(request_id)
+
+    async def handle_prepare(self, message: PrepareStages) -> StagesPrepared:
+        """Run the stages of a peer's request."""
+        outcome = await self._scheduler.run(message.job)
+        return StagesPrepared(
+            outcome.state,
+            outcome.handles,
+            outcome.bytes_by_zone,
+            outcome.retry_after_s,
+            outcome.predicted_s,
+        )
+
+    async def handle_release(self, message: ReleaseResults) -> Done:
+        """Free the results of a peer's requests."""
+        for request_id in message.request_ids:
+            self._scheduler.release(request_id)
+        return Done()
+
+    def _choose(self, *, is_last: bool) -> str:
+        if is_last:
+            return self._fleet.own.node_id
+        now = boot_time()
+        excluded = {i for i, t in self._excluded_until_by_id.items() if t > now}
+        return self._fleet.choose_coordinator(COORDINATED_TASK, excluded)
+
+    async def _ask(self, node_id: str, job: StageJob) -> StageOutcome | None:
+        """Return the coordinator's outcome, or None if it failed or fell silent."""
+        member = self._fleet.members.find(node_id)
+        if member is None:
+            return None
+        message = PrepareStages(self._fleet.sender, job)
+        channel = self._fleet.channel(member.peer_address)
+        call = asyncio.ensure_future(
+            channel.call(message, StagesPrepared, job.deadline_left_s)
+        )
+        try:
+            while not call.done():
+                await asyncio.wait((call,), timeout=CHECK_INTERVAL_S)
+                if not call.done() and not self._fleet.is_answering(node_id):
+                    return None
+        finally:
+            call.cancel()
+        reply = call.result()
+        if isinstance(reply, Err):
+            return None
+        prepared = reply.unwrap()
+        if prepared.state == "unknown_service":
+            return None
+        return StageOutcome(
+            prepared.state,
+            prepared.handles,
+            prepared.bytes_by_zone,
+            prepared.retry_after_s,
+            prepared.predicted_s,
+        )
+
+    async def _send_releases(self, node_id: str) -> None:
+        await asyncio.sleep(RELEASE_DELAY_S)
+        request_ids = tuple(self._releases_by_id.pop(node_id))
+        member = self._fleet.members.find(node_id)
+        if member is None:
+            return
+        message = ReleaseResults(self._fleet.sender, request_ids)
+        channel = self._fleet.channel(member.peer_address)
+        reply = await channel.call(message, Done, RELEASE_TIMEOUT_S)
+        if isinstance(reply, Err):
+            # The coordinator frees them by itself when their deadlines have passed.
+            logger.bind(member=node_id, requests=len(request_ids)).info(
+                "stages.release_failed"
+            )
+
+
+def _shorten(job: StageJob, spent_s: float) -> StageJob:
+    return replace(
+        job,
+        objective_left_s=job.objective_left_s - spent_s,
+        deadline_left_s=job.deadline_left_s - spent_s,
+    )
+
+
+__all__ = ("StageLink",)
--- /dev/null
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stage_scheduler.py
@@ -0,0 +1,575 @@
+"""Runs the stages of all nodes' requests: one place at which their pieces meet."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from loguru import logger
+
+from persimmonlink_router.boot_clock import boot_time
+from persimmonlink_router.calls import Piece, PieceResult, WireFormatError
+from persimmonlink_router.http_client import ConnectError, ConnectionLostError
+from persimmonlink_router.stage_admission import (
+    AccountShares,
+    ServiceLoad,
+    decide,
+)
+from persimmonlink_router.stage_chain import StageChain, StageResult
+from persimmonlink_router.stage_queue import (
+    StageQueue,
+    StageServerView,
+    Ticket,
+    estimate_call_s,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Hashable, Sequence
+
+    from persimmonlink_router.beliefs import Beliefs
+    from persimmonlink_router.calls import ServerCall, Wire
+    from persimmonlink_router.configuration import BatchSpec, Service
+    from persimmonlink_router.connection_pool import ConnectionPool
+    from persimmonlink_router.send_limits import RetryBudget
+    from persimmonlink_router.server_health import ServerHealth
+    from persimmonlink_router.servers import Server
+    from persimmonlink_router.stage_chain import StageJob
+
+RELEASE_DELAY_S = 0.02  # Results that become free together are freed in one call.
+RELEASE_TIMEOUT_S = 1.0  # Longest wait for the answer to a release.
+CALL_PATIENCE = 3.0  # Times the expected time after which a call is given up.
+CALL_PATIENCE_EXTRA_S = 0.6  # On top of that, for the way and for waiting calls.
+BACKOFF_S = 0.1  # Time for which a server that refused a call gets none.
+DEAD_S = 0.7  # Time for which a server that can't be reached gets no call.
+SLOW_FACTOR = 1.6  # Slowness at which waiting for a faster server is considered.
+MAX_TRIES = 4  # Times that the pieces of one request are sent again.
+BATCH_BODY_BYTES = 1048576  # Most bytes of the answer to a batch.
+PUMP_INTERVAL_S = 0.1  # How often waiting pieces are looked at without a cause.
+
+
+@dataclass(frozen=True, slots=True)
+class StageOutcome:
+    """What became of a request's stages.
+
+    Parameters
+    ----------
+    state : str
+        `done`, `refused`, `failed` or `unknown_service`.
+    handles : tuple of str
+        Handles for the request itself, if done.
+    bytes_by_zone : dict
+        Bytes of these results in each failure domain.
+    retry_after_s : float
+        When to come back, in seconds, if refused.
+    predicted_s : float
+        Predicted time to the first event, in seconds.
+    """
+
+    state: str
+    handles: tuple[str, ...] = ()
+    bytes_by_zone: dict[str, float] = field(default_factory=dict)
+    retry_after_s: float = 0.0
+    predicted_s: float = 0.0
+
+
+@dataclass(slots=True)
+class _StageServer:
+    """What is under way at a stage server."""
+
+    calls: int = 0
+    held_bytes: float = 0.0
+    busy_until: float = 0.0
+    blocked_until: float = 0.0
+
+
+@dataclass(slots=True)
+class _Run:
+    """A chain, and who waits for it."""
+
+    chain: StageChain
+    done: asyncio.Future[StageOutcome]
+    tries: int = 0
+
+
+class StageScheduler:
+    """Queues pieces by service, batches them, and keeps their results.
+
+    Parameters
+    ----------
+    beliefs : Beliefs
+        Configuration and servers.
+    pool : ConnectionPool
+        Connections to the servers.
+    wire : Wire
+        Messages of the stage servers.
+    health : ServerHealth
+        Speed and failures of the servers.
+    budget : RetryBudget
+        Second sends of pieces.
+    """
+
+    def __init__(
+        self,
+        beliefs: Beliefs,
+        pool: ConnectionPool,
+        wire: Wire,
+        health: ServerHealth,
+        budget: RetryBudget,
+    ) -> None:
+        self._beliefs = beliefs
+        self._pool = pool
+        self._wire = wire
+        self._health = health
+        self._budget = budget
+        self._queue_by_service: dict[str, StageQueue] = {}
+        self._run_by_request: dict[str, _Run] = {}
+        self._server_by_key: dict[Hashable, _StageServer] = {}
+        self._to_release: dict[Hashable, tuple[Server, list[StageResult]]] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._shares = AccountShares()
+        self.batches = 0
+        self.batched_pieces = 0
+
+    async def run(self, job: StageJob) -> StageOutcome:
+        """Run a request's stages; cancelling it withdraws what has not started."""
+        now = boot_time()
+        old = self._run_by_request.get(job.request_id)
+        if old is not None:
+            self._finish(old, StageOutcome("failed"))
+        loads = self._list_loads(job, now)
+        if len(loads) < len({n.service for n in job.stages if n.pieces}):
+            return StageOutcome("unknown_service")
+        is_over = self._shares.is_over(job.account, now)
+        admission = decide(job, loads, is_over_share=is_over)
+        logger.bind(
+            request=job.request_id,
+            admitted=admission.is_admitted,
+            predicted_s=round(admission.predicted_s, 3),
+            objective_left_s=round(job.objective_left_s, 3),
+            waiting={s: len(q) for s, q in self._queue_by_service.items()},
+            account=job.account,
+            over_share=is_over,
+        ).info("stages.admission")
+        if not admission.is_admitted:
+            return StageOutcome(
+                "refused",
+                retry_after_s=admission.retry_after_s,
+                predicted_s=admission.predicted_s,
+            )
+        self._shares.note(job.account, _cost_s(job, loads), now)
+        run = _Run(StageChain(job, now), asyncio.get_running_loop().create_future())
+        self._run_by_request[job.request_id] = run
+        self._queue_ready(run)
+        try:
+            async with asyncio.timeout(job.deadline_left_s):
+                return await run.done
+        except TimeoutError:
+            return StageOutcome("failed")
+        finally:
+            outcome = run.done.result() if run.done.done() else None
+            if outcome is None or outcome.state != "done":
+                self.release(job.request_id)
+
+    def release(self, request_id: str) -> None:
+        """Free the results of a request, which is started or over."""
+        run = self._run_by_request.pop(request_id, None)
+        if run is None:
+            return
+        run.chain.is_over = True
+        self._free(run.chain.take_all())
+
+    def count_running(self) -> int:
+        """Return the requests whose stages are being run."""
+        return sum(1 for r in self._run_by_request.values() if not r.done.done())
+
+    def tick(self) -> None:
+        """Give waiting pieces another chance, and forget requests that are over."""
+        now = boot_time()
+        for request_id, run in list(self._run_by_request.items()):
+            if now > run.chain.deadline_at + 1.0:
+                self.release(request_id)
+        for service in list(self._queue_by_service):
+            self._pump(service)
+
+    def wake(self) -> None:
+        """Look at all queues after servers have changed."""
+        for service in list(self._queue_by_service):
+            self._pump(service)
+
+    def _list_loads(self, job: StageJob, now: float) -> dict[str, ServiceLoad]:
+        pieces = self._count_unstarted()
+        loads: dict[str, ServiceLoad] = {}
+        for need in job.stages:
+            if need.pieces == 0 or need.service in loads:
+                continue
+            service = self._beliefs.find_service(need.service)
+            if service is None or service.batch is None:
+                continue
+            servers = self._beliefs.servers.list_usable(need.service)
+            speed = 0.0
+            busy = []
+            for server in servers:
+                if self._health.failure_share(server.key, now) > 0.5:
+                    continue
+                slowness = self._health.slowness(server.key, now)
+                speed += 1 / max(1.0, slowness)
+                state = self._server_by_key.get(server.key)
+                busy.append(max(0.0, state.busy_until - now) if state else 0.0)
+            loads[need.service] = ServiceLoad(
+                service.batch, speed, pieces[need.service], min(busy, default=0.0)
+            )
+        return loads
+
+    def _count_unstarted(self) -> dict[str, Counter[int]]:
+        counts: dict[str, Counter[int]] = _CounterTable()
+        for run in self._run_by_request.values():
+            chain = run.chain
+            if chain.is_over or run.done.done():
+                continue
+            for index, need in enumerate(chain.job.stages):
+                if chain.is_stage_done(index) or chain.is_stage_sent(index):
+                    continue
+                counts[need.service][chain.job.priority] += need.pieces
+        return counts
+
+    def _queue_ready(self, run: _Run) -> None:
+        for index in run.chain.take_ready_stages():
+            need = run.chain.job.stages[index]
+            zone = _main_zone(run.chain.find_inputs(index))
+            tickets = [Ticket(run.chain, index, n, zone) for n in range(need.pieces)]
+            queue = self._queue_by_service.setdefault(need.service, StageQueue())
+            queue.put(tickets)
+        for service in {need.service for need in run.chain.job.stages}:
+            self._pump(service)
+
+    def _pump(self, name: str) -> None:
+        """Send batches to the servers that have nothing to do."""
+        queue = self._queue_by_service.get(name)
+        service = self._beliefs.find_service(name)
+        if queue is None or service is None or service.batch is None:
+            return
+        queue.drop_over()
+        while len(queue):
+            server = self._choose_server(service, queue)
+            if server is None:
+                return
+            state = self._server_by_key.setdefault(server.key, _StageServer())
+            now = boot_time()
+            view = StageServerView(
+                server.zone, _room(service.batch, state), self._slowness(server, now)
+            )
+            batch = queue.take_batch(service.batch, view, now)
+            if not batch:
+                return
+            self._start_batch(service, server, state, batch)
+
+    def _choose_server(self, service: Service, queue: StageQueue) -> Server | None:
+        spec = service.batch
+        if spec is None:
+            return None
+        now = boot_time()
+        idle: list[tuple[float, Server]] = []
+        soonest = float("inf")
+        for server in self._beliefs.servers.list_usable(service.name):
+            state = self._server_by_key.setdefault(server.key, _StageServer())
+            slowness = self._slowness(server, now)
+            call_s = estimate_call_s(spec, min(len(queue), spec.size)) * slowness
+            if state.blocked_until > now:
+                continue
+            if state.calls >= spec.calls:
+                soonest = min(soonest, max(0.0, state.busy_until - now) + call_s)
+                continue
+            if state.held_bytes and _room(spec, state) < queue.least_bytes():
+                continue
+            idle.append((slowness, server))
+        if not idle:
+            return None
+        slowness, server = min(idle, key=lambda pair: (pair[0], pair[1].server_id))
+        pieces = min(len(queue), spec.size)
+        if slowness > SLOW_FACTOR and len(queue) <= spec.size:
+            # A faster server that is busy now would still be done sooner.
+            if soonest < estimate_call_s(spec, pieces) * slowness:
+                return None
+        return server
+
+    def _slowness(self, server: Server, now: float) -> float:
+        slowness = max(1.0, self._health.slowness(server.key, now))
+        return slowness * (1 + 4 * self._health.failure_share(server.key, now))
+
+    def _start_batch(
+        self,
+        service: Service,
+        server: Server,
+        state: _StageServer,
+        batch: list[Ticket],
+    ) -> None:
+        spec = service.batch
+        if spec is None:
+            return
+        state.calls += 1
+        state.held_bytes += sum(ticket.result_bytes for ticket in batch)
+        expected_s = estimate_call_s(spec, len(batch))
+        now = boot_time()
+        state.busy_until = now + expected_s * self._health.slowness(server.key, now)
+        for ticket in batch:
+            ticket.chain.note_sent(ticket.stage)
+        self.batches += 1
+        self.batched_pieces += len(batch)
+        task = asyncio.get_running_loop().create_task(
+            self._run_batch(service, server, state, batch, expected_s)
+        )
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _run_batch(
+        self,
+        service: Service,
+        server: Server,
+        state: _StageServer,
+        batch: list[Ticket],
+        expected_s: float,
+    ) -> None:
+        started = boot_time()
+        results: Sequence[PieceResult] | None = None
+        try:
+            pieces = [self._make_piece(ticket, started) for ticket in batch]
+            call = self._wire.make_batch(server, pieces)
+            limit_s = expected_s * CALL_PATIENCE + CALL_PATIENCE_EXTRA_S
+            results = await self._call_batch(server, call, len(batch), limit_s)
+            took_s = boot_time() - started
+            if results is None:
+                state.blocked_until = boot_time() + BACKOFF_S
+            else:
+                self._health.note_success(server.key, took_s / expected_s, boot_time())
+        except ConnectError as error:
+            self._note_failed(server, state, error, is_dead=True)
+        except (ConnectionLostError, WireFormatError, TimeoutError) as error:
+            self._note_failed(server, state, error, is_dead=False)
+        finally:
+            state.calls -= 1
+            state.busy_until = boot_time()
+        self._log_batch(server, batch, results, boot_time() - started, expected_s)
+        self._take_results(server, state, batch, results)
+        self._pump(service.name)
+
+    def _make_piece(self, ticket: Ticket, now: float) -> Piece:
+        chain = ticket.chain
+        inputs = tuple(r.handle for r in chain.find_inputs(ticket.stage))
+        return Piece(
+            chain.job.request_id,
+            ticket.stage,
+            ticket.number,
+            max(0.05, chain.deadline_at - now),
+            "" if inputs else chain.job.piece_key,
+            inputs,
+        )
+
+    async def _call_batch(
+        self, server: Server, call: ServerCall, pieces: int, limit_s: float
+    ) -> Sequence[PieceResult] | None:
+        """Return the results, or None if the server refused the call unexecuted."""
+        if not self._beliefs.may_send(server):
+            return None
+        async with asyncio.timeout(limit_s):
+            connection = await self._pool.acquire(server.key, server.address)
+            try:
+                if not self._beliefs.may_send(server):
+                    self._pool.release(server.key, connection)
+                    return None
+                connection.send(call.method, call.target, call.headers, call.body)
+                head = await connection.read_head()
+                body = await connection.read_body(BATCH_BODY_BYTES)
+            except BaseException:
+                connection.close()
+                raise
+        info = self._wire.read_answer(head)
+        self._pool.release(server.key, connection)
+        if info.was_not_run or info.is_other_server:
+            return None
+        if head.status != 200:
+            raise ConnectionLostError(f"{server.address}: status {head.status}")
+        return self._wire.read_batch(body, pieces)
+
+    def _note_failed(
+        self, server: Server, state: _StageServer, error: Exception, *, is_dead: bool
+    ) -> None:
+        now = boot_time()
+        if is_dead:
+            self._health.note_dead(server.key, now)
+        else:
+            self._health.note_failure(server.key, now)
+        state.blocked_until = now + (DEAD_S if is_dead else BACKOFF_S)
+        logger.bind(server=server.server_id, error=repr(error)).warning("stages.failed")
+
+    def _take_results(
+        self,
+        server: Server,
+        state: _StageServer,
+        batch: list[Ticket],
+        results: Sequence[PieceResult] | None,
+    ) -> None:
+        again: list[Ticket] = []
+        runs: dict[str, _Run] = {}
+        for index, ticket in enumerate(batch):
+            result = results[index] if results is not None else PieceResult(reason="")
+            run = self._run_by_request.get(ticket.chain.job.request_id)
+            is_current = run is not None and run.chain is ticket.chain
+            if not result.handle:
+                state.held_bytes = max(0.0, state.held_bytes - ticket.result_bytes)
+                if run is not None and is_current:
+                    self._handle_missing(run, ticket, result.reason, again)
+                    runs[run.chain.job.request_id] = run
+                continue
+            made = StageResult(result.handle, server, ticket.result_bytes)
+            if run is None or not is_current or run.done.done():
+                self._free([made])
+                continue
+            if not ticket.chain.put(ticket.stage, ticket.number, made):
+                self._free([made])
+                continue
+            runs[run.chain.job.request_id] = run
+        for ticket in again:
+            name = ticket.chain.job.stages[ticket.stage].service
+            self._queue_by_service.setdefault(name, StageQueue()).put([ticket])
+        for run in runs.values():
+            self._advance(run)
+
+    def _handle_missing(
+        self, run: _Run, ticket: Ticket, reason: str, again: list[Ticket]
+    ) -> None:
+        """Decide what becomes of a piece without a result."""
+        chain = ticket.chain
+        if run.done.done():
+            return
+        if reason == "late" or boot_time() > chain.deadline_at:
+            self._finish(run, StageOutcome("failed"))
+            return
+        service = chain.job.stages[ticket.stage].service
+        now = boot_time()
+        run.tries += 1
+        is_allowed = run.tries <= MAX_TRIES * len(chain.job.stages)
+        if not is_allowed or not self._budget.take(service, 1, now):
+            self._finish(run, StageOutcome("failed"))
+            return
+        if reason == "gone":
+            for index in chain.job.stages[ticket.stage].after:
+                chain.reset_stage(index)
+            return
+        again.append(ticket)
+
+    def _advance(self, run: _Run) -> None:
+        if run.done.done():
+            return
+        if not run.chain.is_done():
+            self._queue_ready(run)
+            self._free(run.chain.take_consumed())
+            return
+        final = run.chain.list_final()
+        bytes_by_zone: dict[str, float] = {}
+        for result in final:
+            zone = result.server.zone
+            bytes_by_zone[zone] = bytes_by_zone.get(zone, 0.0) + result.size
+        handles = tuple(result.handle for result in final)
+        self._free(run.chain.take_consumed())
+        self._finish(run, StageOutcome("done", handles, bytes_by_zone))
+
+    def _finish(self, run: _Run, outcome: StageOutcome) -> None:
+        if not run.done.done():
+            run.done.set_result(outcome)
+        if outcome.state != "done":
+            run.chain.is_over = True
+
+    def _free(self, results: list[StageResult]) -> None:
+        if not results:
+            return
+        for result in results:
+            key = result.server.key
+            state = self._server_by_key.get(key)
+            if state is not None:
+                state.held_bytes = max(0.0, state.held_bytes - result.size)
+            if key not in self._to_release:
+                self._to_release[key] = (result.server, [])
+                task = asyncio.get_running_loop().create_task(self._send_release(key))
+                self._tasks.add(task)
+                task.add_done_callback(self._tasks.discard)
+            self._to_release[key][1].append(result)
+
+    async def _send_release(self, key: Hashable) -> None:
+        await asyncio.sleep(RELEASE_DELAY_S)
+        server, results = self._to_release.pop(key)
+        call = self._wire.make_release(server, [r.handle for r in results])
+        try:
+            async with asyncio.timeout(RELEASE_TIMEOUT_S):
+                connection = await self._pool.acquire(server.key, server.address)
+                try:
+                    connection.send(call.method, call.target, call.headers, call.body)
+                    await connection.read_head()
+                    await connection.read_body(BATCH_BODY_BYTES)
+                except BaseException:
+                    connection.close()
+                    raise
+            self._pool.release(server.key, connection)
+        except (ConnectError, ConnectionLostError, TimeoutError) as error:
+            # The results end by themselves after a while.
+            logger.bind(server=server.server_id, error=repr(error)).debug(
+                "stages.release_failed"
+            )
+
+    def _log_batch(
+        self,
+        server: Server,
+        batch: list[Ticket],
+        results: Sequence[PieceResult] | None,
+        took_s: float,
+        expected_s: float,
+    ) -> None:
+        reasons = Counter(r.reason for r in results or () if not r.handle)
+        logger.bind(
+            server=server.server_id,
+            service=server.service,
+            pieces=len(batch),
+            requests=sorted({t.chain.job.request_id for t in batch}),
+            took_s=round(took_s, 3),
+            expected_s=round(expected_s, 3),
+            outcome="unexecuted" if results is None else "done",
+            reasons=dict(reasons),
+        ).info("stages.batch")
+
+
+class _CounterTable(dict[str, "Counter[int]"]):
+    """Counts by service and priority."""
+
+    def __missing__(self, key: str) -> Counter[int]:
+        counter: Counter[int] = Counter()
+        self[key] = counter
+        return counter
+
+
+def _room(spec: BatchSpec, state: _StageServer) -> float:
+    if not state.held_bytes:
+        # A single result is never too large for an empty server.
+        return max(spec.result_room_bytes, 1e12 if spec.size == 1 else 0.0)
+    return spec.result_room_bytes - state.held_bytes
+
+
+def _main_zone(results: tuple[StageResult, ...]) -> str:
+    bytes_by_zone: Counter[str] = Counter()
+    for result in results:
+        bytes_by_zone[result.server.zone] += result.size
+    return max(bytes_by_zone, key=lambda z: (bytes_by_zone[z], z), default="")
+
+
+def _cost_s(job: StageJob, loads: dict[str, ServiceLoad]) -> float:
+    cost = 0.0
+    for need in job.stages:
+        load = loads.get(need.service)
+        if load is None:
+            continue
+        piece_s = load.spec.call_s / load.spec.size + load.spec.piece_s
+        cost += need.pieces * piece_s
+    return cost
+
+
+__all__ = ("StageOutcome", "StageScheduler")
--- /dev/null
+++ b/packages/persimmonlink-router/src/persimmonlink_router/store_follower.py
@@ -0,0 +1,162 @@
+"""Keeps the mirror of the store up to date, and this node's entry in it."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import msgspec
+from loguru import logger
+
+from persimmonlink_router.boot_clock import boot_time
+from persimmonlink_router.fleet import MEMBER_PREFIX
+from persimmonlink_router.store import (
+    HistoryLostError,
+    LeaseEndedError,
+    StoreUnavailableError,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from persimmonlink_model.membership import Member
+    from persimmonlink_router.beliefs import Beliefs
+    from persimmonlink_router.store import ItemPage, MetadataStore, StoredItem
+    from persimmonlink_router.store_mirror import StoreMirror
+
+WATCH_WAIT_S = 2.0  # Servers write more often, so that a silent watch is broken.
+WATCH_PAUSE_S = 0.3  # Time in which changes gather between two watch calls.
+RETRY_S = 0.2  # Time between tries while the store does not answer.
+LEASE_TTL_S = 4.0  # Within the time that a dead node may still be named to clients.
+LEASE_RENEWAL_S = 1.4  # Two renewals may fail before the lease ends.
+MAX_PAGES = 1000  # Pages of a listing, against a store that never ends one.
+
+
+class StoreFollower:
+    """Reads the store's keys once, then watches them.
+
+    Parameters
+    ----------
+    store : MetadataStore
+        The store.
+    prefixes : tuple of str
+        Prefixes of the keys that are read.
+    mirror : StoreMirror
+        Where the keys are kept.
+    beliefs : Beliefs
+        Told whether the store answers.
+    """
+
+    def __init__(
+        self,
+        store: MetadataStore,
+        prefixes: tuple[str, ...],
+        mirror: StoreMirror,
+        beliefs: Beliefs,
+    ) -> None:
+        self._store = store
+        self._prefixes = prefixes
+        self._mirror = mirror
+        self._beliefs = beliefs
+
+    async def run(self) -> None:
+        """Follow the store for as long as the node runs."""
+        revision = 0
+        while True:
+            try:
+                if revision == 0:
+                    revision = await self._read_all()
+                page = await self._store.watch("", revision, WATCH_WAIT_S)
+                self._take(page)
+                revision = max(revision, page.revision)
+            except HistoryLostError:
+                logger.bind(revision=revision).info("belief.history_lost")
+                revision = 0
+                continue
+            except StoreUnavailableError as error:
+                self._beliefs.note_lost(boot_time(), str(error))
+                await asyncio.sleep(RETRY_S)
+                continue
+            await asyncio.sleep(WATCH_PAUSE_S)
+
+    async def _read_all(self) -> int:
+        """Read all keys; return the revision from which to watch."""
+        first_revision = 0
+        for prefix in self._prefixes:
+            items: list[StoredItem] = []
+            after = ""
+            listing_revision = 0
+            for _ in range(MAX_PAGES):
+                page = await self._store.read_page(prefix, after)
+                listing_revision = listing_revision or page.revision
+                items.extend(page.items)
+                if not page.has_more or not page.items:
+                    break
+                after = page.items[-1].key
+            first_revision = min(first_revision or listing_revision, listing_revision)
+            self._beliefs.note_contact(boot_time())
+            self._mirror.apply_listing(prefix, items, listing_revision)
+        self._mirror.advance(first_revision)
+        return first_revision
+
+    def _take(self, page: ItemPage) -> None:
+        self._beliefs.note_contact(boot_time())
+        followed = [i for i in page.items if i.key.startswith(self._prefixes)]
+        self._mirror.apply(followed)
+        self._mirror.advance(page.revision)
+
+
+class MemberRegistration:
+    """Keeps this node's entry in the store under a lease.
+
+    Parameters
+    ----------
+    store : MetadataStore
+        The store.
+    member : callable
+        Returns what this node says of itself.
+    """
+
+    def __init__(self, store: MetadataStore, member: Callable[[], Member]) -> None:
+        self._store = store
+        self._member = member
+        self._lease = 0
+        self._is_leaving = False
+
+    async def run(self) -> None:
+        """Keep the entry for as long as the node takes callers."""
+        while not self._is_leaving:
+            try:
+                await self._renew()
+            except LeaseEndedError:
+                self._lease = 0
+                continue
+            except StoreUnavailableError as error:
+                logger.bind(error=str(error)).debug("registration.failed")
+                await asyncio.sleep(RETRY_S)
+                continue
+            await asyncio.sleep(LEASE_RENEWAL_S)
+
+    async def leave(self) -> None:
+        """Take the entry away."""
+        self._is_leaving = True
+        if not self._lease:
+            return
+        try:
+            await self._store.end_lease(self._lease)
+        except (StoreUnavailableError, LeaseEndedError) as error:
+            # The lease ends by itself, and peers are told.
+            logger.bind(error=str(error)).info("registration.leave_failed")
+
+    async def _renew(self) -> None:
+        if self._lease:
+            await self._store.keep_lease(self._lease)
+            return
+        lease = await self._store.grant_lease(LEASE_TTL_S)
+        member = self._member()
+        key = MEMBER_PREFIX + member.node_id
+        await self._store.put_leased(key, msgspec.json.encode(member), lease)
+        self._lease = lease
+
+
+__all__ = ("MemberRegistration", "StoreFollower")
--- /dev/null
+++ b/packages/persimmonlink-router/src/persimmonlink_router/timers.py
@@ -0,0 +1,52 @@
+"""A timer service on the event loop, which parts subscribe to."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from loguru import logger
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+
+class LoopTimerService:
+    """Runs callbacks at intervals on the event loop."""
+
+    def __init__(self) -> None:
+        self._tasks: list[asyncio.Task[None]] = []
+
+    def every(self, interval_s: float, callback: Callable[[], None], name: str) -> None:
+        """Run a callback at an interval until the service stops.
+
+        Parameters
+        ----------
+        interval_s : float
+            Seconds between two runs.
+        callback : callable
+            What is run; its exceptions are logged and don't end the subscription.
+        name : str
+            Name for logs.
+        """
+        task = asyncio.get_running_loop().create_task(
+            _run(interval_s, callback, name), name=name
+        )
+        self._tasks.append(task)
+
+    def stop(self) -> None:
+        """End all subscriptions."""
+        for task in self._tasks:
+            task.cancel()
+
+
+async def _run(interval_s: float, callback: Callable[[], None], name: str) -> None:
+    while True:
+        try:
+            callback()
+        except Exception:
+            logger.bind(timer=name).exception("timer.failed")
+        await asyncio.sleep(interval_s)
+
+
+__all__ = ("LoopTimerService",)
--- a/tests/node/membership_rig.py
+++ b/tests/node/membership_rig.py
@@ -7,7 +7,7 @@
 
 from persimmonlink_model.server_directory import Vm, VmRole, VmState
 from persimmonlink_node.address_book import AddressBook
-from persimmonlink_node.heartbeat_ring import list_successors
+from persimmonlink_model.heartbeat_ring import list_successors
 from persimmonlink_node.heartbeats import Heartbeats
 from persimmonlink_node.member_view import MemberView
 from persimmonlink_node.node_state import NodeIdentity
