--- a/deploy/start.py
+++ b/deploy/start.py
@@ -17,7 +17,7 @@
 def main() -> int:
     """Put the sources on the path and run."""
     sys.path[:0] = [str(ROOT / source) for source in SOURCES]
-    from persimmonlink_adapter.run import run  # noqa: PLC0415
+    from persimmonlink_adapter.run import run
 
     return run()
 
--- a/packages/persimmonlink-router/src/persimmonlink_router/beliefs.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/beliefs.py
@@ -9,13 +9,12 @@
 
 from persimmonlink_router.boot_clock import boot_time
 from persimmonlink_router.calls import WireFormatError
-from persimmonlink_router.servers import ServerDirectory
+from persimmonlink_router.servers import Server, ServerDirectory
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from persimmonlink_router.configuration import Configuration, Service
-    from persimmonlink_router.servers import Server
     from persimmonlink_router.store import StoredItem
 
 SUSPENSION_S = 0.8  # A gap between ticks that shows that the VM stood still.
@@ -48,15 +47,12 @@
     is_drained: bool
 
 
-
 class EntryReader(Protocol):
     """Reads the entries that operators and servers write to the store."""
 
     prefixes: tuple[str, ...]
 
-    def read(
-        self, item: StoredItem
-    ) -> Configuration | ServerEntry | DrainEntry | None:
+    def read(self, item: StoredItem) -> Configuration | ServerEntry | DrainEntry | None:
         """Read an item; raise `WireFormatError` if it is malformed."""
         ...
 
@@ -208,9 +204,9 @@
             for service in self.configuration.service_by_name.values():
                 cold_s[service.name] = service.cold_start_s
         self.servers.set_drained(self._drained, boot_time(), cold_s)
-        logger.bind(
-            zone=entry.zone, drained=entry.is_drained, revision=revision
-        ).info("belief.drain")
+        logger.bind(zone=entry.zone, drained=entry.is_drained, revision=revision).info(
+            "belief.drain"
+        )
 
 
 __all__ = ("Beliefs", "DrainEntry", "EntryReader", "ServerEntry")
--- a/packages/persimmonlink-router/src/persimmonlink_router/calls.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/calls.py
@@ -5,11 +5,13 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Protocol
 
+from persimmonlink_router.http_messages import Headers
+from persimmonlink_router.servers import Server
+
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from persimmonlink_router.http_messages import Headers, HttpHead, HttpRequest
-    from persimmonlink_router.servers import Server
+    from persimmonlink_router.http_messages import HttpHead, HttpRequest
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/persimmonlink-router/src/persimmonlink_router/fleet.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/fleet.py
@@ -10,9 +10,9 @@
 from loguru import logger
 from returns.result import Failure as Err
 
+from persimmonlink_model.heartbeat_ring import list_successors
 from persimmonlink_model.membership import Member, MemberReport, Membership
 from persimmonlink_model.rendezvous import choose_owner
-from persimmonlink_model.heartbeat_ring import list_successors
 from persimmonlink_peers.message import Sender
 from persimmonlink_peers.peer_channel import PeerChannel
 from persimmonlink_router.boot_clock import boot_time
--- a/packages/persimmonlink-router/src/persimmonlink_router/http_client.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/http_client.py
@@ -175,8 +175,7 @@
         self._request = None
         rest, _ = self._h11.trailing_data
         is_sent = (
-            self._transport is not None
-            and self._transport.get_write_buffer_size() == 0
+            self._transport is not None and self._transport.get_write_buffer_size() == 0
         )
         is_done = self._h11.our_state is h11.DONE and self._h11.their_state is h11.DONE
         if rest or not is_done or not is_sent or not self._is_open:
--- a/packages/persimmonlink-router/src/persimmonlink_router/placement.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/placement.py
@@ -7,15 +7,18 @@
 from __future__ import annotations
 
 from collections import OrderedDict
+from collections.abc import Hashable, Mapping
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Protocol
 
 from xxhash import xxh3_64_intdigest
 
+from persimmonlink_router.calls import Call
+
 if TYPE_CHECKING:
-    from collections.abc import Hashable, Iterable, Mapping, Sequence
+    from collections.abc import Iterable, Sequence
 
-    from persimmonlink_router.calls import Call, PromptPart
+    from persimmonlink_router.calls import PromptPart
     from persimmonlink_router.server_health import ServerHealth
     from persimmonlink_router.servers import Server
 
@@ -24,8 +27,11 @@
 FAILURE_COST_S = 1.0  # Worth of avoiding a server that fails all requests.
 PREFILL_TOKENS_PER_S = 60000.0  # Rate at which engines read prompts, by the sheets.
 QUEUE_COST_S = 0.004  # Delay that a running request adds to the next, on an engine.
-INPUT_COST_S_PER_BYTE = 1.0e-7  # Worth of reading stage results in their domain.
-KNOWN_PARTS = 400  # Prompt parts remembered for each server.
+# Delay that is worth avoiding the second reading of a shared token, which takes memory
+# and time of an engine that others wait for.
+REREAD_COST_S = 1.3e-4
+INPUT_COST_S_PER_BYTE = 5.0e-8  # Delay that is worth a byte kept in its domain.
+KNOWN_PARTS = 1500  # Prompt parts remembered for each server.
 
 
 @dataclass(frozen=True, slots=True)
@@ -139,22 +145,24 @@
 ) -> Server | None:
     """Return the engine that is expected to answer first for the least cost.
 
-    All nodes rank the engines of a failure domain alike for the parts that a prompt
-    shares, so that they agree without messages on where a part is kept.
+    All nodes rank the engines alike for the parts that a prompt shares, so that they
+    agree without messages on where a part is kept.
     """
     shared = choice.call.prompt_parts[:-1]
-    home_by_zone = _choose_homes(servers, shared)
+    shared_tokens = sum(part.tokens for part in shared)
+    home = choose_home(servers, shared)
     total_inputs = sum(choice.input_bytes_by_zone.values())
     best: Server | None = None
     best_cost = 0.0
     for server in servers:
         key = server.key
         known = cache.count_known_tokens(key, shared)
-        if home_by_zone.get(server.zone) == server.server_id:
-            known = max(known, sum(part.tokens for part in shared) // 2)
-        unread = choice.call.prompt_tokens - known
-        unread += load.unread_tokens(key)
+        if server is home:
+            known = shared_tokens
+        own_tokens = choice.call.prompt_tokens - known
+        unread = own_tokens + load.unread_tokens(key)
         cost = unread / PREFILL_TOKENS_PER_S * load.slowness(key, now)
+        cost += REREAD_COST_S * (shared_tokens - known)
         cost += QUEUE_COST_S * load.in_flight(key)
         cost += FAILURE_COST_S * 2 * load.failure_share(key, now)
         crossing = total_inputs - choice.input_bytes_by_zone.get(server.zone, 0.0)
@@ -166,19 +174,21 @@
     return best
 
 
-def _choose_homes(
+def choose_home(
     servers: Sequence[Server], shared: Sequence[PromptPart]
-) -> dict[str, str]:
+) -> Server | None:
+    """Return the engine at which all nodes expect the shared parts of a prompt."""
     if not shared:
-        return {}
+        return None
     name = shared[-1].part_id
-    best_by_zone: dict[str, tuple[int, str]] = {}
-    for server in servers:
-        weight = xxh3_64_intdigest(f"{name}\0{server.server_id}".encode())
-        rank = (weight, server.server_id)
-        if rank > best_by_zone.get(server.zone, (-1, "")):
-            best_by_zone[server.zone] = rank
-    return {zone: server_id for zone, (_, server_id) in best_by_zone.items()}
+    return max(
+        servers,
+        key=lambda s: (
+            xxh3_64_intdigest(f"{name}\0{s.server_id}".encode()),
+            s.server_id,
+        ),
+        default=None,
+    )
 
 
 __all__ = (
@@ -187,5 +197,6 @@
     "PlainChoice",
     "PromptCache",
     "choose_engine",
+    "choose_home",
     "choose_plain",
 )
--- a/packages/persimmonlink-router/src/persimmonlink_router/request_service.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/request_service.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import math
-import random
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -22,6 +21,8 @@
 from persimmonlink_router.stream_relay import relay_stream
 
 if TYPE_CHECKING:
+    import random
+
     from persimmonlink_router.beliefs import Beliefs
     from persimmonlink_router.calls import Wire
     from persimmonlink_router.configuration import Route
--- a/packages/persimmonlink-router/src/persimmonlink_router/request_state.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/request_state.py
@@ -3,14 +3,11 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING
 
 from persimmonlink_router.boot_clock import boot_time
-
-if TYPE_CHECKING:
-    from persimmonlink_router.calls import Call
-    from persimmonlink_router.configuration import Account, Route
-    from persimmonlink_router.http_server import Exchange
+from persimmonlink_router.calls import Call
+from persimmonlink_router.configuration import Account, Route
+from persimmonlink_router.http_server import Exchange
 
 DEFAULT_DEADLINE_S = 30.0  # Where a client names no deadline.
 
--- a/packages/persimmonlink-router/src/persimmonlink_router/router.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/router.py
@@ -12,8 +12,9 @@
 
 from persimmonlink_model.membership import Member
 from persimmonlink_peers.peer_server import PeerServer
-from persimmonlink_router.beliefs import Beliefs
+from persimmonlink_router.beliefs import Beliefs, EntryReader
 from persimmonlink_router.boot_clock import boot_time
+from persimmonlink_router.calls import Wire
 from persimmonlink_router.connection_pool import ConnectionPool
 from persimmonlink_router.fleet import MEMBER_PREFIX, Fleet
 from persimmonlink_router.http_server import HttpServer, ServerLimits
@@ -34,6 +35,7 @@
 from persimmonlink_router.server_sender import ServerSender
 from persimmonlink_router.stage_link import StageLink
 from persimmonlink_router.stage_scheduler import PUMP_INTERVAL_S, StageScheduler
+from persimmonlink_router.store import MetadataStore
 from persimmonlink_router.store_follower import MemberRegistration, StoreFollower
 from persimmonlink_router.store_mirror import StoreMirror
 from persimmonlink_router.timers import LoopTimerService
@@ -43,12 +45,10 @@
     from typing import Any
 
     from persimmonlink_model.result_code import ResultCode
-    from persimmonlink_router.beliefs import EntryReader
-    from persimmonlink_router.calls import Wire
     from persimmonlink_router.http_messages import Headers
     from persimmonlink_router.http_server import Exchange
     from persimmonlink_router.router_settings import RouterSettings
-    from persimmonlink_router.store import MetadataStore, StoredItem
+    from persimmonlink_router.store import StoredItem
 
 TICK_S = 0.1  # How often the node notes that it runs.
 SWEEP_S = 1.0  # How often idle connections and old records are dropped.
--- a/packages/persimmonlink-router/src/persimmonlink_router/server_health.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/server_health.py
@@ -34,7 +34,9 @@
     def __init__(self) -> None:
         self._record_by_key: dict[Hashable, _Record] = {}
 
-    def start(self, key: Hashable, prompt_tokens: int = 0, held_tokens: int = 0) -> None:
+    def start(
+        self, key: Hashable, prompt_tokens: int = 0, held_tokens: int = 0
+    ) -> None:
         """Count a request that is sent to a server."""
         record = self._find(key)
         record.in_flight += 1
--- a/packages/persimmonlink-router/src/persimmonlink_router/server_sender.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/server_sender.py
@@ -3,14 +3,20 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from loguru import logger
 
 from persimmonlink_router.boot_clock import boot_time
-from persimmonlink_router.calls import Dispatch
-from persimmonlink_router.http_client import ConnectError, ConnectionLostError
+from persimmonlink_router.calls import AnswerInfo, Dispatch
+from persimmonlink_router.http_client import (
+    ClientExchange,
+    ConnectError,
+    ConnectionLostError,
+)
+from persimmonlink_router.http_messages import HttpHead
 from persimmonlink_router.placement import (
     EngineChoice,
     PlainChoice,
@@ -19,20 +25,18 @@
     choose_plain,
 )
 from persimmonlink_router.request_state import FailedError, RefusedError
+from persimmonlink_router.servers import Server
 
 if TYPE_CHECKING:
-    from collections.abc import Hashable, Mapping
+    from collections.abc import Hashable
 
     from persimmonlink_router.beliefs import Beliefs
-    from persimmonlink_router.calls import AnswerInfo, Wire
+    from persimmonlink_router.calls import Wire
     from persimmonlink_router.connection_pool import ConnectionPool
     from persimmonlink_router.fleet import Fleet
-    from persimmonlink_router.http_client import ClientExchange
-    from persimmonlink_router.http_messages import HttpHead
     from persimmonlink_router.request_state import RequestState
     from persimmonlink_router.send_limits import ColdLimit, RetryBudget
     from persimmonlink_router.server_health import ServerHealth
-    from persimmonlink_router.servers import Server
 
 SERVER_WAIT_S = 0.15  # Longest wait for a server that may take the request.
 POLL_S = 0.02  # How often it is looked for one meanwhile.
@@ -156,6 +160,11 @@
                         "servers reject the request", RETRY_AFTER_S
                     ) from error
 
+    def expect_zone(self, state: RequestState) -> str:
+        """Return the failure domain in which a request is likely to run."""
+        server = self._choose(state, NO_INPUTS, set())
+        return server.zone if server is not None else ""
+
     def has_retry(self, state: RequestState) -> bool:
         """Whether the budget would allow another send of a request."""
         nodes = self._fleet.count_nodes()
--- a/packages/persimmonlink-router/src/persimmonlink_router/stage_admission.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stage_admission.py
@@ -8,21 +8,23 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Mapping
 from dataclasses import dataclass
+from enum import StrEnum
 from typing import TYPE_CHECKING
 
+from persimmonlink_router.configuration import BatchSpec
 from persimmonlink_router.stage_queue import estimate_call_s
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
-
-    from persimmonlink_router.configuration import BatchSpec
-    from persimmonlink_router.stage_chain import StageJob
+    from persimmonlink_router.stage_chain import StageJob, StageNeed
 
 SHARE_WINDOW_S = 10.0  # Window over which the shares of accounts are compared.
 OVER_SHARE_PATIENCE = 0.8  # Part of the time left that an account over its share gets.
 OVER_SHARE_FACTOR = 1.5  # Use above the mean at which an account is over its share.
-MIN_RETRY_AFTER_S = 0.2  # Shortest time after which a refused client comes back.
+LATE_PATIENCE = 0.4  # Part of the time left by which late requests must start.
+MIN_RETRY_AFTER_S = 0.5  # Shortest time after which a refused client comes back.
+NO_SERVER_RETRY_AFTER_S = 1.0  # When to come back while no server takes work.
 MAX_RETRY_AFTER_S = 3.0  # Longest; clients wait up to a third of the time they have.
 
 
@@ -37,7 +39,9 @@
     servers : float
         Servers that take work, slow ones counted in part.
     pieces_by_priority : Mapping of int to int
-        Pieces of admitted requests that have not been started.
+        Pieces that have not been started, of requests that can be on time.
+    late_pieces : int
+        Pieces that have not been started, of requests that will be late.
     busy_s : float
         Time until a server is free, in seconds.
     """
@@ -45,33 +49,44 @@
     spec: BatchSpec
     servers: float
     pieces_by_priority: Mapping[int, int]
+    late_pieces: int
     busy_s: float
 
-    def wait_s(self, priority: int) -> float:
+    def wait_s(self, priority: int, *, is_late: bool) -> float:
         """Return the time until pieces of a priority are started, in seconds."""
         if self.servers <= 0:
             return float("inf")
         ahead = sum(n for p, n in self.pieces_by_priority.items() if p <= priority)
+        if is_late:
+            ahead = sum(self.pieces_by_priority.values()) + self.late_pieces
         full_s = estimate_call_s(self.spec, self.spec.size)
         rate = self.servers * self.spec.size / full_s
         return ahead / rate + self.busy_s
 
 
+class Lane(StrEnum):
+    """How a request is taken."""
+
+    ON_TIME = "on_time"
+    LATE = "late"
+    REFUSED = "refused"
+
+
 @dataclass(frozen=True, slots=True)
 class Admission:
     """What was decided, and what it was decided from.
 
     Parameters
     ----------
-    is_admitted : bool
-        Whether the request is taken.
+    lane : Lane
+        How the request is taken.
     predicted_s : float
         Predicted time to the first event, in seconds.
     retry_after_s : float
-        When to come back, in seconds, if it is not taken.
+        When to come back, in seconds, if it is refused.
     """
 
-    is_admitted: bool
+    lane: Lane
     predicted_s: float
     retry_after_s: float = 0.0
 
@@ -101,7 +116,9 @@
         return self._cost_by_account.get(account, 0.0) > OVER_SHARE_FACTOR * mean
 
 
-def predict_s(job: StageJob, load_by_service: Mapping[str, ServiceLoad]) -> float:
+def predict_s(
+    job: StageJob, load_by_service: Mapping[str, ServiceLoad], *, is_late: bool
+) -> float:
     """Return the predicted time to the first event, in seconds."""
     end_by_stage: dict[int, float] = {}
     for index in _order(job):
@@ -113,28 +130,55 @@
             continue
         if load is None:
             return float("inf")
-        start = max(start, load.wait_s(job.priority))
-        calls = -(-need.pieces // load.spec.size)
-        rounds = -(-calls // max(1, int(load.servers)))
-        pieces = min(need.pieces, load.spec.size)
-        end_by_stage[index] = start + rounds * estimate_call_s(load.spec, pieces)
+        start = max(start, load.wait_s(job.priority, is_late=is_late))
+        end_by_stage[index] = start + stage_s(need, load)
     return max(end_by_stage.values(), default=0.0) + job.answer_s
 
 
+def stage_s(need: StageNeed, load: ServiceLoad) -> float:
+    """Return the time that a stage takes once it is started, in seconds."""
+    calls = -(-need.pieces // load.spec.size)
+    rounds = -(-calls // max(1, int(load.servers)))
+    return rounds * estimate_call_s(load.spec, min(need.pieces, load.spec.size))
+
+
+def list_tails_s(
+    job: StageJob, load_by_service: Mapping[str, ServiceLoad]
+) -> list[float]:
+    """Return the time from the start of each stage to the first event, in seconds."""
+    tails = [job.answer_s] * len(job.stages)
+    for index in reversed(_order(job)):
+        need = job.stages[index]
+        load = load_by_service.get(need.service)
+        users = [u for u, other in enumerate(job.stages) if index in other.after]
+        rest_s = max((tails[u] for u in users), default=job.answer_s)
+        own_s = stage_s(need, load) if load is not None and need.pieces else 0.0
+        tails[index] = own_s + rest_s
+    return tails
+
+
 def decide(
     job: StageJob, load_by_service: Mapping[str, ServiceLoad], *, is_over_share: bool
 ) -> Admission:
-    """Decide whether a request's stages are run."""
-    predicted_s = predict_s(job, load_by_service)
+    """Decide whether, and in which lane, a request's stages are run.
+
+    A request that would miss its objective is run with what the others leave, if that
+    is soon enough for its client to wait; otherwise it is refused at once.
+    """
+    predicted_s = predict_s(job, load_by_service, is_late=False)
     patience_s = job.objective_left_s
     if is_over_share:
         patience_s *= OVER_SHARE_PATIENCE
     if predicted_s <= patience_s:
-        return Admission(True, predicted_s)
-    if predicted_s == float("inf"):
-        return Admission(False, predicted_s, 1.0)
-    excess_s = max(MIN_RETRY_AFTER_S, predicted_s - patience_s)
-    return Admission(False, predicted_s, min(MAX_RETRY_AFTER_S, excess_s))
+        return Admission(Lane.ON_TIME, predicted_s)
+    late_s = predict_s(job, load_by_service, is_late=True)
+    limit_s = LATE_PATIENCE * job.deadline_left_s
+    if late_s <= limit_s:
+        return Admission(Lane.LATE, late_s)
+    if late_s == float("inf"):
+        return Admission(Lane.REFUSED, late_s, NO_SERVER_RETRY_AFTER_S)
+    wait_s = min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, late_s - limit_s))
+    return Admission(Lane.REFUSED, late_s, wait_s)
 
 
 def _order(job: StageJob) -> list[int]:
@@ -153,7 +197,9 @@
 __all__ = (
     "AccountShares",
     "Admission",
+    "Lane",
     "ServiceLoad",
     "decide",
+    "list_tails_s",
     "predict_s",
 )
--- a/packages/persimmonlink-router/src/persimmonlink_router/stage_chain.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stage_chain.py
@@ -5,8 +5,10 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from persimmonlink_router.servers import Server
+
 if TYPE_CHECKING:
-    from persimmonlink_router.servers import Server
+    from collections.abc import Sequence
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,6 +51,8 @@
         Time until the request is given up, in seconds.
     answer_s : float
         Time that the request itself takes to its first event, in seconds.
+    answer_zone : str
+        Failure domain of the server that is expected to run the request itself.
     piece_key : str
         What the pieces of the first stages are made from.
     stages : tuple of StageNeed
@@ -61,6 +65,7 @@
     objective_left_s: float
     deadline_left_s: float
     answer_s: float
+    answer_zone: str
     piece_key: str
     stages: tuple[StageNeed, ...]
 
@@ -83,10 +88,24 @@
         What is to be run.
     now : float
         Boot time at which it arrived, in seconds.
+    tail_s_by_stage : sequence of float
+        Time from the start of each stage to the first event, in seconds.
+    is_admitted_late : bool
+        Whether it was taken although it can't meet its objective.
     """
 
-    def __init__(self, job: StageJob, now: float) -> None:
+    def __init__(
+        self,
+        job: StageJob,
+        now: float,
+        tail_s_by_stage: Sequence[float] = (),
+        *,
+        is_admitted_late: bool = False,
+    ) -> None:
         self.job = job
+        self._tail_s_by_stage = tail_s_by_stage
+        self._is_admitted_late = is_admitted_late
+        self._epochs = [0] * len(job.stages)
         self.arrived_at = now
         self.objective_at = now + job.objective_left_s
         self.deadline_at = now + job.deadline_left_s
@@ -98,6 +117,20 @@
         self._queued: set[int] = set()
         self._sent: set[int] = set()
 
+    def epoch(self, index: int) -> int:
+        """Return the epoch of a stage, which grows when it is run anew."""
+        return self._epochs[index]
+
+    def tail_s(self, index: int) -> float:
+        """Return the time from the start of a stage to the first event."""
+        if index < len(self._tail_s_by_stage):
+            return self._tail_s_by_stage[index]
+        return 0.0
+
+    def is_late(self, now: float) -> bool:
+        """Whether the request has missed its objective, or is bound to."""
+        return self._is_admitted_late or now > self.objective_at
+
     def take_ready_stages(self) -> list[int]:
         """Return the stages whose inputs are there, each of them once."""
         ready = []
@@ -165,14 +198,20 @@
         self._results = [[] for _ in self.job.stages]
         return results
 
-    def reset_stage(self, index: int) -> None:
-        """Forget the results of a stage, and of those after it, to run them again."""
+    def reset_stage(self, index: int) -> list[StageResult]:
+        """Forget the results of a stage, and of those after it, to run them again.
+
+        Returns the results that were there.
+        """
+        freed = [result for result in self._results[index] if result is not None]
         self._results[index] = [None] * self.job.stages[index].pieces
+        self._epochs[index] += 1
         self._queued.discard(index)
         self._sent.discard(index)
         for user, need in enumerate(self.job.stages):
             if index in need.after and user in self._queued:
-                self.reset_stage(user)
+                freed.extend(self.reset_stage(user))
+        return freed
 
     def _collect(self, stages: tuple[int, ...] | list[int]) -> tuple[StageResult, ...]:
         return tuple(r for i in stages for r in self._results[i] if r is not None)
--- a/packages/persimmonlink-router/src/persimmonlink_router/stage_link.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stage_link.py
@@ -26,7 +26,7 @@
 COORDINATED_TASK = "stages"  # Name by which all nodes choose the coordinator.
 CHECK_INTERVAL_S = 0.1  # How often it is looked whether the coordinator lives.
 EXCLUDE_S = 1.0  # Time for which a coordinator that failed a call gets none.
-RELEASE_DELAY_S = 0.03  # Releases that come together travel in one message.
+RELEASE_DELAY_S = 0.01  # Releases that come together travel in one message.
 RELEASE_TIMEOUT_S = 1.0  # Longest wait for the answer to a release.
 MAX_COORDINATORS = 3  # Nodes that are asked for one request, the last being itself.
 
--- a/packages/persimmonlink-router/src/persimmonlink_router/stage_queue.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stage_queue.py
@@ -6,14 +6,20 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from persimmonlink_router.stage_chain import StageChain
+
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
     from persimmonlink_router.configuration import BatchSpec
-    from persimmonlink_router.stage_chain import StageChain
+
+# Waiting for a server in the same failure domain, against bytes that would cross.
+LOCAL_WAIT_S_PER_BYTE = 3.0e-7
+MAX_LOCAL_WAIT_S = 0.45  # About the time of one full call.
 
 
 @dataclass(frozen=True, slots=True, eq=False)
@@ -28,20 +34,40 @@
         Index of the stage.
     number : int
         Number of the piece in its stage.
-    inputs_zone : str
-        Failure domain in which most of its inputs lie, empty if it has none.
+    epoch : int
+        Epoch of the stage; it grows when the stage is run anew.
+    queued_at : float
+        Boot time at which it became ready, in seconds.
+    zone : str
+        Failure domain in which it is run best, empty if any will do.
+    crossing_bytes : float
+        Bytes that cross if it is run in another one.
     """
 
     chain: StageChain
     stage: int
     number: int
-    inputs_zone: str = ""
+    epoch: int
+    queued_at: float
+    zone: str = ""
+    crossing_bytes: float = 0.0
 
     @property
     def result_bytes(self) -> int:
         """Approximate size of the result."""
         return self.chain.job.stages[self.stage].result_bytes
 
+    def is_current(self) -> bool:
+        """Whether the piece is still wanted."""
+        return not self.chain.is_over and self.chain.epoch(self.stage) == self.epoch
+
+    def accepts(self, zone: str, served_zones: Collection[str], now: float) -> bool:
+        """Whether the piece may be run in a failure domain, or waits for its own."""
+        if zone == self.zone or self.zone not in served_zones:
+            return True
+        wait_s = min(MAX_LOCAL_WAIT_S, self.crossing_bytes * LOCAL_WAIT_S_PER_BYTE)
+        return now >= self.queued_at + wait_s
+
 
 @dataclass(frozen=True, slots=True)
 class StageServerView:
@@ -53,13 +79,13 @@
         Failure domain.
     room_bytes : float
         Memory that is free for results.
-    slowness : float
-        Time that it takes against the expected time.
+    served_zones : collection of str
+        Failure domains with servers that take work.
     """
 
     zone: str
     room_bytes: float
-    slowness: float = 1.0
+    served_zones: Collection[str] = ()
 
 
 class StageQueue:
@@ -76,8 +102,8 @@
         self._tickets.extend(tickets)
 
     def drop_over(self) -> None:
-        """Forget pieces of requests that are over."""
-        self._tickets = [t for t in self._tickets if not t.chain.is_over]
+        """Forget pieces that are no longer wanted."""
+        self._tickets = [t for t in self._tickets if t.is_current()]
 
     def take_batch(
         self, spec: BatchSpec, view: StageServerView, now: float
@@ -85,13 +111,16 @@
         """Return, and remove, the pieces that a server runs next.
 
         Requests that can still meet their objective go first, by priority, then by
-        the time left; of those alike, pieces whose inputs lie near the server.
+        the latest time at which the piece must start.
         """
         self.drop_over()
-        ranked = sorted(self._tickets, key=lambda t: _rank(t, view.zone, now))
+        fitting = [
+            t for t in self._tickets if t.accepts(view.zone, view.served_zones, now)
+        ]
+        fitting.sort(key=lambda t: _rank(t, now))
         batch: list[Ticket] = []
         room = view.room_bytes
-        for ticket in ranked:
+        for ticket in fitting:
             if len(batch) == spec.size:
                 break
             if ticket.result_bytes > room:
@@ -107,13 +136,13 @@
         return min((t.result_bytes for t in self._tickets), default=0)
 
 
-def _rank(ticket: Ticket, zone: str, now: float) -> tuple[bool, int, float, bool]:
+def _rank(ticket: Ticket, now: float) -> tuple[bool, int, float]:
     chain = ticket.chain
-    # Steps of a tenth of a second, within which nearness decides.
-    urgency = round(chain.objective_at, 1)
-    is_late = now > chain.objective_at
-    is_far = ticket.inputs_zone not in ("", zone)
-    return is_late, chain.job.priority, urgency, is_far
+    return (
+        chain.is_late(now),
+        chain.job.priority,
+        chain.objective_at - chain.tail_s(ticket.stage),
+    )
 
 
 def estimate_call_s(spec: BatchSpec, pieces: int) -> float:
--- a/packages/persimmonlink-router/src/persimmonlink_router/stage_scheduler.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stage_scheduler.py
@@ -14,8 +14,10 @@
 from persimmonlink_router.http_client import ConnectError, ConnectionLostError
 from persimmonlink_router.stage_admission import (
     AccountShares,
+    Lane,
     ServiceLoad,
     decide,
+    list_tails_s,
 )
 from persimmonlink_router.stage_chain import StageChain, StageResult
 from persimmonlink_router.stage_queue import (
@@ -37,7 +39,7 @@
     from persimmonlink_router.servers import Server
     from persimmonlink_router.stage_chain import StageJob
 
-RELEASE_DELAY_S = 0.02  # Results that become free together are freed in one call.
+RELEASE_DELAY_S = 0.01  # Results that become free together are freed in one call.
 RELEASE_TIMEOUT_S = 1.0  # Longest wait for the answer to a release.
 CALL_PATIENCE = 3.0  # Times the expected time after which a call is given up.
 CALL_PATIENCE_EXTRA_S = 0.6  # On top of that, for the way and for waiting calls.
@@ -145,21 +147,27 @@
         admission = decide(job, loads, is_over_share=is_over)
         logger.bind(
             request=job.request_id,
-            admitted=admission.is_admitted,
+            lane=admission.lane.value,
             predicted_s=round(admission.predicted_s, 3),
             objective_left_s=round(job.objective_left_s, 3),
             waiting={s: len(q) for s, q in self._queue_by_service.items()},
             account=job.account,
             over_share=is_over,
         ).info("stages.admission")
-        if not admission.is_admitted:
+        if admission.lane is Lane.REFUSED:
             return StageOutcome(
                 "refused",
                 retry_after_s=admission.retry_after_s,
                 predicted_s=admission.predicted_s,
             )
         self._shares.note(job.account, _cost_s(job, loads), now)
-        run = _Run(StageChain(job, now), asyncio.get_running_loop().create_future())
+        chain = StageChain(
+            job,
+            now,
+            list_tails_s(job, loads),
+            is_admitted_late=admission.lane is Lane.LATE,
+        )
+        run = _Run(chain, asyncio.get_running_loop().create_future())
         self._run_by_request[job.request_id] = run
         self._queue_ready(run)
         try:
@@ -199,7 +207,7 @@
             self._pump(service)
 
     def _list_loads(self, job: StageJob, now: float) -> dict[str, ServiceLoad]:
-        pieces = self._count_unstarted()
+        pieces, late_pieces = self._count_unstarted(now)
         loads: dict[str, ServiceLoad] = {}
         for need in job.stages:
             if need.pieces == 0 or need.service in loads:
@@ -218,12 +226,17 @@
                 state = self._server_by_key.get(server.key)
                 busy.append(max(0.0, state.busy_until - now) if state else 0.0)
             loads[need.service] = ServiceLoad(
-                service.batch, speed, pieces[need.service], min(busy, default=0.0)
+                service.batch,
+                speed,
+                pieces[need.service],
+                late_pieces[need.service],
+                min(busy, default=0.0),
             )
         return loads
 
-    def _count_unstarted(self) -> dict[str, Counter[int]]:
-        counts: dict[str, Counter[int]] = _CounterTable()
+    def _count_unstarted(self, now: float) -> tuple[_CounterTable, Counter[str]]:
+        counts = _CounterTable()
+        late: Counter[str] = Counter()
         for run in self._run_by_request.values():
             chain = run.chain
             if chain.is_over or run.done.done():
@@ -231,17 +244,26 @@
             for index, need in enumerate(chain.job.stages):
                 if chain.is_stage_done(index) or chain.is_stage_sent(index):
                     continue
-                counts[need.service][chain.job.priority] += need.pieces
-        return counts
+                if chain.is_late(now):
+                    late[need.service] += need.pieces
+                else:
+                    counts[need.service][chain.job.priority] += need.pieces
+        return counts, late
 
     def _queue_ready(self, run: _Run) -> None:
-        for index in run.chain.take_ready_stages():
-            need = run.chain.job.stages[index]
-            zone = _main_zone(run.chain.find_inputs(index))
-            tickets = [Ticket(run.chain, index, n, zone) for n in range(need.pieces)]
+        chain = run.chain
+        now = boot_time()
+        for index in chain.take_ready_stages():
+            need = chain.job.stages[index]
+            zone, crossing = _choose_zone(chain, index)
+            epoch = chain.epoch(index)
+            tickets = [
+                Ticket(chain, index, n, epoch, now, zone, crossing)
+                for n in range(need.pieces)
+            ]
             queue = self._queue_by_service.setdefault(need.service, StageQueue())
             queue.put(tickets)
-        for service in {need.service for need in run.chain.job.stages}:
+        for service in {need.service for need in chain.job.stages}:
             self._pump(service)
 
     def _pump(self, name: str) -> None:
@@ -251,31 +273,49 @@
         if queue is None or service is None or service.batch is None:
             return
         queue.drop_over()
-        while len(queue):
-            server = self._choose_server(service, queue)
-            if server is None:
-                return
-            state = self._server_by_key.setdefault(server.key, _StageServer())
-            now = boot_time()
-            view = StageServerView(
-                server.zone, _room(service.batch, state), self._slowness(server, now)
-            )
-            batch = queue.take_batch(service.batch, view, now)
-            if not batch:
-                return
-            self._start_batch(service, server, state, batch)
+        is_progress = True
+        while is_progress and len(queue):
+            is_progress = False
+            for server in self._list_idle(service, queue):
+                if self._offer(service, server, queue):
+                    is_progress = True
+                    break
+
+    def _offer(self, service: Service, server: Server, queue: StageQueue) -> bool:
+        """Send a batch to a server if some pieces suit it."""
+        spec = service.batch
+        if spec is None:
+            return False
+        state = self._server_by_key.setdefault(server.key, _StageServer())
+        usable = self._beliefs.servers.list_usable(service.name)
+        zones = {s.zone for s in usable if not self._is_blocked(s)}
+        view = StageServerView(server.zone, _room(spec, state), zones)
+        batch = queue.take_batch(spec, view, boot_time())
+        if not batch:
+            return False
+        self._start_batch(service, server, state, batch)
+        return True
+
+    def _is_blocked(self, server: Server) -> bool:
+        state = self._server_by_key.get(server.key)
+        now = boot_time()
+        if state is not None and state.blocked_until > now:
+            return True
+        return self._slowness(server, now) > SLOW_FACTOR
 
-    def _choose_server(self, service: Service, queue: StageQueue) -> Server | None:
+    def _list_idle(self, service: Service, queue: StageQueue) -> list[Server]:
+        """Return the servers that should get a call now, the fastest first."""
         spec = service.batch
         if spec is None:
-            return None
+            return []
         now = boot_time()
-        idle: list[tuple[float, Server]] = []
+        idle: list[tuple[float, str, Server]] = []
         soonest = float("inf")
+        pieces = min(len(queue), spec.size)
         for server in self._beliefs.servers.list_usable(service.name):
             state = self._server_by_key.setdefault(server.key, _StageServer())
             slowness = self._slowness(server, now)
-            call_s = estimate_call_s(spec, min(len(queue), spec.size)) * slowness
+            call_s = estimate_call_s(spec, pieces) * slowness
             if state.blocked_until > now:
                 continue
             if state.calls >= spec.calls:
@@ -283,16 +323,16 @@
                 continue
             if state.held_bytes and _room(spec, state) < queue.least_bytes():
                 continue
-            idle.append((slowness, server))
-        if not idle:
-            return None
-        slowness, server = min(idle, key=lambda pair: (pair[0], pair[1].server_id))
-        pieces = min(len(queue), spec.size)
-        if slowness > SLOW_FACTOR and len(queue) <= spec.size:
+            idle.append((round(slowness, 1), server.server_id, server))
+        idle.sort(key=lambda entry: entry[:2])
+        chosen = []
+        for slowness, _, server in idle:
+            is_slow = slowness > SLOW_FACTOR and len(queue) <= spec.size
             # A faster server that is busy now would still be done sooner.
-            if soonest < estimate_call_s(spec, pieces) * slowness:
-                return None
-        return server
+            if is_slow and soonest < estimate_call_s(spec, pieces) * slowness:
+                continue
+            chosen.append(server)
+        return chosen
 
     def _slowness(self, server: Server, now: float) -> float:
         slowness = max(1.0, self._health.slowness(server.key, now))
@@ -426,7 +466,8 @@
             if run is None or not is_current or run.done.done():
                 self._free([made])
                 continue
-            if not ticket.chain.put(ticket.stage, ticket.number, made):
+            is_wanted = ticket.is_current()
+            if not is_wanted or not ticket.chain.put(ticket.stage, ticket.number, made):
                 self._free([made])
                 continue
             runs[run.chain.job.request_id] = run
@@ -455,7 +496,7 @@
             return
         if reason == "gone":
             for index in chain.job.stages[ticket.stage].after:
-                chain.reset_stage(index)
+                self._free(chain.reset_stage(index))
             return
         again.append(ticket)
 
@@ -486,9 +527,6 @@
             return
         for result in results:
             key = result.server.key
-            state = self._server_by_key.get(key)
-            if state is not None:
-                state.held_bytes = max(0.0, state.held_bytes - result.size)
             if key not in self._to_release:
                 self._to_release[key] = (result.server, [])
                 task = asyncio.get_running_loop().create_task(self._send_release(key))
@@ -513,9 +551,14 @@
             self._pool.release(server.key, connection)
         except (ConnectError, ConnectionLostError, TimeoutError) as error:
             # The results end by themselves after a while.
-            logger.bind(server=server.server_id, error=repr(error)).debug(
+            logger.bind(server=server.server_id, error=repr(error)).info(
                 "stages.release_failed"
             )
+        state = self._server_by_key.get(key)
+        if state is not None:
+            freed = sum(result.size for result in results)
+            state.held_bytes = max(0.0, state.held_bytes - freed)
+        self._pump(server.service)
 
     def _log_batch(
         self,
@@ -554,11 +597,22 @@
     return spec.result_room_bytes - state.held_bytes
 
 
-def _main_zone(results: tuple[StageResult, ...]) -> str:
+def _choose_zone(chain: StageChain, index: int) -> tuple[str, float]:
+    """Return where a stage is run best, and the bytes that cross otherwise.
+
+    Each piece reads all inputs of its stage, and the request itself the results of
+    the last stages.
+    """
+    need = chain.job.stages[index]
     bytes_by_zone: Counter[str] = Counter()
-    for result in results:
-        bytes_by_zone[result.server.zone] += result.size
-    return max(bytes_by_zone, key=lambda z: (bytes_by_zone[z], z), default="")
+    for result in chain.find_inputs(index):
+        bytes_by_zone[result.server.zone] += result.size * need.pieces
+    if chain.is_last(index) and chain.job.answer_zone:
+        bytes_by_zone[chain.job.answer_zone] += need.result_bytes * need.pieces
+    if not bytes_by_zone:
+        return "", 0.0
+    zone = max(bytes_by_zone, key=lambda z: (bytes_by_zone[z], z))
+    return zone, float(bytes_by_zone[zone])
 
 
 def _cost_s(job: StageJob, loads: dict[str, ServiceLoad]) -> float:
--- a/packages/persimmonlink-router/src/persimmonlink_router/stream_relay.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stream_relay.py
@@ -38,7 +38,7 @@
     splitter = EventSplitter()
     while True:
         try:
-            inputs = await _prepare(state, stages)
+            inputs = await _prepare(state, sender, stages)
             try:
                 answer = await sender.send(state, inputs, splitter.last_id)
                 is_done = await _pass_on(state, sender, stages, answer, splitter)
@@ -58,7 +58,9 @@
             splitter.take_rest()
 
 
-async def _prepare(state: RequestState, stages: StageLink) -> StageInputs:
+async def _prepare(
+    state: RequestState, sender: ServerSender, stages: StageLink
+) -> StageInputs:
     needs = make_needs(state)
     if not any(need.pieces for need in needs):
         return NO_INPUTS
@@ -71,6 +73,7 @@
         state.route.objective_s - spent_s if not state.runs else state.time_left_s,
         state.time_left_s,
         ANSWER_BASE_S + call.prompt_tokens / PROMPT_TOKENS_PER_S,
+        sender.expect_zone(state),
         call.piece_key,
         needs,
     )
