Free stage inputs once read, and finish begun late requests first

Cause: results of the middle stage were held until the stage after had ended, so that batches stayed half empty for want of room (99 pieces), and late requests waited between stages for longer than results are kept.

--- a/packages/persimmonlink-router/src/persimmonlink_router/metrics.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/metrics.py
@@ -23,9 +23,11 @@
     def count(self, name: str, labels: str = "", amount: int = 1) -> None:
         """Add to a counter."""
         series = (name, labels)
-        if series not in self._count_by_series:
-            if len(self._count_by_series) >= MAX_SERIES:
-                series = (name, f'series="{OTHER}"')
+        if (
+            series not in self._count_by_series
+            and len(self._count_by_series) >= MAX_SERIES
+        ):
+            series = (name, f'series="{OTHER}"')
         self._count_by_series[series] += amount
 
     def gauge(self, name: str, value: float) -> None:
@@ -35,10 +37,12 @@
     def observe(self, name: str, labels: str, seconds: float) -> None:
         """Add a time, in seconds, to a histogram."""
         series = (name, labels)
-        if series not in self._buckets_by_series:
-            if len(self._buckets_by_series) >= MAX_SERIES:
-                series = (name, f'series="{OTHER}"')
-            self._buckets_by_series.setdefault(series, [0] * (len(BUCKETS_S) + 1))
+        if (
+            series not in self._buckets_by_series
+            and len(self._buckets_by_series) >= MAX_SERIES
+        ):
+            series = (name, f'series="{OTHER}"')
+        self._buckets_by_series.setdefault(series, [0] * (len(BUCKETS_S) + 1))
         self._buckets_by_series[series][bisect_left(BUCKETS_S, seconds)] += 1
         self._sum_by_series[series] = self._sum_by_series.get(series, 0.0) + seconds
 
--- a/packages/persimmonlink-router/src/persimmonlink_router/stage_chain.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stage_chain.py
@@ -79,6 +79,15 @@
     size: int
 
 
+@dataclass(slots=True)
+class StageTimes:
+    """When a stage became ready, was first sent, and was done, in boot time."""
+
+    ready_at: float = 0.0
+    sent_at: float = 0.0
+    done_at: float = 0.0
+
+
 class StageChain:
     """The results of a request's stages so far.
 
@@ -116,6 +125,9 @@
         ]
         self._queued: set[int] = set()
         self._sent: set[int] = set()
+        self._released: set[int] = set()
+        self._unsent_by_stage: dict[int, int] = {}
+        self.times = [StageTimes() for _ in job.stages]
 
     def epoch(self, index: int) -> int:
         """Return the epoch of a stage, which grows when it is run anew."""
@@ -147,11 +159,37 @@
         """Whether all pieces of a stage have results."""
         return all(result is not None for result in self._results[index])
 
-    def note_sent(self, index: int) -> None:
+    def note_sent(self, index: int, now: float) -> None:
         """Note that pieces of a stage were sent to a server."""
         self.has_started = True
+        if index not in self._sent:
+            self.times[index].sent_at = now
         self._sent.add(index)
 
+    def take_read_inputs(self, index: int) -> list[StageResult]:
+        """Return, and count as released, inputs that all pieces of a stage have read.
+
+        Inputs that another stage still needs are kept.
+        """
+        if not self.is_stage_sent(index) or self._unsent_by_stage.get(index, 0) > 0:
+            return []
+        read: list[StageResult] = []
+        for other in self.job.stages[index].after:
+            users = [u for u, n in enumerate(self.job.stages) if other in n.after]
+            if users != [index] or other in self._released:
+                continue
+            self._released.add(other)
+            read.extend(r for r in self._results[other] if r is not None)
+        return read
+
+    def note_unsent(self, index: int, change: int) -> None:
+        """Count pieces of a stage that wait, or no longer wait, for a server."""
+        self._unsent_by_stage[index] = self._unsent_by_stage.get(index, 0) + change
+
+    def lacks_inputs(self, index: int) -> bool:
+        """Whether inputs of a stage were released, so that it can't be sent again."""
+        return any(other in self._released for other in self.job.stages[index].after)
+
     def is_stage_sent(self, index: int) -> bool:
         """Whether pieces of a stage were sent to a server."""
         return index in self._sent
@@ -182,19 +220,26 @@
         return self._collect(last)
 
     def take_consumed(self) -> list[StageResult]:
-        """Return, and forget, the results that no stage needs any more."""
+        """Return, and count as released, results that no stage needs any more."""
         consumed: list[StageResult] = []
         for index in range(len(self.job.stages)):
             users = [u for u, n in enumerate(self.job.stages) if index in n.after]
             is_used = bool(users) and all(self.is_stage_done(u) for u in users)
-            if is_used and self._results[index]:
-                consumed.extend(r for r in self._results[index] if r is not None)
-                self._results[index] = []
+            if not is_used or index in self._released:
+                continue
+            self._released.add(index)
+            consumed.extend(r for r in self._results[index] if r is not None)
         return consumed
 
     def take_all(self) -> list[StageResult]:
         """Return, and forget, all results."""
-        results = [r for stage in self._results for r in stage if r is not None]
+        results = [
+            result
+            for index, stage in enumerate(self._results)
+            if index not in self._released
+            for result in stage
+            if result is not None
+        ]
         self._results = [[] for _ in self.job.stages]
         return results
 
@@ -203,7 +248,11 @@
 
         Returns the results that were there.
         """
-        freed = [result for result in self._results[index] if result is not None]
+        freed = []
+        if index not in self._released:
+            freed = [result for result in self._results[index] if result is not None]
+        self._released.discard(index)
+        self._unsent_by_stage[index] = 0
         self._results[index] = [None] * self.job.stages[index].pieces
         self._epochs[index] += 1
         self._queued.discard(index)
--- a/packages/persimmonlink-router/src/persimmonlink_router/stage_queue.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stage_queue.py
@@ -20,6 +20,7 @@
 # Waiting for a server in the same failure domain, against bytes that would cross.
 LOCAL_WAIT_S_PER_BYTE = 3.0e-7
 MAX_LOCAL_WAIT_S = 0.45  # About the time of one full call.
+MIN_SLACK_S = 0.2  # Time left at which a piece goes to whichever server is free.
 
 
 @dataclass(frozen=True, slots=True, eq=False)
@@ -65,6 +66,10 @@
         """Whether the piece may be run in a failure domain, or waits for its own."""
         if zone == self.zone or self.zone not in served_zones:
             return True
+        chain = self.chain
+        slack_s = chain.objective_at - chain.tail_s(self.stage) - now
+        if not chain.is_late(now) and slack_s < MIN_SLACK_S:
+            return True
         wait_s = min(MAX_LOCAL_WAIT_S, self.crossing_bytes * LOCAL_WAIT_S_PER_BYTE)
         return now >= self.queued_at + wait_s
 
@@ -136,13 +141,13 @@
         return min((t.result_bytes for t in self._tickets), default=0)
 
 
-def _rank(ticket: Ticket, now: float) -> tuple[bool, int, float]:
+def _rank(ticket: Ticket, now: float) -> tuple[bool, bool, int, float]:
     chain = ticket.chain
-    return (
-        chain.is_late(now),
-        chain.job.priority,
-        chain.objective_at - chain.tail_s(ticket.stage),
-    )
+    is_late = chain.is_late(now)
+    # What is late is finished first where it was begun: results don't last.
+    is_fresh = is_late and not chain.has_started
+    latest_start = chain.objective_at - chain.tail_s(ticket.stage)
+    return is_late, is_fresh, chain.job.priority, latest_start
 
 
 def estimate_call_s(spec: BatchSpec, pieces: int) -> float:
--- a/packages/persimmonlink-router/src/persimmonlink_router/stage_scheduler.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stage_scheduler.py
@@ -5,7 +5,7 @@
 import asyncio
 from collections import Counter
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from loguru import logger
 
@@ -28,7 +28,7 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Hashable, Sequence
+    from collections.abc import Coroutine, Hashable, Sequence
 
     from persimmonlink_router.beliefs import Beliefs
     from persimmonlink_router.calls import ServerCall, Wire
@@ -40,6 +40,7 @@
     from persimmonlink_router.stage_chain import StageJob
 
 RELEASE_DELAY_S = 0.01  # Results that become free together are freed in one call.
+INPUTS_READ_S = 0.06  # Time in which an idle server reads the inputs of a call.
 RELEASE_TIMEOUT_S = 1.0  # Longest wait for the answer to a release.
 CALL_PATIENCE = 3.0  # Times the expected time after which a call is given up.
 CALL_PATIENCE_EXTRA_S = 0.6  # On top of that, for the way and for waiting calls.
@@ -263,6 +264,8 @@
             ]
             queue = self._queue_by_service.setdefault(need.service, StageQueue())
             queue.put(tickets)
+            chain.note_unsent(index, need.pieces)
+            chain.times[index].ready_at = now
         for service in {need.service for need in chain.job.stages}:
             self._pump(service)
 
@@ -354,15 +357,28 @@
         now = boot_time()
         state.busy_until = now + expected_s * self._health.slowness(server.key, now)
         for ticket in batch:
-            ticket.chain.note_sent(ticket.stage)
+            ticket.chain.note_unsent(ticket.stage, -1)
+            ticket.chain.note_sent(ticket.stage, now)
         self.batches += 1
         self.batched_pieces += len(batch)
-        task = asyncio.get_running_loop().create_task(
-            self._run_batch(service, server, state, batch, expected_s)
-        )
+        self._spawn(self._run_batch(service, server, state, batch, expected_s))
+        self._spawn(self._release_read(batch))
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.get_running_loop().create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    async def _release_read(self, batch: list[Ticket]) -> None:
+        """Free the inputs of a batch once its server has surely read them."""
+        if not any(ticket.chain.job.stages[ticket.stage].after for ticket in batch):
+            return
+        await asyncio.sleep(INPUTS_READ_S)
+        stages = {(id(t.chain), t.stage): t for t in batch}
+        for ticket in stages.values():
+            if ticket.is_current():
+                self._free(ticket.chain.take_read_inputs(ticket.stage))
+
     async def _run_batch(
         self,
         service: Service,
@@ -470,8 +486,11 @@
             if not is_wanted or not ticket.chain.put(ticket.stage, ticket.number, made):
                 self._free([made])
                 continue
+            if ticket.chain.is_stage_done(ticket.stage):
+                ticket.chain.times[ticket.stage].done_at = boot_time()
             runs[run.chain.job.request_id] = run
         for ticket in again:
+            ticket.chain.note_unsent(ticket.stage, 1)
             name = ticket.chain.job.stages[ticket.stage].service
             self._queue_by_service.setdefault(name, StageQueue()).put([ticket])
         for run in runs.values():
@@ -494,7 +513,7 @@
         if not is_allowed or not self._budget.take(service, 1, now):
             self._finish(run, StageOutcome("failed"))
             return
-        if reason == "gone":
+        if reason == "gone" or chain.lacks_inputs(ticket.stage):
             for index in chain.job.stages[ticket.stage].after:
                 self._free(chain.reset_stage(index))
             return
@@ -507,6 +526,7 @@
             self._queue_ready(run)
             self._free(run.chain.take_consumed())
             return
+        self._log_done(run.chain)
         final = run.chain.list_final()
         bytes_by_zone: dict[str, float] = {}
         for result in final:
@@ -529,9 +549,7 @@
             key = result.server.key
             if key not in self._to_release:
                 self._to_release[key] = (result.server, [])
-                task = asyncio.get_running_loop().create_task(self._send_release(key))
-                self._tasks.add(task)
-                task.add_done_callback(self._tasks.discard)
+                self._spawn(self._send_release(key))
             self._to_release[key][1].append(result)
 
     async def _send_release(self, key: Hashable) -> None:
@@ -560,6 +578,23 @@
             state.held_bytes = max(0.0, state.held_bytes - freed)
         self._pump(server.service)
 
+    def _log_done(self, chain: StageChain) -> None:
+        logger.bind(
+            request=chain.job.request_id,
+            took_s=round(boot_time() - chain.arrived_at, 3),
+            objective_left_s=round(chain.objective_at - boot_time(), 3),
+            stages=[
+                {
+                    "service": need.service,
+                    "pieces": need.pieces,
+                    "waited_s": round(times.sent_at - times.ready_at, 3),
+                    "ran_s": round(times.done_at - times.sent_at, 3),
+                }
+                for need, times in zip(chain.job.stages, chain.times, strict=True)
+                if need.pieces
+            ],
+        ).info("stages.done")
+
     def _log_batch(
         self,
         server: Server,
