--- a/packages/persimmonlink-router/src/persimmonlink_router/configuration.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/configuration.py
@@ -111,6 +111,8 @@
         Time that each piece adds, in seconds.
     result_room_bytes : float
         Memory for results that a server has.
+    result_life_s : float
+        Time for which a result is kept, in seconds.
     """
 
     calls: int
@@ -118,6 +120,7 @@
     call_s: float
     piece_s: float
     result_room_bytes: float
+    result_life_s: float = 4.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/persimmonlink-router/src/persimmonlink_router/stage_chain.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stage_chain.py
@@ -81,10 +81,11 @@
 
 @dataclass(slots=True)
 class StageTimes:
-    """When a stage became ready, was first sent, and was done, in boot time."""
+    """When a stage became ready, was sent, and had its results, in boot time."""
 
     ready_at: float = 0.0
     sent_at: float = 0.0
+    first_done_at: float = 0.0
     done_at: float = 0.0
 
 
@@ -166,6 +167,13 @@
             self.times[index].sent_at = now
         self._sent.add(index)
 
+    def note_made(self, index: int, now: float) -> None:
+        """Note that a piece of a stage has its result."""
+        times = self.times[index]
+        times.first_done_at = times.first_done_at or now
+        if self.is_stage_done(index):
+            times.done_at = now
+
     def take_read_inputs(self, index: int) -> list[StageResult]:
         """Return, and count as released, inputs that all pieces of a stage have read.
 
@@ -255,6 +263,7 @@
         self._unsent_by_stage[index] = 0
         self._results[index] = [None] * self.job.stages[index].pieces
         self._epochs[index] += 1
+        self.times[index] = StageTimes()
         self._queued.discard(index)
         self._sent.discard(index)
         for user, need in enumerate(self.job.stages):
--- a/packages/persimmonlink-router/src/persimmonlink_router/stage_scheduler.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stage_scheduler.py
@@ -258,8 +258,9 @@
             need = chain.job.stages[index]
             zone, crossing = _choose_zone(chain, index)
             epoch = chain.epoch(index)
+            end_at = self._find_inputs_end(chain, index)
             tickets = [
-                Ticket(chain, index, n, epoch, now, zone, crossing)
+                Ticket(chain, index, n, epoch, now, zone, crossing, end_at)
                 for n in range(need.pieces)
             ]
             queue = self._queue_by_service.setdefault(need.service, StageQueue())
@@ -269,6 +270,17 @@
         for service in {need.service for need in chain.job.stages}:
             self._pump(service)
 
+    def _find_inputs_end(self, chain: StageChain, index: int) -> float:
+        """Return when the first of a stage's inputs is no longer kept."""
+        end_at = float("inf")
+        for other in chain.job.stages[index].after:
+            service = self._beliefs.find_service(chain.job.stages[other].service)
+            if service is None or service.batch is None:
+                continue
+            made_at = chain.times[other].first_done_at or boot_time()
+            end_at = min(end_at, made_at + service.batch.result_life_s)
+        return end_at
+
     def _pump(self, name: str) -> None:
         """Send batches to the servers that have nothing to do."""
         queue = self._queue_by_service.get(name)
@@ -486,8 +498,7 @@
             if not is_wanted or not ticket.chain.put(ticket.stage, ticket.number, made):
                 self._free([made])
                 continue
-            if ticket.chain.is_stage_done(ticket.stage):
-                ticket.chain.times[ticket.stage].done_at = boot_time()
+            ticket.chain.note_made(ticket.stage, boot_time())
             runs[run.chain.job.request_id] = run
         for ticket in again:
             ticket.chain.note_unsent(ticket.stage, 1)
--- /dev/null
+++ b/tests/router/test_stage_chain.py
@@ -0,0 +1,67 @@
+"""How the stages of a request advance, and what is freed when."""
+
+from __future__ import annotations
+
+from tests.router.chains import make_chain, make_result
+
+
+def run_stage(chain, index: int) -> None:
+    for number in range(chain.job.stages[index].pieces):
+        chain.put(index, number, make_result(f"h{index}.{number}"))
+
+
+def test_a_stage_is_ready_once_all_its_inputs_are_there():
+    chain = make_chain(pieces=(2, 1))
+    assert chain.take_ready_stages() == [0]
+    chain.put(0, 0, make_result("h"))
+    assert chain.take_ready_stages() == []
+    chain.put(0, 1, make_result("h2"))
+    assert chain.take_ready_stages() == [1]
+
+
+def test_a_stage_without_pieces_is_left_out():
+    chain = make_chain(pieces=(0, 0))
+    assert chain.is_done()
+    assert chain.list_final() == ()
+
+
+def test_a_result_is_taken_once():
+    chain = make_chain()
+    assert chain.put(0, 0, make_result("first"))
+    assert not chain.put(0, 0, make_result("second"))
+    assert [r.handle for r in chain.list_final()] == ["first"]
+
+
+def test_inputs_are_released_once_all_pieces_that_read_them_were_sent():
+    chain = make_chain(pieces=(1, 2))
+    run_stage(chain, 0)
+    chain.note_unsent(1, 2)
+    chain.note_unsent(1, -1)
+    chain.note_sent(1, 0.0)
+    assert chain.take_read_inputs(1) == []
+    chain.note_unsent(1, -1)
+    assert [r.handle for r in chain.take_read_inputs(1)] == ["h0.0"]
+    assert chain.take_read_inputs(1) == []
+    assert chain.lacks_inputs(1)
+
+
+def test_a_stage_that_is_run_anew_takes_those_after_it_along():
+    chain = make_chain(pieces=(1, 1))
+    chain.take_ready_stages()
+    run_stage(chain, 0)
+    chain.take_ready_stages()
+    chain.put(1, 0, make_result("old"))
+    epoch = chain.epoch(1)
+    freed = chain.reset_stage(0)
+    assert {r.handle for r in freed} == {"h0.0", "old"}
+    assert chain.epoch(1) > epoch
+    assert not chain.lacks_inputs(1)
+    assert chain.take_ready_stages() == [0]
+
+
+def test_what_was_released_is_not_freed_again():
+    chain = make_chain(pieces=(1, 1))
+    run_stage(chain, 0)
+    run_stage(chain, 1)
+    assert [r.handle for r in chain.take_consumed()] == ["h0.0"]
+    assert [r.handle for r in chain.take_all()] == ["h1.0"]
