--- a/packages/persimmonlink-router/src/persimmonlink_router/peer_messages.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/peer_messages.py
@@ -9,6 +9,20 @@
 from persimmonlink_router.stage_chain import StageJob
 
 
+@dataclass(frozen=True)
+class RouterMember(Member):
+    """A router as it describes itself.
+
+    Parameters
+    ----------
+    seniority : int
+        Revision of the store at which it first named itself there, 0 before that.
+        The member with the least coordinates, so that tasks move seldom.
+    """
+
+    seniority: int = 0
+
+
 @dataclass(frozen=True)
 class EngineLoad:
     """What one node has at one server.
@@ -46,7 +60,7 @@
     """
 
     sender: Sender
-    member: Member
+    member: RouterMember
     revision: int
     is_in_contact: bool
     silent_ids: tuple[str, ...] = ()
@@ -120,5 +134,6 @@
     "PrepareStages",
     "ReleaseResults",
     "RouterHeartbeat",
+    "RouterMember",
     "StagesPrepared",
 )
--- a/packages/persimmonlink-router/src/persimmonlink_router/router.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/router.py
@@ -10,7 +10,6 @@
 
 from loguru import logger
 
-from persimmonlink_model.membership import Member
 from persimmonlink_peers.peer_server import PeerServer
 from persimmonlink_router.beliefs import Beliefs, EntryReader
 from persimmonlink_router.boot_clock import boot_time
@@ -27,6 +26,7 @@
     PrepareStages,
     ReleaseResults,
     RouterHeartbeat,
+    RouterMember,
     StagesPrepared,
 )
 from persimmonlink_router.request_service import RequestService
@@ -122,7 +122,7 @@
         )
         self.beliefs = Beliefs(adapters.reader, self._on_belief_change)
         self._mirror = StoreMirror(self._on_item)
-        own = Member(
+        own = RouterMember(
             f"{settings.node}-{uuid.uuid4().hex[:8]}",
             "1",
             settings.zone,
@@ -160,7 +160,9 @@
             self._mirror,
             self.beliefs,
         )
-        self._registration = MemberRegistration(adapters.store, lambda: self.fleet.own)
+        self._registration = MemberRegistration(
+            adapters.store, lambda: self.fleet.own, self.fleet.note_registered
+        )
         self._limits = ServerLimits()
         self._clients = HttpServer(self._requests.handle, self._limits)
         self._others = [
@@ -198,6 +200,7 @@
         logger.bind(serving=self._clients.count_serving()).info("process.stopping")
         self._clients.is_stopping = True
         self.fleet.leave()
+        self._scheduler.hand_over()
         self._spawn(self._registration.leave(), "leave")
         limit_s = self._settings.limits.stop_s - STOP_MARGIN_S
         while (spent_s := boot_time() - started) < limit_s:
--- a/packages/persimmonlink-router/src/persimmonlink_router/stage_chain.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stage_chain.py
@@ -140,6 +140,15 @@
             return self._tail_s_by_stage[index]
         return 0.0
 
+    def least_left_s(self) -> float:
+        """Return the least time until the first event, in seconds."""
+        open_stages = [
+            self.tail_s(index)
+            for index in range(len(self.job.stages))
+            if not self.is_stage_sent(index) and not self.is_stage_done(index)
+        ]
+        return max(open_stages, default=0.0)
+
     def is_late(self, now: float) -> bool:
         """Whether the request has missed its objective, or is bound to."""
         return self._is_admitted_late or now > self.objective_at
--- a/packages/persimmonlink-router/src/persimmonlink_router/stage_queue.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stage_queue.py
@@ -18,6 +18,7 @@
     from persimmonlink_router.configuration import BatchSpec
 
 EXPIRY_MARGIN_S = 1.5  # Time before its inputs end at which a piece goes first.
+HELD_BYTES = 1e5  # Inputs of this size are used up first, also for late requests.
 # Waiting for a server in the same failure domain, against bytes that would cross.
 LOCAL_WAIT_S_PER_BYTE = 3.0e-7
 MAX_LOCAL_WAIT_S = 0.45  # About the time of one full call.
@@ -46,6 +47,8 @@
         Bytes that cross if it is run in another one.
     inputs_end_at : float
         Boot time at which its inputs are no longer kept, in seconds.
+    input_bytes : float
+        Memory that its inputs take at their servers.
     """
 
     chain: StageChain
@@ -56,6 +59,7 @@
     zone: str = ""
     crossing_bytes: float = 0.0
     inputs_end_at: float = float("inf")
+    input_bytes: float = 0.0
 
     @property
     def result_bytes(self) -> int:
@@ -145,14 +149,14 @@
         return min((t.result_bytes for t in self._tickets), default=0)
 
 
-def _rank(ticket: Ticket, now: float) -> tuple[bool, bool, bool, int, float]:
+def _rank(ticket: Ticket, now: float) -> tuple[bool, bool, int, float]:
     chain = ticket.chain
-    is_late = chain.is_late(now)
-    # What is late is finished first where it was begun: results don't last.
-    is_lasting = now < ticket.inputs_end_at - EXPIRY_MARGIN_S
-    is_fresh = is_late and not chain.has_started
+    # Results that last for a short time and take much room are used up first.
+    is_ending = now > ticket.inputs_end_at - EXPIRY_MARGIN_S
+    is_holding = ticket.input_bytes > HELD_BYTES
+    is_late = chain.is_late(now) and not is_holding
     latest_start = chain.objective_at - chain.tail_s(ticket.stage)
-    return is_lasting, is_late, is_fresh, chain.job.priority, latest_start
+    return not is_ending, is_late, chain.job.priority, latest_start
 
 
 def estimate_call_s(spec: BatchSpec, pieces: int) -> float:
--- a/packages/persimmonlink-router/src/persimmonlink_router/store.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/store.py
@@ -70,8 +70,11 @@
         """Wait for changes after a revision; raise `HistoryLostError` if lost."""
         ...
 
-    async def put_leased(self, key: str, value: bytes, lease: int) -> None:
-        """Write a key under a lease; raise `LeaseEndedError` if it has ended."""
+    async def put_leased(self, key: str, value: bytes, lease: int) -> int:
+        """Write a key under a lease and return the revision.
+
+        Raises `LeaseEndedError` if the lease has ended.
+        """
         ...
 
     async def grant_lease(self, ttl_s: float) -> int:
--- a/packages/persimmonlink-router/src/persimmonlink_router/store_follower.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/store_follower.py
@@ -115,11 +115,19 @@
         The store.
     member : callable
         Returns what this node says of itself.
+    on_registered : callable
+        Told the revision at which the entry was written.
     """
 
-    def __init__(self, store: MetadataStore, member: Callable[[], Member]) -> None:
+    def __init__(
+        self,
+        store: MetadataStore,
+        member: Callable[[], Member],
+        on_registered: Callable[[int], None],
+    ) -> None:
         self._store = store
         self._member = member
+        self._on_registered = on_registered
         self._lease = 0
         self._is_leaving = False
 
@@ -155,7 +163,8 @@
         lease = await self._store.grant_lease(LEASE_TTL_S)
         member = self._member()
         key = MEMBER_PREFIX + member.node_id
-        await self._store.put_leased(key, msgspec.json.encode(member), lease)
+        value = msgspec.json.encode(member)
+        self._on_registered(await self._store.put_leased(key, value, lease))
         self._lease = lease
 
 
