--- /dev/null
+++ b/stand_ins/src/persimmonlink_stand_ins/raw_server.py
@@ -0,0 +1,120 @@
+"""An HTTP server whose handlers write raw bytes, so that answers can be faulty."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+import h11
+
+HOST = "127.0.0.1"
+
+
+@dataclass(frozen=True)
+class RawRequest:
+    """A request as it was read."""
+
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+
+
+Handler = Callable[[RawRequest, asyncio.StreamWriter], Awaitable[bool]]
+
+
+class RawServer:
+    """Reads requests with h11 and leaves the answers to a handler.
+
+    Parameters
+    ----------
+    handler : callable
+        Writes the answer; returns whether the connection is kept.
+    """
+
+    def __init__(self, handler: Handler) -> None:
+        self._handler = handler
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+        self.connections = 0
+        self.address = ""
+
+    async def start(self, port: int = 0) -> None:
+        """Listen."""
+        self._server = await asyncio.start_server(self._serve, HOST, port)
+        self.address = f"{HOST}:{self._server.sockets[0].getsockname()[1]}"
+
+    async def stop(self) -> None:
+        """Stop listening and cut all connections."""
+        if self._server is not None:
+            self._server.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.connections += 1
+        self._writers.add(writer)
+        parser = h11.Connection(h11.SERVER)
+        try:
+            while await self._serve_one(reader, writer, parser):
+                parser = h11.Connection(h11.SERVER)
+        except (ConnectionError, h11.RemoteProtocolError, asyncio.CancelledError):
+            pass
+        finally:
+            self._writers.discard(writer)
+            writer.close()
+
+    async def _serve_one(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        parser: h11.Connection,
+    ) -> bool:
+        request: h11.Request | None = None
+        parts: list[bytes] = []
+        while True:
+            event = parser.next_event()
+            if event is h11.NEED_DATA:
+                data = await reader.read(65536)
+                if not data:
+                    return False
+                parser.receive_data(data)
+            elif isinstance(event, h11.Request):
+                request = event
+            elif isinstance(event, h11.Data):
+                parts.append(bytes(event.data))
+            else:
+                break
+        if request is None:
+            return False
+        headers = {k.decode().lower(): v.decode() for k, v in request.headers}
+        raw = RawRequest(
+            request.method.decode(), request.target.decode(), headers, b"".join(parts)
+        )
+        answer = asyncio.ensure_future(self._handler(raw, writer))
+        leaving = asyncio.ensure_future(_wait_for_end(reader))
+        await asyncio.wait((answer, leaving), return_when=asyncio.FIRST_COMPLETED)
+        leaving.cancel()
+        if not answer.done():
+            answer.cancel()
+            return False
+        return answer.result()
+
+
+async def _wait_for_end(reader: asyncio.StreamReader) -> None:
+    while not reader.at_eof():
+        await asyncio.sleep(0.01)
+
+
+def make_answer(status: int, headers: dict[str, str], body: bytes) -> bytes:
+    """Return a whole answer as bytes."""
+    lines = [f"HTTP/1.1 {status} Text"]
+    lines += [f"{name}: {value}" for name, value in headers.items()]
+    lines.append(f"Content-Length: {len(body)}")
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+
+__all__ = ("HOST", "RawRequest", "RawServer", "make_answer")
--- a/tests/node/membership_rig.py
+++ b/tests/node/membership_rig.py
@@ -5,9 +5,9 @@
 import random
 from dataclasses import dataclass, field
 
+from persimmonlink_model.heartbeat_ring import list_successors
 from persimmonlink_model.server_directory import Vm, VmRole, VmState
 from persimmonlink_node.address_book import AddressBook
-from persimmonlink_model.heartbeat_ring import list_successors
 from persimmonlink_node.heartbeats import Heartbeats
 from persimmonlink_node.member_view import MemberView
 from persimmonlink_node.node_state import NodeIdentity
--- a/tests/node/test_members.py
+++ b/tests/node/test_members.py
@@ -9,10 +9,10 @@
 from hypothesis import strategies as st
 from tests.node.membership_rig import DOMAINS, Fleet
 
+from persimmonlink_model.heartbeat_ring import list_successors
 from persimmonlink_model.membership import REPORTED_SUSPECT_AFTER_S, Member
 from persimmonlink_model.server_directory import VmState
 from persimmonlink_node.address_book import order_members
-from persimmonlink_model.heartbeat_ring import list_successors
 
 NEWER = "00661c2d1759d867e3a1118"
 
--- /dev/null
+++ b/tests/router/process_rig.py
@@ -0,0 +1,146 @@
+"""Routers as processes of their own, which tests end, pause and stop by signals."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import signal
+import subprocess
+import sys
+from contextlib import asynccontextmanager
+from dataclasses import asdict, dataclass, field
+from typing import TYPE_CHECKING
+
+from tests.router.rig import (
+    PLAIN_SERVICE,
+    STAGE_SERVICE,
+    STREAM_SERVICE,
+    Rig,
+    add_server,
+    make_configuration,
+    make_settings,
+    send,
+    wait_until,
+)
+
+from persimmonlink_stand_ins.metadata_store import MetadataStoreStandIn
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+    from pathlib import Path
+
+    from persimmonlink_router.router_settings import RouterSettings
+
+START_TIMEOUT_S = 20.0
+
+
+@dataclass
+class RouterProcess:
+    """A router and the file that its log goes to."""
+
+    settings: RouterSettings
+    process: subprocess.Popen[bytes]
+    log_path: Path
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal to this process only."""
+        if self.process.poll() is None:
+            self.process.send_signal(number)
+
+    def read_log(self) -> list[dict[str, object]]:
+        """Return the lines of its log."""
+        lines = self.log_path.read_text().splitlines()
+        return [json.loads(line) for line in lines if line.startswith("{")]
+
+
+@dataclass
+class ProcessRig(Rig):
+    """A rig whose routers are processes."""
+
+    processes: list[RouterProcess] = field(default_factory=list)
+
+    async def is_ready(self, index: int) -> bool:
+        """Whether a router answers that it is ready."""
+        address = self.settings[index].listen.readiness
+        try:
+            async with asyncio.timeout(0.5):
+                answer = await send(address, "GET", "/-/ready", {"Host": "x"})
+        except (OSError, TimeoutError):
+            return False
+        return answer.status == 200
+
+    async def wait_ready(self, index: int) -> None:
+        """Wait until a router is ready."""
+        async with asyncio.timeout(START_TIMEOUT_S):
+            while not await self.is_ready(index):
+                await asyncio.sleep(0.05)
+
+    def coordinator(self) -> int:
+        """Return the router that ran the last batch, by the routers' logs."""
+        newest = (-1.0, 0)
+        for index, process in enumerate(self.processes):
+            for line in process.read_log():
+                if line["event"] == "stages.batch":
+                    newest = max(newest, (float(line["boot_s"]), index))
+        return newest[1]
+
+    def start(self, index: int, folder: Path) -> RouterProcess:
+        """Start a router, anew if it ran before."""
+        settings = self.settings[index]
+        path = folder / f"router-{index}.json"
+        path.write_text(json.dumps(asdict(settings)))
+        log_path = folder / f"router-{index}.log"
+        with log_path.open("ab") as log:
+            process = subprocess.Popen(
+                [
+                    sys.executable,
+                    "-m",
+                    "persimmonlink_adapter.run",
+                    "--settings",
+                    str(path),
+                ],
+                stdout=log,
+                stderr=log,
+            )
+        router = RouterProcess(settings, process, log_path)
+        if index < len(self.processes):
+            self.processes[index] = router
+        else:
+            self.processes.append(router)
+        return router
+
+
+@asynccontextmanager
+async def make_process_rig(
+    folder: Path, routers: int = 3, servers: int = 2
+) -> AsyncIterator[ProcessRig]:
+    """Run a store and servers here, and routers as processes."""
+    store = MetadataStoreStandIn()
+    await store.start()
+    rig = ProcessRig(store, {}, [], [])
+    store.put("op/config", make_configuration())
+    for service in (STREAM_SERVICE, PLAIN_SERVICE, STAGE_SERVICE):
+        for index in range(servers):
+            await add_server(rig, service, f"{service}-{index}")
+    for index in range(routers):
+        seeds = tuple(s.listen.peers for s in rig.settings[:3])
+        rig.settings.append(make_settings(store.address, index, seeds))
+    try:
+        for index in range(routers):
+            rig.start(index, folder)
+            await rig.wait_ready(index)
+        await wait_until(lambda: len(_members(store)) >= routers, 10.0)
+        await asyncio.sleep(0.6)
+        yield rig
+    finally:
+        for router in rig.processes:
+            router.signal(signal.SIGCONT)
+            router.signal(signal.SIGKILL)
+            router.process.wait()
+        for server in rig.server_by_id.values():
+            await server.stop()
+        await store.stop()
+
+
+def _members(store: MetadataStoreStandIn) -> list[str]:
+    return [key for key in store.keys() if key.startswith("persimmonlink/nodes/")]
--- /dev/null
+++ b/tests/router/rig.py
@@ -0,0 +1,236 @@
+"""Routers, servers and a store on loopback, for tests of the whole path."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any
+
+import h11
+
+from persimmonlink_adapter.run import connect
+from persimmonlink_router.router import Router
+from persimmonlink_router.router_settings import (
+    LimitSettings,
+    ListenAddresses,
+    RouterSettings,
+)
+from persimmonlink_stand_ins.metadata_store import MetadataStoreStandIn
+from persimmonlink_stand_ins.routed_server import RoutedServerStandIn
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+HOST = "127.0.0.1"
+LIMITS = LimitSettings(0.2, 10.0, 52.0, 1.5, 5.0, 8.0, 5.0)
+STREAM_SERVICE = "engines"
+PLAIN_SERVICE = "desk"
+STAGE_SERVICE = "stage"
+KEY = "key-of-acme"
+
+
+def find_port() -> int:
+    """Return a port that is free now."""
+    with socket.socket() as sock:
+        sock.bind((HOST, 0))
+        return sock.getsockname()[1]
+
+
+def make_settings(store: str, index: int, seeds: tuple[str, ...]) -> RouterSettings:
+    addresses = [f"{HOST}:{find_port()}" for _ in range(5)]
+    return RouterSettings(
+        f"entry-{index}", "a", ListenAddresses(*addresses), store, seeds, LIMITS
+    )
+
+
+def make_route(prefix: str, kind: str, service: str, **changes: Any) -> dict[str, Any]:
+    route = {
+        "name": prefix.strip("/"),
+        "host": "shop.example",
+        "prefix": prefix,
+        "kind": kind,
+        "timeout-ms": 5000,
+        "slo-ms": 1000,
+        "priority": 0,
+        "service": service,
+        "attempts": 2,
+        "public": False,
+    }
+    return {**route, **changes}
+
+
+def make_configuration(version: int = 1, **changes: Any) -> dict[str, Any]:
+    """Return a configuration as the operator writes it."""
+    engine = {"slots": 8, "kv-capacity": 100000}
+    pieces = {
+        "slots": 1,
+        "queue": 2,
+        "batch": 4,
+        "call-ms": 20,
+        "item-ms": 2,
+        "headroom-mb": 6,
+        "handle-s": 4,
+    }
+    chain = [
+        {"service": STAGE_SERVICE, "after": [], "bytes": 1000},
+        {"service": STAGE_SERVICE, "after": [0], "bytes": 1000},
+    ]
+    configuration = {
+        "version": version,
+        "routes": [
+            make_route("/book/", "mutating", PLAIN_SERVICE, attempts=1),
+            make_route("/look/", "idempotent", PLAIN_SERVICE),
+            make_route("/list/", "stream", STREAM_SERVICE, resumable=True),
+            make_route("/claim/", "stream", STREAM_SERVICE, attempts=1),
+            make_route("/chain/", "stream", STREAM_SERVICE, stages=chain),
+        ],
+        "services": [
+            {"name": STREAM_SERVICE, "engine": engine, "cold-start-s": 3.0},
+            {"name": PLAIN_SERVICE},
+            {"name": STAGE_SERVICE, "pieces": pieces},
+        ],
+        "limits": {"max-body-bytes": 100000, "idle-timeout-ms": 15000},
+        "tenants": [{"name": "acme", "api-keys": [KEY]}],
+    }
+    return {**configuration, **changes}
+
+
+@dataclass
+class ClientAnswer:
+    """An answer as a client saw it."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    is_whole: bool
+
+
+@dataclass
+class Rig:
+    """A store, servers by name and routers."""
+
+    store: MetadataStoreStandIn
+    server_by_id: dict[str, RoutedServerStandIn]
+    routers: list[Router]
+    settings: list[RouterSettings]
+    ids: list[str] = field(default_factory=list)
+
+    def runs(self, request_id: str) -> int:
+        """Return how often a request was run, by the servers' own records."""
+        return sum(
+            1
+            for server in self.server_by_id.values()
+            for run in server.runs
+            if run.request_id == request_id
+        )
+
+    async def ask(
+        self,
+        path: str,
+        method: str = "POST",
+        *,
+        node: int = 0,
+        body: bytes = b"",
+        deadline_ms: int = 5000,
+        **headers: str,
+    ) -> ClientAnswer:
+        """Send a request to a node and read its answer."""
+        request_id = headers.pop("request_id", f"id-{len(self.ids)}")
+        self.ids.append(request_id)
+        sent = {
+            "Host": "shop.example",
+            "Persimmonlink-Request-Id": request_id,
+            "Persimmonlink-Deadline-Ms": str(deadline_ms),
+            "Authorization": f"Bearer {KEY}",
+            "Content-Length": str(len(body)),
+            **{k.replace("_", "-"): v for k, v in headers.items()},
+        }
+        return await send(self.settings[node].listen.clients, method, path, sent, body)
+
+
+async def send(
+    address: str, method: str, path: str, headers: dict[str, str], body: bytes = b""
+) -> ClientAnswer:
+    """Send a request on a new connection and read the answer."""
+    host, _, port = address.rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    parser = h11.Connection(h11.CLIENT)
+    request = h11.Request(
+        method=method, target=path, headers=[(k, v) for k, v in headers.items()]
+    )
+    writer.write(parser.send(request))
+    if body:
+        writer.write(parser.send(h11.Data(data=body)))
+    writer.write(parser.send(h11.EndOfMessage()))
+    status, received, parts, is_whole = 0, {}, [], False
+    try:
+        while True:
+            event = parser.next_event()
+            if event is h11.NEED_DATA:
+                parser.receive_data(await reader.read(65536))
+            elif isinstance(event, h11.Response):
+                status = event.status_code
+                received = {k.decode(): v.decode() for k, v in event.headers}
+            elif isinstance(event, h11.Data):
+                parts.append(bytes(event.data))
+            else:
+                is_whole = isinstance(event, h11.EndOfMessage)
+                break
+    except (h11.RemoteProtocolError, ConnectionError):
+        pass
+    finally:
+        writer.close()
+    return ClientAnswer(status, received, b"".join(parts), is_whole)
+
+
+async def wait_until(condition, timeout_s: float = 5.0) -> None:
+    """Wait until something holds; fail if it does not in time."""
+    async with asyncio.timeout(timeout_s):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+@asynccontextmanager
+async def make_rig(routers: int = 1, servers: int = 2) -> AsyncIterator[Rig]:
+    """Run a store, servers of each service and routers that know them."""
+    store = MetadataStoreStandIn()
+    await store.start()
+    rig = Rig(store, {}, [], [])
+    store.put("op/config", make_configuration())
+    for service in (STREAM_SERVICE, PLAIN_SERVICE, STAGE_SERVICE):
+        for index in range(servers):
+            await add_server(rig, service, f"{service}-{index}")
+    for index in range(routers):
+        await add_router(rig, index)
+    try:
+        yield rig
+    finally:
+        for router in rig.routers:
+            router._close()
+            await router._peers.stop()
+        for server in rig.server_by_id.values():
+            await server.stop()
+        await store.stop()
+        await asyncio.sleep(0)
+
+
+async def add_server(rig: Rig, service: str, server_id: str, **changes: Any) -> None:
+    """Start a server and write its entry."""
+    server = RoutedServerStandIn(server_id)
+    await server.start()
+    rig.server_by_id[server_id] = server
+    rig.store.put(f"servers/{server_id}", server.entry(service, **changes))
+
+
+async def add_router(rig: Rig, index: int) -> Router:
+    """Start a router and wait until it can serve."""
+    seeds = tuple(s.listen.peers for s in rig.settings[:3])
+    settings = make_settings(rig.store.address, index, seeds)
+    router = Router(settings, connect(settings))
+    rig.routers.append(router)
+    rig.settings.append(settings)
+    await router.start()
+    await wait_until(lambda: router.beliefs.configuration is not None)
+    return router
--- a/tests/router/test_placement.py
+++ b/tests/router/test_placement.py
@@ -4,6 +4,8 @@
 
 import random
 
+from tests.router.chains import make_server
+
 from persimmonlink_router.calls import Call, PromptPart
 from persimmonlink_router.placement import (
     EngineChoice,
@@ -14,7 +16,6 @@
     choose_plain,
 )
 from persimmonlink_router.server_health import ServerHealth
-from tests.router.chains import make_server
 
 SERVERS = [make_server(f"s{i}", "abc"[i % 3], slots=6) for i in range(5)]
 PARTS = (PromptPart("base", 500), PromptPart("topic", 4800), PromptPart("own", 700))
--- /dev/null
+++ b/tests/router/test_process_failures.py
@@ -0,0 +1,118 @@
+"""Routers that are killed, paused and stopped while requests run."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+
+import pytest
+from tests.router.process_rig import make_process_rig
+from tests.router.test_whole_path import STAGED, STREAM
+
+
+@pytest.mark.parametrize("number", [signal.SIGKILL, signal.SIGSTOP])
+def test_requests_survive_the_loss_of_the_stages_coordinator(tmp_path, number):
+    async def scenario():
+        async with make_process_rig(tmp_path) as rig:
+            for index in range(3):
+                assert (await rig.ask("/chain/1", node=index, **STAGED)).status == 200
+            coordinator = rig.coordinator()
+            others = [i for i in range(3) if i != coordinator]
+            asked = [
+                asyncio.ensure_future(rig.ask("/chain/1", node=others[i % 2], **STAGED))
+                for i in range(8)
+            ]
+            await asyncio.sleep(0.02)
+            rig.processes[coordinator].signal(number)
+            answers = await asyncio.gather(*asked)
+            assert [a.status for a in answers] == [200] * 8
+            assert all(a.is_whole for a in answers)
+            for request_id in rig.ids[-8:]:
+                assert rig.runs(request_id) == 1
+
+    asyncio.run(scenario())
+
+
+def test_stops_in_series_cut_off_no_request(tmp_path):
+    async def scenario():
+        async with make_process_rig(tmp_path, routers=2) as rig:
+            for server in rig.server_by_id.values():
+                server.events = 60
+            asked = [
+                asyncio.ensure_future(rig.ask("/claim/1", node=i % 2, **STREAM))
+                for i in range(10)
+            ]
+            await asyncio.sleep(0.4)
+            for process in rig.processes:
+                process.signal(signal.SIGTERM)
+                process.signal(signal.SIGTERM)
+                await asyncio.sleep(0.3)
+            answers = await asyncio.gather(*asked)
+            assert [(a.status, a.is_whole) for a in answers] == [(200, True)] * 10
+            for process in rig.processes:
+                assert await asyncio.to_thread(process.process.wait, 9) == 0
+
+    asyncio.run(scenario())
+
+
+def test_bookings_run_once_while_routers_die(tmp_path):
+    async def scenario():
+        async with make_process_rig(tmp_path) as rig:
+
+            async def book(index: int):
+                try:
+                    return await rig.ask("/book/1", node=index % 3, body=b"x")
+                except OSError:
+                    return None
+
+            asked = []
+            for index in range(60):
+                asked.append(asyncio.ensure_future(book(index)))
+                await asyncio.sleep(0.01)
+                if index == 20:
+                    rig.processes[0].signal(signal.SIGKILL)
+                if index == 40:
+                    rig.processes[1].signal(signal.SIGKILL)
+            answers = await asyncio.gather(*asked)
+            assert max(rig.runs(request_id) for request_id in rig.ids) == 1
+            for request_id, answer in zip(rig.ids, answers, strict=False):
+                if answer is not None and answer.status == 503:
+                    assert rig.runs(request_id) == 0
+
+    asyncio.run(scenario())
+
+
+def test_after_the_loss_of_all_nodes_service_returns_within_seconds(tmp_path):
+    async def scenario():
+        async with make_process_rig(tmp_path) as rig:
+            for process in rig.processes:
+                process.signal(signal.SIGKILL)
+                process.process.wait()
+            for index in range(3):
+                rig.start(index, tmp_path)
+            async with asyncio.timeout(5):
+                for index in range(3):
+                    await rig.wait_ready(index)
+            assert (await rig.ask("/chain/1", **STAGED)).status == 200
+
+    asyncio.run(scenario())
+
+
+def test_settings_are_reloaded_and_faults_in_them_refused(tmp_path):
+    async def scenario():
+        async with make_process_rig(tmp_path, routers=1) as rig:
+            process = rig.processes[0]
+            path = tmp_path / "router-0.json"
+            good = path.read_text()
+            path.write_text("{")
+            process.signal(signal.SIGHUP)
+            await asyncio.sleep(0.3)
+            path.write_text(good)
+            process.signal(signal.SIGHUP)
+            await asyncio.sleep(0.3)
+            assert (await rig.ask("/book/1")).status == 200
+            events = [line["event"] for line in process.read_log()]
+            assert "process.reload_refused" in events
+            assert "process.reload" in events
+
+    asyncio.run(scenario())
--- a/tests/router/test_servers.py
+++ b/tests/router/test_servers.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from persimmonlink_router.servers import ServerDirectory
 from tests.router.chains import make_server
 
+from persimmonlink_router.servers import ServerDirectory
+
 
 def test_draining_servers_and_drained_domains_get_nothing():
     directory = ServerDirectory()
--- a/tests/router/test_stage_admission.py
+++ b/tests/router/test_stage_admission.py
@@ -5,6 +5,7 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
+from tests.router.chains import SPEC, make_job
 
 from persimmonlink_router.stage_admission import (
     AccountShares,
@@ -14,7 +15,6 @@
     decide,
     list_tails_s,
 )
-from tests.router.chains import SPEC, make_job
 
 
 def make_load(ahead: int = 0, *, late: int = 0, servers: float = 3) -> ServiceLoad:
--- a/tests/router/test_stage_queue.py
+++ b/tests/router/test_stage_queue.py
@@ -6,9 +6,9 @@
 
 from hypothesis import given
 from hypothesis import strategies as st
+from tests.router.chains import SPEC, make_chain
 
 from persimmonlink_router.stage_queue import StageQueue, StageServerView, Ticket
-from tests.router.chains import SPEC, make_chain
 
 VIEW = StageServerView("a", 1e9, ("a", "b"))
 
