--- a/packages/persimmonlink-router/src/persimmonlink_router/beliefs.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/beliefs.py
@@ -43,7 +43,7 @@
 class DrainEntry:
     """An entry of the store that takes a failure domain out, or back."""
 
-    zone: str
+    domain: str
     is_drained: bool
 
 
@@ -196,17 +196,17 @@
 
     def _take_drain(self, entry: DrainEntry, revision: int) -> None:
         if entry.is_drained:
-            self._drained.add(entry.zone)
+            self._drained.add(entry.domain)
         else:
-            self._drained.discard(entry.zone)
+            self._drained.discard(entry.domain)
         cold_s: dict[str, float] = {}
         if self.configuration is not None:
             for service in self.configuration.service_by_name.values():
                 cold_s[service.name] = service.cold_start_s
         self.servers.set_drained(self._drained, boot_time(), cold_s)
-        logger.bind(zone=entry.zone, drained=entry.is_drained, revision=revision).info(
-            "belief.drain"
-        )
+        logger.bind(
+            domain=entry.domain, drained=entry.is_drained, revision=revision
+        ).info("belief.drain")
 
 
 __all__ = ("Beliefs", "DrainEntry", "EntryReader", "ServerEntry")
--- a/packages/persimmonlink-router/src/persimmonlink_router/peer_messages.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/peer_messages.py
@@ -107,7 +107,7 @@
 
     state: str
     handles: tuple[str, ...] = ()
-    bytes_by_zone: dict[str, float] = field(default_factory=dict)
+    bytes_by_domain: dict[str, float] = field(default_factory=dict)
     retry_after_s: float = 0.0
     predicted_s: float = 0.0
 
--- a/packages/persimmonlink-router/src/persimmonlink_router/placement.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/placement.py
@@ -22,7 +22,7 @@
     from persimmonlink_router.server_health import ServerHealth
     from persimmonlink_router.servers import Server
 
-ZONE_COST_S = 0.002  # Worth of staying in the failure domain, for a plain request.
+DOMAIN_COST_S = 0.002  # Worth of staying in the failure domain, for a plain request.
 CONNECT_COST_S = 0.002  # Worth of a kept connection, for a plain request.
 FAILURE_COST_S = 1.0  # Worth of avoiding a server that fails all requests.
 PREFILL_TOKENS_PER_S = 60000.0  # Rate at which engines read prompts, by the sheets.
@@ -38,7 +38,7 @@
 class PlainChoice:
     """What the choice of a plain server depends on."""
 
-    own_zone: str
+    own_domain: str
     expected_s: float
     has_connection: Mapping[Hashable, bool]
 
@@ -54,8 +54,8 @@
         waiting = health.in_flight(key) / max(1, server.slots)
         cost = choice.expected_s * health.slowness(key, now) * (1 + waiting)
         cost += FAILURE_COST_S * health.failure_share(key, now)
-        if server.zone != choice.own_zone:
-            cost += ZONE_COST_S
+        if server.domain != choice.own_domain:
+            cost += DOMAIN_COST_S
         if not choice.has_connection.get(key, False):
             cost += CONNECT_COST_S
         if best is None or cost < best_cost:
@@ -105,15 +105,15 @@
     ----------
     call : Call
         The request.
-    own_zone : str
+    own_domain : str
         Failure domain of this node.
-    input_bytes_by_zone : Mapping of str to float
+    input_bytes_by_domain : Mapping of str to float
         Bytes of stage results that lie in each failure domain.
     """
 
     call: Call
-    own_zone: str
-    input_bytes_by_zone: Mapping[str, float]
+    own_domain: str
+    input_bytes_by_domain: Mapping[str, float]
 
 
 class EngineLoadView(Protocol):
@@ -151,7 +151,7 @@
     shared = choice.call.prompt_parts[:-1]
     shared_tokens = sum(part.tokens for part in shared)
     home = choose_home(servers, shared)
-    total_inputs = sum(choice.input_bytes_by_zone.values())
+    total_inputs = sum(choice.input_bytes_by_domain.values())
     best: Server | None = None
     best_cost = 0.0
     for server in servers:
@@ -165,10 +165,10 @@
         cost += REREAD_COST_S * (shared_tokens - known)
         cost += QUEUE_COST_S * load.in_flight(key)
         cost += FAILURE_COST_S * 2 * load.failure_share(key, now)
-        crossing = total_inputs - choice.input_bytes_by_zone.get(server.zone, 0.0)
+        crossing = total_inputs - choice.input_bytes_by_domain.get(server.domain, 0.0)
         cost += crossing * INPUT_COST_S_PER_BYTE
-        if server.zone != choice.own_zone:
-            cost += ZONE_COST_S
+        if server.domain != choice.own_domain:
+            cost += DOMAIN_COST_S
         if best is None or cost < best_cost:
             best, best_cost = server, cost
     return best
--- a/packages/persimmonlink-router/src/persimmonlink_router/router.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/router.py
@@ -125,7 +125,7 @@
         own = RouterMember(
             f"{settings.node}-{uuid.uuid4().hex[:8]}",
             "1",
-            settings.zone,
+            settings.domain,
             settings.listen.clients,
             settings.listen.peers,
         )
@@ -137,7 +137,7 @@
         )
         self._stages = StageLink(self.fleet, self._scheduler)
         self._sender = ServerSender(
-            settings.zone,
+            settings.domain,
             self.beliefs,
             self.fleet,
             self._pool,
@@ -188,7 +188,7 @@
         self._spawn(self.fleet.run_heartbeats(), "heartbeats")
         self._spawn(self._register(), "registration")
         logger.bind(
-            zone=self._settings.zone,
+            domain=self._settings.domain,
             member=self.fleet.own.node_id,
             clients=self._settings.listen.clients,
         ).info("process.start")
--- a/packages/persimmonlink-router/src/persimmonlink_router/router_settings.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/router_settings.py
@@ -84,7 +84,7 @@
     ----------
     node : str
         Name of the entry VM.
-    zone : str
+    domain : str
         Its failure domain.
     listen : ListenAddresses
         Where it listens.
@@ -99,7 +99,7 @@
     """
 
     node: Annotated[str, Meta(min_length=1)]
-    zone: Annotated[str, Meta(min_length=1)]
+    domain: Annotated[str, Meta(min_length=1)]
     listen: ListenAddresses
     store: Address
     seeds: tuple[Address, ...]
--- a/packages/persimmonlink-router/src/persimmonlink_router/server_sender.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/server_sender.py
@@ -50,7 +50,7 @@
     """Results of a request's stages, for the server that runs it."""
 
     handles: tuple[str, ...]
-    bytes_by_zone: Mapping[str, float]
+    bytes_by_domain: Mapping[str, float]
 
 
 NO_INPUTS = StageInputs((), {})
@@ -90,7 +90,7 @@
 
     Parameters
     ----------
-    own_zone : str
+    own_domain : str
         Failure domain of this node.
     beliefs : Beliefs
         Configuration and servers.
@@ -110,7 +110,7 @@
 
     def __init__(
         self,
-        own_zone: str,
+        own_domain: str,
         beliefs: Beliefs,
         fleet: Fleet,
         pool: ConnectionPool,
@@ -119,7 +119,7 @@
         cold: ColdLimit,
         budget: RetryBudget,
     ) -> None:
-        self._own_zone = own_zone
+        self._own_domain = own_domain
         self._beliefs = beliefs
         self._fleet = fleet
         self._pool = pool
@@ -160,10 +160,10 @@
                         "servers reject the request", RETRY_AFTER_S
                     ) from error
 
-    def expect_zone(self, state: RequestState) -> str:
+    def expect_domain(self, state: RequestState) -> str:
         """Return the failure domain in which a request is likely to run."""
         server = self._choose(state, NO_INPUTS, set())
-        return server.zone if server is not None else ""
+        return server.domain if server is not None else ""
 
     def has_retry(self, state: RequestState) -> bool:
         """Whether the budget would allow another send of a request."""
@@ -226,11 +226,11 @@
                     continue
             candidates.append(server)
         if service is not None and service.engine is not None:
-            choice = EngineChoice(state.call, self._own_zone, inputs.bytes_by_zone)
+            choice = EngineChoice(state.call, self._own_domain, inputs.bytes_by_domain)
             view = _EngineView(self._health, self._fleet, candidates)
             return choose_engine(candidates, view, self.cache, choice, now)
         has_connection = {s.key: self._pool.has_idle(s.key) for s in candidates}
-        plain = PlainChoice(self._own_zone, self._expected_s(state), has_connection)
+        plain = PlainChoice(self._own_domain, self._expected_s(state), has_connection)
         return choose_plain(candidates, self._health, plain, now)
 
     async def _send_to(
--- a/packages/persimmonlink-router/src/persimmonlink_router/servers.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/servers.py
@@ -24,7 +24,7 @@
         Service that it belongs to.
     address : str
         `IP:PORT`.
-    zone : str
+    domain : str
         Failure domain.
     slots : int
         Requests that it runs at the same time.
@@ -38,7 +38,7 @@
     born_ms: int
     service: str
     address: str
-    zone: str
+    domain: str
     slots: int
     is_draining: bool
     cold_left_s: float
@@ -57,7 +57,7 @@
 
     def __init__(self) -> None:
         self.server_by_id: dict[str, Server] = {}
-        self.drained_zones: frozenset[str] = frozenset()
+        self.drained_domains: frozenset[str] = frozenset()
         self._cold_until_by_key: dict[tuple[str, int, str], float] = {}
         self._lapsed_until_by_id: dict[str, float] = {}
 
@@ -99,14 +99,14 @@
         return gone
 
     def set_drained(
-        self, zones: Iterable[str], now: float, cold_s_by_service: dict[str, float]
+        self, domains: Iterable[str], now: float, cold_s_by_service: dict[str, float]
     ) -> None:
         """Set the failure domains that get no work; those taken back are cold."""
-        zones = frozenset(zones)
-        returned = self.drained_zones - zones
-        self.drained_zones = zones
+        domains = frozenset(domains)
+        returned = self.drained_domains - domains
+        self.drained_domains = domains
         for server in self.server_by_id.values():
-            if server.zone not in returned:
+            if server.domain not in returned:
                 continue
             cold_s = cold_s_by_service.get(server.service, 0.0)
             if cold_s > 0:
@@ -128,7 +128,7 @@
             known is not None
             and known.key == server.key
             and not known.is_draining
-            and known.zone not in self.drained_zones
+            and known.domain not in self.drained_domains
         )
 
     def list_usable(self, service: str) -> list[Server]:
@@ -138,7 +138,7 @@
             for _, server in sorted(self.server_by_id.items())
             if server.service == service
             and not server.is_draining
-            and server.zone not in self.drained_zones
+            and server.domain not in self.drained_domains
         ]
 
 
--- a/packages/persimmonlink-router/src/persimmonlink_router/stage_chain.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stage_chain.py
@@ -51,7 +51,7 @@
         Time until the request is given up, in seconds.
     answer_s : float
         Time that the request itself takes to its first event, in seconds.
-    answer_zone : str
+    answer_domain : str
         Failure domain of the server that is expected to run the request itself.
     piece_key : str
         What the pieces of the first stages are made from.
@@ -65,7 +65,7 @@
     objective_left_s: float
     deadline_left_s: float
     answer_s: float
-    answer_zone: str
+    answer_domain: str
     piece_key: str
     stages: tuple[StageNeed, ...]
 
--- a/packages/persimmonlink-router/src/persimmonlink_router/stage_link.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stage_link.py
@@ -95,7 +95,7 @@
         return StagesPrepared(
             outcome.state,
             outcome.handles,
-            outcome.bytes_by_zone,
+            outcome.bytes_by_domain,
             outcome.retry_after_s,
             outcome.predicted_s,
         )
@@ -137,7 +137,7 @@
         return StageOutcome(
             prepared.state,
             prepared.handles,
-            prepared.bytes_by_zone,
+            prepared.bytes_by_domain,
             prepared.retry_after_s,
             prepared.predicted_s,
         )
--- a/packages/persimmonlink-router/src/persimmonlink_router/stage_queue.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stage_queue.py
@@ -41,7 +41,7 @@
         Epoch of the stage; it grows when the stage is run anew.
     queued_at : float
         Boot time at which it became ready, in seconds.
-    zone : str
+    domain : str
         Failure domain in which it is run best, empty if any will do.
     crossing_bytes : float
         Bytes that cross if it is run in another one.
@@ -56,7 +56,7 @@
     number: int
     epoch: int
     queued_at: float
-    zone: str = ""
+    domain: str = ""
     crossing_bytes: float = 0.0
     inputs_end_at: float = float("inf")
     input_bytes: float = 0.0
@@ -70,9 +70,9 @@
         """Whether the piece is still wanted."""
         return not self.chain.is_over and self.chain.epoch(self.stage) == self.epoch
 
-    def accepts(self, zone: str, served_zones: Collection[str], now: float) -> bool:
+    def accepts(self, domain: str, served_domains: Collection[str], now: float) -> bool:
         """Whether the piece may be run in a failure domain, or waits for its own."""
-        if zone == self.zone or self.zone not in served_zones:
+        if domain == self.domain or self.domain not in served_domains:
             return True
         chain = self.chain
         slack_s = chain.objective_at - chain.tail_s(self.stage) - now
@@ -88,17 +88,17 @@
 
     Parameters
     ----------
-    zone : str
+    domain : str
         Failure domain.
     room_bytes : float
         Memory that is free for results.
-    served_zones : collection of str
+    served_domains : collection of str
         Failure domains with servers that take work.
     """
 
-    zone: str
+    domain: str
     room_bytes: float
-    served_zones: Collection[str] = ()
+    served_domains: Collection[str] = ()
 
 
 class StageQueue:
@@ -128,7 +128,7 @@
         """
         self.drop_over()
         fitting = [
-            t for t in self._tickets if t.accepts(view.zone, view.served_zones, now)
+            t for t in self._tickets if t.accepts(view.domain, view.served_domains, now)
         ]
         fitting.sort(key=lambda t: _rank(t, now))
         batch: list[Ticket] = []
--- a/packages/persimmonlink-router/src/persimmonlink_router/stage_scheduler.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stage_scheduler.py
@@ -69,7 +69,7 @@
         to be asked.
     handles : tuple of str
         Handles for the request itself, if done.
-    bytes_by_zone : dict
+    bytes_by_domain : dict
         Bytes of these results in each failure domain.
     retry_after_s : float
         When to come back, in seconds, if refused.
@@ -79,7 +79,7 @@
 
     state: str
     handles: tuple[str, ...] = ()
-    bytes_by_zone: dict[str, float] = field(default_factory=dict)
+    bytes_by_domain: dict[str, float] = field(default_factory=dict)
     retry_after_s: float = 0.0
     predicted_s: float = 0.0
 
@@ -320,12 +320,12 @@
         now = boot_time()
         for index in chain.take_ready_stages():
             need = chain.job.stages[index]
-            zone, crossing = _choose_zone(chain, index)
+            domain, crossing = _choose_domain(chain, index)
             epoch = chain.epoch(index)
             end_at = self._find_inputs_end(chain, index)
             held = float(sum(r.size for r in chain.find_inputs(index)))
             tickets = [
-                Ticket(chain, index, n, epoch, now, zone, crossing, end_at, held)
+                Ticket(chain, index, n, epoch, now, domain, crossing, end_at, held)
                 for n in range(need.pieces)
             ]
             queue = self._queue_by_service.setdefault(need.service, StageQueue())
@@ -368,8 +368,8 @@
             return False
         state = self._server_by_key.setdefault(server.key, _StageServer())
         usable = self._beliefs.servers.list_usable(service.name)
-        zones = {s.zone for s in usable if not self._is_blocked(s)}
-        view = StageServerView(server.zone, _room(spec, state), zones)
+        domains = {s.domain for s in usable if not self._is_blocked(s)}
+        view = StageServerView(server.domain, _room(spec, state), domains)
         batch = queue.take_batch(spec, view, boot_time())
         if not batch:
             return False
@@ -614,13 +614,13 @@
             return
         self._log_done(run.chain)
         final = run.chain.list_final()
-        bytes_by_zone: dict[str, float] = {}
+        bytes_by_domain: dict[str, float] = {}
         for result in final:
-            zone = result.server.zone
-            bytes_by_zone[zone] = bytes_by_zone.get(zone, 0.0) + result.size
+            domain = result.server.domain
+            bytes_by_domain[domain] = bytes_by_domain.get(domain, 0.0) + result.size
         handles = tuple(result.handle for result in final)
         self._free(run.chain.take_consumed())
-        self._finish(run, StageOutcome("done", handles, bytes_by_zone))
+        self._finish(run, StageOutcome("done", handles, bytes_by_domain))
 
     def _finish(self, run: _Run, outcome: StageOutcome) -> None:
         if not run.done.done():
@@ -718,22 +718,22 @@
     return spec.result_room_bytes - state.held_bytes
 
 
-def _choose_zone(chain: StageChain, index: int) -> tuple[str, float]:
+def _choose_domain(chain: StageChain, index: int) -> tuple[str, float]:
     """Return where a stage is run best, and the bytes that cross otherwise.
 
     Each piece reads all inputs of its stage, and the request itself the results of
     the last stages.
     """
     need = chain.job.stages[index]
-    bytes_by_zone: Counter[str] = Counter()
+    bytes_by_domain: Counter[str] = Counter()
     for result in chain.find_inputs(index):
-        bytes_by_zone[result.server.zone] += result.size * need.pieces
-    if chain.is_last(index) and chain.job.answer_zone:
-        bytes_by_zone[chain.job.answer_zone] += need.result_bytes * need.pieces
-    if not bytes_by_zone:
+        bytes_by_domain[result.server.domain] += result.size * need.pieces
+    if chain.is_last(index) and chain.job.answer_domain:
+        bytes_by_domain[chain.job.answer_domain] += need.result_bytes * need.pieces
+    if not bytes_by_domain:
         return "", 0.0
-    zone = max(bytes_by_zone, key=lambda z: (bytes_by_zone[z], z))
-    return zone, float(bytes_by_zone[zone])
+    domain = max(bytes_by_domain, key=lambda z: (bytes_by_domain[z], z))
+    return domain, float(bytes_by_domain[domain])
 
 
 def _cost_s(job: StageJob, loads: dict[str, ServiceLoad]) -> float:
--- a/packages/persimmonlink-router/src/persimmonlink_router/stream_relay.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stream_relay.py
@@ -73,14 +73,14 @@
         state.route.objective_s - spent_s if not state.runs else state.time_left_s,
         state.time_left_s,
         ANSWER_BASE_S + call.prompt_tokens / PROMPT_TOKENS_PER_S,
-        sender.expect_zone(state),
+        sender.expect_domain(state),
         call.piece_key,
         needs,
     )
     outcome = await stages.run(job)
     state.prediction_s = outcome.predicted_s
     if outcome.state == "done":
-        return StageInputs(outcome.handles, outcome.bytes_by_zone)
+        return StageInputs(outcome.handles, outcome.bytes_by_domain)
     if outcome.state == "refused":
         raise RefusedError("the stages can't be run in time", outcome.retry_after_s)
     raise RefusedError(f"the stages came to {outcome.state}", FAILED_RETRY_AFTER_S)
--- a/tests/router/chains.py
+++ b/tests/router/chains.py
@@ -14,13 +14,13 @@
 SPEC = BatchSpec(1, 5, 0.24, 0.04, 6e6)
 
 
-def make_server(server_id: str = "s1", zone: str = "a", **changes) -> Server:
+def make_server(server_id: str = "s1", domain: str = "a", **changes) -> Server:
     values = {
         "server_id": server_id,
         "born_ms": 1,
         "service": "stage",
         "address": "127.0.0.1:9",
-        "zone": zone,
+        "domain": domain,
         "slots": 1,
         "is_draining": False,
         "cold_left_s": 0.0,
--- a/tests/router/process_rig.py
+++ b/tests/router/process_rig.py
@@ -9,6 +9,7 @@
 import sys
 from contextlib import asynccontextmanager
 from dataclasses import asdict, dataclass, field
+from pathlib import Path
 from typing import TYPE_CHECKING
 
 from tests.router.rig import (
@@ -23,13 +24,12 @@
     wait_until,
 )
 
+from persimmonlink_router.router_settings import RouterSettings
 from persimmonlink_stand_ins.metadata_store import MetadataStoreStandIn
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
-    from pathlib import Path
 
-    from persimmonlink_router.router_settings import RouterSettings
 
 START_TIMEOUT_S = 20.0
 
--- a/tests/router/rig.py
+++ b/tests/router/rig.py
@@ -157,9 +157,7 @@
     host, _, port = address.rpartition(":")
     reader, writer = await asyncio.open_connection(host, int(port))
     parser = h11.Connection(h11.CLIENT)
-    request = h11.Request(
-        method=method, target=path, headers=[(k, v) for k, v in headers.items()]
-    )
+    request = h11.Request(method=method, target=path, headers=list(headers.items()))
     writer.write(parser.send(request))
     if body:
         writer.write(parser.send(h11.Data(data=body)))
--- a/tests/router/test_placement.py
+++ b/tests/router/test_placement.py
@@ -22,13 +22,15 @@
 CALL = Call("r", 12.0, model="m", prompt_tokens=6000, prompt_parts=PARTS)
 
 
-def make_choice(call: Call = CALL, zone: str = "a", **inputs) -> EngineChoice:
-    return EngineChoice(call, zone, inputs)
+def make_choice(call: Call = CALL, domain: str = "a", **inputs) -> EngineChoice:
+    return EngineChoice(call, domain, inputs)
 
 
 def test_all_nodes_choose_the_same_engine_for_shared_parts():
     chosen = {
-        choose_engine(SERVERS, ServerHealth(), PromptCache(), make_choice(zone=z), 0.0)
+        choose_engine(
+            SERVERS, ServerHealth(), PromptCache(), make_choice(domain=z), 0.0
+        )
         for z in "abc"
     }
     assert chosen == {choose_home(SERVERS, PARTS[:-1])}
@@ -63,7 +65,7 @@
     call = Call("r", 12.0, model="m", prompt_tokens=600, prompt_parts=PARTS[-1:])
     choice = make_choice(call, "a", b=2e6)
     chosen = choose_engine(SERVERS, ServerHealth(), PromptCache(), choice, 0.0)
-    assert chosen.zone == "b"
+    assert chosen.domain == "b"
 
 
 def test_a_cache_knows_parts_only_behind_known_parts():
--- a/tests/router/test_servers.py
+++ b/tests/router/test_servers.py
@@ -19,7 +19,7 @@
 
 def test_a_domain_that_is_taken_back_is_cold():
     directory = ServerDirectory()
-    server = make_server(zone="b")
+    server = make_server(domain="b")
     directory.put(server, 0.0)
     directory.set_drained({"b"}, 0.0, {"stage": 3.0})
     directory.set_drained(set(), 10.0, {"stage": 3.0})
--- a/tests/router/test_stage_queue.py
+++ b/tests/router/test_stage_queue.py
@@ -66,21 +66,21 @@
 
 def test_a_piece_waits_for_a_server_near_its_inputs_but_not_for_long():
     queue = StageQueue()
-    queue.put(make_tickets(make_chain(), zone="b", crossing_bytes=1e6))
+    queue.put(make_tickets(make_chain(), domain="b", crossing_bytes=1e6))
     assert take_ids(queue, now=0.1) == []
     assert take_ids(queue, now=0.5) == ["r1"]
 
 
 def test_a_piece_does_not_wait_for_a_domain_without_servers():
     queue = StageQueue()
-    queue.put(make_tickets(make_chain(), zone="c", crossing_bytes=1e6))
+    queue.put(make_tickets(make_chain(), domain="c", crossing_bytes=1e6))
     assert take_ids(queue) == ["r1"]
 
 
 def test_a_piece_with_little_time_left_goes_to_any_server():
     queue = StageQueue()
     chain = make_chain(objective_s=0.15)
-    queue.put(make_tickets(chain, zone="b", crossing_bytes=1e6))
+    queue.put(make_tickets(chain, domain="b", crossing_bytes=1e6))
     assert take_ids(queue) == ["r1"]
 
 
--- a/tests/router/test_whole_path.py
+++ b/tests/router/test_whole_path.py
@@ -346,7 +346,7 @@
             await add_server(rig, PLAIN_SERVICE, "far", zone="b")
             rig.store.put("op/evacuate/a", {})
             beliefs = rig.routers[0].beliefs
-            await wait_until(lambda: beliefs.servers.drained_zones == {"a"}, 2.0)
+            await wait_until(lambda: beliefs.servers.drained_domains == {"a"}, 2.0)
             for _ in range(4):
                 assert (await rig.ask("/book/1")).status == 200
             assert not rig.server_by_id["desk-0"].runs
