Take what a peer knows although it has read only part of the store

Cause: the store was made to refuse after the first node had read the configuration and before it had read the servers; it knew no revision, so that the second node never asked it. The new test fails without the change. The rig now waits for a whole first listing.

--- a/packages/persimmonlink-router/src/persimmonlink_router/fleet.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/fleet.py
@@ -259,7 +259,9 @@
     ) -> None:
         if self._beliefs.is_in_contact and self._beliefs.is_fresh():
             return
-        has_news = heartbeat.revision > self._mirror.revision
+        # A peer that lost the store while it read it knows part, at no revision yet.
+        lacks_all = self._beliefs.configuration is None and heartbeat.member.revision
+        has_news = heartbeat.revision > self._mirror.revision or bool(lacks_all)
         if not has_news and not heartbeat.is_in_contact:
             return
         if not has_news:
--- a/tests/router/rig.py
+++ b/tests/router/rig.py
@@ -231,4 +231,6 @@
     rig.settings.append(settings)
     await router.start()
     await wait_until(lambda: router.beliefs.configuration is not None)
+    if not rig.store.faults.status:
+        await wait_until(lambda: router._mirror.revision > 0)
     return router
--- a/tests/router/test_whole_path.py
+++ b/tests/router/test_whole_path.py
@@ -305,6 +305,19 @@
     run(scenario())
 
 
+def test_a_peer_that_lost_the_store_while_reading_it_passes_on_what_it_knows():
+    async def scenario():
+        async with make_rig() as rig:
+            rig.routers[0]._mirror.revision = 0
+            rig.store.faults.status = 503
+            await wait_until(lambda: not rig.routers[0].beliefs.is_in_contact)
+            rig.routers[0]._mirror.revision = 0
+            await add_router(rig, 1)
+            assert (await rig.ask("/book/1", node=1)).status == 200
+
+    run(scenario())
+
+
 def test_servers_and_configuration_survive_an_outage_that_ends_leases():
     async def scenario():
         async with make_rig() as rig:
