Let a heartbeat outweigh the end of a lease; keep room for lost results

Ruled out: a heartbeat that was missed; none was. Results whose answer was lost still take room, and pieces are repeated in proportion.

--- a/packages/persimmonlink-router/src/persimmonlink_router/fleet.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/fleet.py
@@ -118,7 +118,9 @@
             return
         now = boot_time()
         if item.value is None:
-            if self.members.find(node_id) is not None:
+            # A lease also ends where a node can't reach the store but is well.
+            is_known = self.members.find(node_id) is not None
+            if is_known and not self.members.is_neighbour(node_id, now):
                 self.members.note_unanswering(node_id, now)
             return
         try:
--- a/packages/persimmonlink-router/src/persimmonlink_router/stage_scheduler.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stage_scheduler.py
@@ -53,6 +53,8 @@
 TAKEOVER_S = 3.0  # Time without requests after which a node has not coordinated.
 SHARED_S = 1.0  # Time for which a server is taken to serve another coordinator too.
 INTERFERENCE_FACTOR = 1.2  # Times the expected time that show another's calls.
+TIGHT_S = 0.6  # Time for which a server that had no room gets smaller batches.
+TIGHT_SHARE = 0.75  # Part of its room that these may fill.
 MAX_TRIES = 4  # Times that the pieces of one request are sent again.
 BATCH_BODY_BYTES = 1048576  # Most bytes of the answer to a batch.
 PUMP_INTERVAL_S = 0.1  # How often waiting pieces are looked at without a cause.
@@ -93,6 +95,7 @@
     busy_until: float = 0.0
     blocked_until: float = 0.0
     shared_until: float = 0.0
+    tight_until: float = 0.0
 
 
 @dataclass(slots=True, eq=False)
@@ -369,8 +372,9 @@
         state = self._server_by_key.setdefault(server.key, _StageServer())
         usable = self._beliefs.servers.list_usable(service.name)
         domains = {s.domain for s in usable if not self._is_blocked(s)}
-        view = StageServerView(server.domain, _room(spec, state), domains)
-        batch = queue.take_batch(spec, view, boot_time())
+        now = boot_time()
+        view = StageServerView(server.domain, _room(spec, state, now), domains)
+        batch = queue.take_batch(spec, view, now)
         if not batch:
             return False
         self._start_batch(service, server, state, batch)
@@ -401,7 +405,7 @@
             if state.calls >= spec.calls:
                 soonest = min(soonest, max(0.0, state.busy_until - now) + call_s)
                 continue
-            if state.held_bytes and _room(spec, state) < queue.least_bytes():
+            if state.held_bytes and _room(spec, state, now) < queue.least_bytes():
                 continue
             idle.append((round(slowness, 1), server.server_id, server))
         idle.sort(key=lambda entry: entry[:2])
@@ -434,6 +438,7 @@
         now = boot_time()
         state.busy_until = now + expected_s * self._health.slowness(server.key, now)
         for ticket in batch:
+            self._budget.note_request(service.name, now)
             ticket.chain.note_unsent(ticket.stage, -1)
             ticket.chain.note_sent(ticket.stage, now)
         self.batches += 1
@@ -467,6 +472,7 @@
     ) -> None:
         started = boot_time()
         results: Sequence[PieceResult] | None = None
+        is_lost = False
         try:
             pieces = [self._make_piece(ticket, started) for ticket in batch]
             call = self._wire.make_batch(server, pieces)
@@ -482,11 +488,16 @@
             self._note_failed(server, state, error, is_dead=True)
         except (ConnectionLostError, WireFormatError, TimeoutError) as error:
             self._note_failed(server, state, error, is_dead=False)
+            # The results may have been made, and last until they end by themselves.
+            is_lost = True
+            lost_bytes = sum(ticket.result_bytes for ticket in batch)
+            life_s = service.batch.result_life_s if service.batch is not None else 0.0
+            asyncio.get_running_loop().call_later(life_s, _give_back, state, lost_bytes)
         finally:
             state.calls -= 1
             state.busy_until = boot_time()
         self._log_batch(server, batch, results, boot_time() - started, expected_s)
-        self._take_results(server, state, batch, results)
+        self._take_results(server, state, batch, results, is_lost=is_lost)
         self._pump(service.name)
 
     def _note_interference(
@@ -494,6 +505,8 @@
     ) -> None:
         """Note signs that another node sends to the server, as after a change."""
         is_without_room = any(r.reason == "room" for r in results or ())
+        if is_without_room:
+            state.tight_until = boot_time() + TIGHT_S
         if results is None or is_without_room or ratio > INTERFERENCE_FACTOR:
             state.shared_until = boot_time() + SHARED_S
 
@@ -552,6 +565,8 @@
         state: _StageServer,
         batch: list[Ticket],
         results: Sequence[PieceResult] | None,
+        *,
+        is_lost: bool,
     ) -> None:
         again: list[Ticket] = []
         runs: dict[str, _Run] = {}
@@ -560,7 +575,8 @@
             run = self._run_by_request.get(ticket.chain.job.request_id)
             is_current = run is not None and run.chain is ticket.chain
             if not result.handle:
-                state.held_bytes = max(0.0, state.held_bytes - ticket.result_bytes)
+                if not is_lost:
+                    _give_back(state, ticket.result_bytes)
                 if run is not None and is_current:
                     self._handle_missing(run, ticket, result.reason, again)
                     runs[run.chain.job.request_id] = run
@@ -660,8 +676,7 @@
             )
         state = self._server_by_key.get(key)
         if state is not None:
-            freed = sum(result.size for result in results)
-            state.held_bytes = max(0.0, state.held_bytes - freed)
+            _give_back(state, sum(result.size for result in results))
         self._pump(server.service)
 
     def _log_done(self, chain: StageChain) -> None:
@@ -711,11 +726,17 @@
         return counter
 
 
-def _room(spec: BatchSpec, state: _StageServer) -> float:
+def _room(spec: BatchSpec, state: _StageServer, now: float) -> float:
     if not state.held_bytes:
         # A single result is never too large for an empty server.
         return max(spec.result_room_bytes, 1e12 if spec.size == 1 else 0.0)
-    return spec.result_room_bytes - state.held_bytes
+    share = TIGHT_SHARE if state.tight_until > now else 1.0
+    return spec.result_room_bytes * share - state.held_bytes
+
+
+def _give_back(state: _StageServer, size: float) -> None:
+    """Count memory of a server as free again."""
+    state.held_bytes = max(0.0, state.held_bytes - size)
 
 
 def _choose_domain(chain: StageChain, index: int) -> tuple[str, float]:
