--- a/packages/persimmonlink-router/src/persimmonlink_router/connection_pool.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/connection_pool.py
@@ -10,7 +10,7 @@
 if TYPE_CHECKING:
     from collections.abc import Hashable
 
-CONNECT_TIMEOUT_S = 1.0  # The longest that clients themselves wait for a connection.
+CONNECT_TIMEOUT_S = 0.35  # Servers are milliseconds away; a lost packet costs 1 s.
 DEFAULT_IDLE_LIMIT_S = 4.0  # Idle life where the server states none.
 IDLE_MARGIN_S = 1.0  # Servers round the stated time to whole seconds.
 
--- a/packages/persimmonlink-router/src/persimmonlink_router/request_service.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/request_service.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+import h11
 from loguru import logger
 
 from persimmonlink_router.boot_clock import boot_time
@@ -123,6 +124,12 @@
             answer = OwnAnswer(503, str(error), error.retry_after_s)
         except FailedError as error:
             answer = OwnAnswer(error.status, str(error))
+        except (ClientLeftError, h11.LocalProtocolError):
+            raise
+        except Exception:
+            # A bug: the request may have run, and its client must not wait.
+            logger.bind(request=state.call.request_id).exception("request.bug")
+            answer = OwnAnswer(500, "internal error")
         if exchange.has_started:
             exchange.abort()
             return 0, f"broken off: {answer.reason}"
--- a/packages/persimmonlink-router/src/persimmonlink_router/server_health.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/server_health.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass
+from collections import deque
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -11,6 +12,8 @@
 
 SPEED_WEIGHT = 0.25  # Weight of the newest answer in the mean speed.
 FAILURE_WEIGHT = 0.35  # Weight of the newest answer in the share of failures.
+STALL_S = 1.2  # Time without an answer after which a server is doubted.
+STALL_RANGE_S = 2.0  # Time after that in which the doubt becomes full.
 RECOVERY_S = 4.0  # Time in which an unused server's bad record loses two thirds.
 
 
@@ -22,6 +25,7 @@
     in_flight: int = 0
     unread_tokens: int = 0
     held_tokens: int = 0
+    unanswered: deque[float] = field(default_factory=deque)
 
 
 class ServerHealth:
@@ -35,14 +39,26 @@
         self._record_by_key: dict[Hashable, _Record] = {}
 
     def start(
-        self, key: Hashable, prompt_tokens: int = 0, held_tokens: int = 0
+        self,
+        key: Hashable,
+        prompt_tokens: int = 0,
+        held_tokens: int = 0,
+        sent_at: float | None = None,
     ) -> None:
         """Count a request that is sent to a server."""
         record = self._find(key)
+        if sent_at is not None:
+            record.unanswered.append(sent_at)
         record.in_flight += 1
         record.unread_tokens += prompt_tokens
         record.held_tokens += held_tokens
 
+    def note_answered(self, key: Hashable, sent_at: float) -> None:
+        """Count a request as answered, or as no longer waited for."""
+        unanswered = self._find(key).unanswered
+        if sent_at in unanswered:
+            unanswered.remove(sent_at)
+
     def read_prompt(self, key: Hashable, prompt_tokens: int) -> None:
         """Count a prompt as read."""
         record = self._find(key)
@@ -74,8 +90,12 @@
         return self._fade(key, now).slowness
 
     def failure_share(self, key: Hashable, now: float) -> float:
-        """Return the share of requests that a server fails."""
-        return self._fade(key, now).failure_share
+        """Return the share of requests that a server fails, or seems to."""
+        record = self._fade(key, now)
+        if not record.unanswered:
+            return record.failure_share
+        stalled_s = now - record.unanswered[0] - STALL_S
+        return max(record.failure_share, min(1.0, stalled_s / STALL_RANGE_S))
 
     def in_flight(self, key: Hashable) -> int:
         """Return the requests that this node has at a server."""
--- a/packages/persimmonlink-router/src/persimmonlink_router/server_sender.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/server_sender.py
@@ -274,7 +274,8 @@
             self._budget.note_request(state.service, now)
         state.sends += 1
         state.servers.append(server.server_id)
-        self._health.start(server.key, state.call.prompt_tokens, _held_tokens(state))
+        held = _held_tokens(state)
+        self._health.start(server.key, state.call.prompt_tokens, held, now)
         self.cache.note(server.key, state.call.prompt_parts)
         is_over = False
         is_open = False
@@ -305,6 +306,7 @@
             connection.close()
             raise
         finally:
+            self._health.note_answered(server.key, now)
             if not is_open:
                 self._health.read_prompt(server.key, state.call.prompt_tokens)
                 self._health.end(server.key, _held_tokens(state))
--- a/packages/persimmonlink-router/src/persimmonlink_router/stage_scheduler.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stage_scheduler.py
@@ -44,10 +44,11 @@
 RELEASE_DELAY_S = 0.01  # Results that become free together are freed in one call.
 INPUTS_READ_S = 0.06  # Time in which an idle server reads the inputs of a call.
 RELEASE_TIMEOUT_S = 1.0  # Longest wait for the answer to a release.
-CALL_PATIENCE = 3.0  # Times the expected time after which a call is given up.
-CALL_PATIENCE_EXTRA_S = 0.6  # On top of that, for the way and for waiting calls.
+CALL_PATIENCE = 1.8  # Times the expected time after which a call is given up.
+CALL_PATIENCE_EXTRA_S = 0.2  # On top of that, for the way.
+SHARED_PATIENCE_S = 0.6  # On top of that, while another node may send calls too.
 BACKOFF_S = 0.1  # Time for which a server that refused a call gets none.
-DEAD_S = 0.7  # Time for which a server that can't be reached gets no call.
+DEAD_S = 1.5  # Time for which a server that can't be reached gets no call.
 SLOW_FACTOR = 1.6  # Slowness at which waiting for a faster server is considered.
 GIVEN_UP_RETRY_S = 1.0  # When to come back after the stages could not end in time.
 TAKEOVER_S = 3.0  # Time without requests after which a node has not coordinated.
@@ -476,7 +477,7 @@
         try:
             pieces = [self._make_piece(ticket, started) for ticket in batch]
             call = self._wire.make_batch(server, pieces)
-            limit_s = expected_s * CALL_PATIENCE + CALL_PATIENCE_EXTRA_S
+            limit_s = self._limit_call_s(server, state, expected_s)
             results = await self._call_batch(server, call, len(batch), limit_s)
             took_s = boot_time() - started
             self._note_interference(state, results, took_s / expected_s)
@@ -500,6 +501,15 @@
         self._take_results(server, state, batch, results, is_lost=is_lost)
         self._pump(service.name)
 
+    def _limit_call_s(
+        self, server: Server, state: _StageServer, expected_s: float
+    ) -> float:
+        """Return the time after which a call is given up, in seconds."""
+        now = boot_time()
+        slowness = max(1.0, self._health.slowness(server.key, now))
+        limit_s = expected_s * slowness * CALL_PATIENCE + CALL_PATIENCE_EXTRA_S
+        return limit_s + (SHARED_PATIENCE_S if state.shared_until > now else 0.0)
+
     def _note_interference(
         self, state: _StageServer, results: Sequence[PieceResult] | None, ratio: float
     ) -> None:
--- a/packages/persimmonlink-router/src/persimmonlink_router/stream_relay.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stream_relay.py
@@ -23,6 +23,8 @@
 
 ANSWER_BASE_S = 0.06  # Time of an engine to its first event beside the prompt.
 PROMPT_TOKENS_PER_S = 60000.0  # Rate at which engines read prompts, by the sheets.
+MIN_SILENCE_S = 1.2  # Shortest silence after which a resumable stream goes elsewhere.
+SILENCE_FACTOR = 6.0  # Times the expected time that this may take for long prompts.
 FAILED_RETRY_AFTER_S = 0.5  # When to come back after stages failed.
 MAX_ERROR_BYTES = 1048576  # Most bytes of a failure's body.
 
@@ -40,7 +42,8 @@
         try:
             inputs = await _prepare(state, sender, stages)
             try:
-                answer = await sender.send(state, inputs, splitter.last_id)
+                limit_s = _limit_first_event_s(state)
+                answer = await sender.send(state, inputs, splitter.last_id, limit_s)
                 is_done = await _pass_on(state, sender, stages, answer, splitter)
             finally:
                 if inputs is not NO_INPUTS:
@@ -58,6 +61,14 @@
             splitter.take_rest()
 
 
+def _limit_first_event_s(state: RequestState) -> float | None:
+    """Return how long a server may be silent before a stream goes elsewhere."""
+    if not state.route.is_resumable or state.runs + 1 >= state.route.attempts:
+        return None
+    expected_s = ANSWER_BASE_S + state.call.prompt_tokens / PROMPT_TOKENS_PER_S
+    return max(MIN_SILENCE_S, SILENCE_FACTOR * expected_s)
+
+
 async def _prepare(
     state: RequestState, sender: ServerSender, stages: StageLink
 ) -> StageInputs:
--- a/tests/router/process_rig.py
+++ b/tests/router/process_rig.py
@@ -71,9 +71,12 @@
 
     async def wait_ready(self, index: int) -> None:
         """Wait until a router is ready."""
-        async with asyncio.timeout(START_TIMEOUT_S):
-            while not await self.is_ready(index):
-                await asyncio.sleep(0.05)
+        ends_at = asyncio.get_running_loop().time() + START_TIMEOUT_S
+        while not await self.is_ready(index):
+            if asyncio.get_running_loop().time() > ends_at:
+                log = self.processes[index].log_path.read_text()[-2000:]
+                raise TimeoutError(f"router {index} is not ready: {log}")
+            await asyncio.sleep(0.05)
 
     def coordinator(self) -> int:
         """Return the router that ran the last batch, by the routers' logs."""
--- a/tests/router/rig.py
+++ b/tests/router/rig.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
+import os
 import socket
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
@@ -24,6 +26,9 @@
     from collections.abc import AsyncIterator
 
 HOST = "127.0.0.1"
+FIRST_PORT = 12000
+PORTS_A_WORKER = 1000
+_PORT_STEPS = itertools.cycle(range(PORTS_A_WORKER))
 LIMITS = LimitSettings(0.2, 10.0, 52.0, 1.5, 5.0, 8.0, 5.0)
 STREAM_SERVICE = "engines"
 PLAIN_SERVICE = "desk"
@@ -32,10 +37,20 @@
 
 
 def find_port() -> int:
-    """Return a port that is free now."""
-    with socket.socket() as sock:
-        sock.bind((HOST, 0))
-        return sock.getsockname()[1]
+    """Return a port that is free now.
+
+    It lies below those that outgoing connections take, and in a range of this test
+    process, so that nothing takes it before a router listens there.
+    """
+    worker = int(os.environ.get("PYTEST_XDIST_WORKER", "gw0").removeprefix("gw"))
+    while True:
+        port = FIRST_PORT + worker * PORTS_A_WORKER + next(_PORT_STEPS)
+        with socket.socket() as sock:
+            try:
+                sock.bind((HOST, port))
+            except OSError:
+                continue
+        return port
 
 
 def make_settings(store: str, index: int, seeds: tuple[str, ...]) -> RouterSettings:
