--- a/packages/persimmonlink-router/src/persimmonlink_router/beliefs.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/beliefs.py
@@ -169,8 +169,11 @@
             known = self.servers.server_by_id.get(entry.server_id)
             if not self.servers.put(entry.server, now):
                 return
-            is_same = known is not None and known.key == entry.server.key
-            if is_same and known.is_draining == entry.server.is_draining:
+            if (
+                known is not None
+                and known.key == entry.server.key
+                and known.is_draining == entry.server.is_draining
+            ):
                 return
             logger.bind(
                 server=entry.server_id,
--- a/packages/persimmonlink-router/src/persimmonlink_router/connection_pool.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/connection_pool.py
@@ -8,7 +8,7 @@
 from persimmonlink_router.http_client import ClientExchange
 
 if TYPE_CHECKING:
-    from collections.abc import Hashable
+    from collections.abc import Collection, Hashable
 
 CONNECT_TIMEOUT_S = 0.35  # Servers are milliseconds away; a lost packet costs 1 s.
 DEFAULT_IDLE_LIMIT_S = 4.0  # Idle life where the server states none.
@@ -44,7 +44,7 @@
         """Whether a connection to a server is kept."""
         return any(c.is_reusable for c in self._idle_by_key.get(key, ()))
 
-    def drop_idle(self, live_keys: set[Hashable]) -> None:
+    def drop_idle(self, live_keys: Collection[Hashable]) -> None:
         """Close what has been idle for long, or leads to servers that are gone."""
         now = boot_time()
         for key, connections in list(self._idle_by_key.items()):
--- a/packages/persimmonlink-router/src/persimmonlink_router/http_client.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/http_client.py
@@ -113,7 +113,7 @@
         if not self.is_reusable or self._transport is None:
             raise ConnectionLostError(f"{self.address}: closed")
         self._is_busy = True
-        self._request = h11.Request(method=method, target=target, headers=headers)
+        self._request = h11.Request(method=method, target=target, headers=list(headers))
         data = self._h11.send(self._request) or b""
         if body:
             data += self._h11.send(h11.Data(data=body)) or b""
--- a/packages/persimmonlink-router/src/persimmonlink_router/placement.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/placement.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from collections.abc import Hashable, Mapping
+from collections.abc import Collection, Hashable, Mapping
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Protocol
 
@@ -90,7 +90,7 @@
             tokens += part.tokens
         return tokens
 
-    def forget_other(self, keys: set[Hashable]) -> None:
+    def forget_other(self, keys: Collection[Hashable]) -> None:
         """Forget servers that are gone."""
         for key in list(self._parts_by_key):
             if key not in keys:
--- a/packages/persimmonlink-router/src/persimmonlink_router/router.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/router.py
@@ -267,6 +267,7 @@
         self._health.forget_other(keys)
         self._cold.forget_other(keys)
         self._sender.cache.forget_other(keys)
+        self._scheduler.servers.forget_other(keys)
 
     def _on_item(self, item: StoredItem) -> None:
         if item.key.startswith(MEMBER_PREFIX):
@@ -283,7 +284,7 @@
         self._limits.body_bytes = limits.body_bytes
         self._limits.header_timeout_s = limits.header_timeout_s
         self._limits.idle_timeout_s = limits.idle_timeout_s
-        self._scheduler.wake()
+        self._scheduler.dispatcher.pump_all()
 
     def _list_loads(self) -> dict[str, EngineLoad]:
         loads = {}
@@ -323,8 +324,8 @@
     def _note_gauges(self) -> None:
         metrics = self.metrics
         metrics.gauge("connections_opened_total", self._pool.opened)
-        metrics.gauge("stage_batches_total", self._scheduler.batches)
-        metrics.gauge("stage_pieces_total", self._scheduler.batched_pieces)
+        metrics.gauge("stage_batches_total", self._scheduler.dispatcher.batches)
+        metrics.gauge("stage_pieces_total", self._scheduler.dispatcher.batched_pieces)
         metrics.gauge("requests_in_progress", self._clients.count_serving())
         metrics.gauge("store_age_seconds", boot_time() - self.beliefs.contact_at)
 
--- a/packages/persimmonlink-router/src/persimmonlink_router/send_limits.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/send_limits.py
@@ -10,7 +10,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Hashable
+    from collections.abc import Collection, Hashable
 
 COLD_WINDOW_S = 1.1  # The bound holds for any second; a tenth covers the way there.
 BUDGET_MARGIN = 0.8  # Part of the retry budget in use, as nodes count differently.
@@ -62,7 +62,7 @@
         """Count a request that is sent."""
         self._sends_by_key.setdefault(key, deque()).append(now)
 
-    def forget_other(self, keys: set[Hashable]) -> None:
+    def forget_other(self, keys: Collection[Hashable]) -> None:
         """Forget all servers but some."""
         for key in list(self._sends_by_key):
             if key not in keys:
--- a/packages/persimmonlink-router/src/persimmonlink_router/server_health.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/server_health.py
@@ -8,7 +8,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Hashable
+    from collections.abc import Collection, Hashable
 
 SPEED_WEIGHT = 0.25  # Weight of the newest answer in the mean speed.
 FAILURE_WEIGHT = 0.35  # Weight of the newest answer in the share of failures.
@@ -109,7 +109,7 @@
         """Return the memory that this node's requests take at a server, in tokens."""
         return self._find(key).held_tokens
 
-    def forget_other(self, keys: set[Hashable]) -> None:
+    def forget_other(self, keys: Collection[Hashable]) -> None:
         """Forget servers that are gone and have nothing in flight."""
         for key, record in list(self._record_by_key.items()):
             if key not in keys and record.in_flight == 0:
--- a/packages/persimmonlink-router/src/persimmonlink_router/server_sender.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/server_sender.py
@@ -34,6 +34,7 @@
     from persimmonlink_router.calls import Wire
     from persimmonlink_router.connection_pool import ConnectionPool
     from persimmonlink_router.fleet import Fleet
+    from persimmonlink_router.peer_messages import EngineLoad
     from persimmonlink_router.request_state import RequestState
     from persimmonlink_router.send_limits import ColdLimit, RetryBudget
     from persimmonlink_router.server_health import ServerHealth
@@ -42,6 +43,8 @@
 POLL_S = 0.02  # How often it is looked for one meanwhile.
 RETRY_AFTER_S = 0.3  # When to come back if no server can take a request.
 MAX_REJECTIONS = 4  # Servers that may reject a request before it is refused.
+REJECTION_BODY_S = 0.2  # Longest wait for the rest of a rejection.
+MAX_REJECTION_BYTES = 65536  # Most bytes of a rejection's body.
 UNSAFE_IDLE_S = 2.0  # Idle life of connections for requests that run at most once.
 
 
@@ -229,7 +232,9 @@
             choice = EngineChoice(state.call, self._own_domain, inputs.bytes_by_domain)
             view = _EngineView(self._health, self._fleet, candidates)
             return choose_engine(candidates, view, self.cache, choice, now)
-        has_connection = {s.key: self._pool.has_idle(s.key) for s in candidates}
+        has_connection: dict[Hashable, bool] = {
+            s.key: self._pool.has_idle(s.key) for s in candidates
+        }
         plain = PlainChoice(self._own_domain, self._expected_s(state), has_connection)
         return choose_plain(candidates, self._health, plain, now)
 
@@ -245,21 +250,8 @@
             if state.may_have_run:
                 raise FailedError("the retry budget is used up")
             raise RefusedError("the retry budget is used up", RETRY_AFTER_S)
-        max_idle_s = 60.0 if state.route.is_repeatable else UNSAFE_IDLE_S
-        try:
-            connection = await self._pool.acquire(
-                server.key, server.address, max_idle_s
-            )
-        except ConnectError as error:
-            self._health.note_dead(server.key, boot_time())
-            raise NotRunError(str(error)) from error
+        connection = await self._connect(server, state)
         now = boot_time()
-        if not self._beliefs.may_send(server) or state.time_left_s <= 0:
-            self._pool.release(server.key, connection)
-            raise NotRunError("the server may no longer get work")
-        if not self._take_cold(server, state, now):
-            self._pool.release(server.key, connection)
-            raise NotRunError("the server is cold and has had its share")
         dispatch = Dispatch(
             server,
             state.deadline_at - now,
@@ -268,52 +260,89 @@
             inputs.handles,
             last_event_id or state.call.last_event_id,
         )
-        request = state.exchange.request
-        headers = self._wire.make_headers(request, dispatch)
         if state.sends == 0:
             self._budget.note_request(state.service, now)
         state.sends += 1
         state.servers.append(server.server_id)
-        held = _held_tokens(state)
-        self._health.start(server.key, state.call.prompt_tokens, held, now)
+        self._health.start(
+            server.key, state.call.prompt_tokens, _held_tokens(state), now
+        )
         self.cache.note(server.key, state.call.prompt_parts)
-        is_over = False
         is_open = False
         try:
-            connection.send(request.method, request.target, headers, request.body)
-            head, info = await self._read_head(connection, state, answer_limit_s)
-            if info.was_not_run or info.is_other_server:
-                is_over = True
-                await connection.read_body(65536)
-                self._pool.release(server.key, connection)
-                raise NotRunError(f"status {head.status}")
+            head, info = await self._ask(connection, state, dispatch, answer_limit_s)
             is_open = True
-        except ConnectionLostError as error:
-            connection.close()
-            if is_over:
-                raise NotRunError("the server refused and closed") from error
-            state.runs += 1
-            state.may_have_run = True
-            self._health.note_failure(server.key, boot_time())
-            raise FailedError(f"{server.server_id}: {error}") from error
-        except TimeoutError as error:
-            connection.close()
-            state.runs += 1
-            state.may_have_run = True
-            self._health.note_failure(server.key, boot_time())
-            raise FailedError(f"{server.server_id}: silent", 504) from error
-        except asyncio.CancelledError:
-            connection.close()
-            raise
         finally:
             self._health.note_answered(server.key, now)
             if not is_open:
+                if not connection.is_reusable:
+                    connection.close()
                 self._health.read_prompt(server.key, state.call.prompt_tokens)
                 self._health.end(server.key, _held_tokens(state))
         state.runs += 1
         state.may_have_run = True
         return OpenAnswer(server, connection, head, info, now)
 
+    async def _connect(self, server: Server, state: RequestState) -> ClientExchange:
+        """Return a connection, if the server may still get the request."""
+        max_idle_s = 60.0 if state.route.is_repeatable else UNSAFE_IDLE_S
+        try:
+            connection = await self._pool.acquire(
+                server.key, server.address, max_idle_s
+            )
+        except ConnectError as error:
+            self._health.note_dead(server.key, boot_time())
+            raise NotRunError(str(error)) from error
+        reason = ""
+        if not self._beliefs.may_send(server) or state.time_left_s <= 0:
+            reason = "the server may no longer get work"
+        elif not self._take_cold(server, state, boot_time()):
+            reason = "the server is cold and has had its share"
+        if reason:
+            self._pool.release(server.key, connection)
+            raise NotRunError(reason)
+        return connection
+
+    async def _ask(
+        self,
+        connection: ClientExchange,
+        state: RequestState,
+        dispatch: Dispatch,
+        answer_limit_s: float | None,
+    ) -> tuple[HttpHead, AnswerInfo]:
+        """Send the request and read the head of the answer.
+
+        Raises `NotRunError` only if the server states that it did not run it.
+        """
+        server = dispatch.server
+        request = state.exchange.request
+        headers = self._wire.make_headers(request, dispatch)
+        try:
+            connection.send(request.method, request.target, headers, request.body)
+            head, info = await self._read_head(connection, state, answer_limit_s)
+        except (ConnectionLostError, TimeoutError) as error:
+            state.runs += 1
+            state.may_have_run = True
+            self._health.note_failure(server.key, boot_time())
+            if isinstance(error, TimeoutError):
+                raise FailedError(f"{server.server_id}: silent", 504) from error
+            raise FailedError(f"{server.server_id}: {error}") from error
+        if info.was_not_run or info.is_other_server:
+            await self._keep_after_rejection(connection, server)
+            raise NotRunError(f"status {head.status}")
+        return head, info
+
+    async def _keep_after_rejection(
+        self, connection: ClientExchange, server: Server
+    ) -> None:
+        try:
+            async with asyncio.timeout(REJECTION_BODY_S):
+                await connection.read_body(MAX_REJECTION_BYTES)
+        except (ConnectionLostError, TimeoutError):
+            # The rejection holds; only the connection is lost.
+            return
+        self._pool.release(server.key, connection)
+
     def _take_cold(self, server: Server, state: RequestState, now: float) -> bool:
         if not self._beliefs.servers.is_cold(server, now):
             return True
@@ -359,7 +388,9 @@
         self, health: ServerHealth, fleet: Fleet, servers: list[Server]
     ) -> None:
         self._health = health
-        self._load_by_key = {s.key: fleet.sum_load(s.server_id) for s in servers}
+        self._load_by_key: dict[Hashable, EngineLoad] = {
+            server.key: fleet.sum_load(server.server_id) for server in servers
+        }
 
     def slowness(self, key: Hashable, now: float) -> float:
         return self._health.slowness(key, now)
--- a/packages/persimmonlink-router/src/persimmonlink_router/stage_admission.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stage_admission.py
@@ -235,6 +235,18 @@
     return Admission(Lane.REFUSED, late_s, wait_s)
 
 
+def compute_cost_s(job: StageJob, load_by_service: Mapping[str, ServiceLoad]) -> float:
+    """Return the time of servers that a request takes in full batches, in seconds."""
+    cost_s = 0.0
+    for need in job.stages:
+        load = load_by_service.get(need.service)
+        if load is None:
+            continue
+        piece_s = load.spec.call_s / load.spec.size + load.spec.piece_s
+        cost_s += need.pieces * piece_s
+    return cost_s
+
+
 def _order(job: StageJob) -> list[int]:
     """Return the stages so that each comes after those it needs."""
     order: list[int] = []
@@ -254,6 +266,7 @@
     "ArrivalRates",
     "Lane",
     "ServiceLoad",
+    "compute_cost_s",
     "decide",
     "list_tails_s",
     "predict_s",
--- /dev/null
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stage_calls.py
@@ -0,0 +1,126 @@
+"""Calls to stage servers: batches of pieces, and the freeing of results."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from loguru import logger
+
+from persimmonlink_router.http_client import ConnectError, ConnectionLostError
+
+if TYPE_CHECKING:
+    from collections.abc import Coroutine, Hashable, Sequence
+    from typing import Any
+
+    from persimmonlink_router.beliefs import Beliefs
+    from persimmonlink_router.calls import Piece, PieceResult, ServerCall, Wire
+    from persimmonlink_router.connection_pool import ConnectionPool
+    from persimmonlink_router.http_messages import HttpHead
+    from persimmonlink_router.servers import Server
+    from persimmonlink_router.stage_chain import StageResult
+    from persimmonlink_router.stage_servers import StageServers
+
+RELEASE_DELAY_S = 0.01  # Results that become free together are freed in one call.
+RELEASE_TIMEOUT_S = 1.0  # Longest wait for the answer to a release.
+MAX_BODY_BYTES = 1048576  # Most bytes of an answer.
+
+
+class StageCalls:
+    """Sends calls to stage servers.
+
+    Parameters
+    ----------
+    beliefs : Beliefs
+        Which servers may get work.
+    pool : ConnectionPool
+        Connections to the servers.
+    wire : Wire
+        Messages of the stage servers.
+    servers : StageServers
+        Told when memory is free again.
+    """
+
+    def __init__(
+        self,
+        beliefs: Beliefs,
+        pool: ConnectionPool,
+        wire: Wire,
+        servers: StageServers,
+    ) -> None:
+        self._beliefs = beliefs
+        self._pool = pool
+        self._wire = wire
+        self._servers = servers
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._unreleased_by_key: dict[Hashable, list[StageResult]] = {}
+
+    def spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        """Run something beside, and keep it until it ends."""
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._end)
+
+    async def run_batch(
+        self, server: Server, pieces: Sequence[Piece], limit_s: float
+    ) -> Sequence[PieceResult] | None:
+        """Return the results, or None if the server did not take the call."""
+        if not self._beliefs.may_send(server):
+            return None
+        call = self._wire.make_batch(server, pieces)
+        async with asyncio.timeout(limit_s):
+            head, body = await self._exchange(server, call)
+        info = self._wire.read_answer(head)
+        if info.was_not_run or info.is_other_server:
+            return None
+        if head.status != 200:
+            raise ConnectionLostError(f"{server.address}: status {head.status}")
+        return self._wire.read_batch(body, len(pieces))
+
+    def release(self, results: Sequence[StageResult]) -> None:
+        """Free results; those of one server in one call."""
+        for result in results:
+            key = result.server.key
+            if key not in self._unreleased_by_key:
+                self._unreleased_by_key[key] = []
+                self.spawn(self._send_release(result.server))
+            self._unreleased_by_key[key].append(result)
+
+    async def _send_release(self, server: Server) -> None:
+        await asyncio.sleep(RELEASE_DELAY_S)
+        results = self._unreleased_by_key.pop(server.key)
+        call = self._wire.make_release(server, [r.handle for r in results])
+        try:
+            async with asyncio.timeout(RELEASE_TIMEOUT_S):
+                await self._exchange(server, call)
+        except (ConnectError, ConnectionLostError, TimeoutError) as error:
+            # The results end by themselves after a while.
+            logger.bind(server=server.server_id, error=repr(error)).info(
+                "stages.release_failed"
+            )
+        self._servers.state(server).give_back(sum(r.size for r in results))
+
+    async def _exchange(
+        self, server: Server, call: ServerCall
+    ) -> tuple[HttpHead, bytes]:
+        connection = await self._pool.acquire(server.key, server.address)
+        try:
+            connection.send(call.method, call.target, call.headers, call.body)
+            head = await connection.read_head()
+            body = await connection.read_body(MAX_BODY_BYTES)
+        except BaseException:
+            connection.close()
+            raise
+        self._pool.release(server.key, connection)
+        return head, body
+
+    def _end(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if task.cancelled():
+            return
+        error = task.exception()
+        if error is not None:
+            logger.bind(error=repr(error)).error("task.failed")
+
+
+__all__ = ("StageCalls",)
--- a/packages/persimmonlink-router/src/persimmonlink_router/stage_chain.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stage_chain.py
@@ -114,7 +114,7 @@
     ) -> None:
         self.job = job
         self._tail_s_by_stage = tail_s_by_stage
-        self._is_admitted_late = is_admitted_late
+        self.is_admitted_late = is_admitted_late
         self._epochs = [0] * len(job.stages)
         self.arrived_at = now
         self.objective_at = now + job.objective_left_s
@@ -151,7 +151,7 @@
 
     def is_late(self, now: float) -> bool:
         """Whether the request has missed its objective, or is bound to."""
-        return self._is_admitted_late or now > self.objective_at
+        return self.is_admitted_late or now > self.objective_at
 
     def take_ready_stages(self) -> list[int]:
         """Return the stages whose inputs are there, each of them once."""
--- a/packages/persimmonlink-router/src/persimmonlink_router/stage_link.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stage_link.py
@@ -62,6 +62,7 @@
                 return StageOutcome("failed")
             node_id = self._choose()
             self._coordinator_by_request[job.request_id] = node_id
+            outcome: StageOutcome | None
             if node_id == self._fleet.own.node_id:
                 outcome = await self._scheduler.run(left_job)
             else:
--- a/stand_ins/src/persimmonlink_stand_ins/metadata_store.py
+++ b/stand_ins/src/persimmonlink_stand_ins/metadata_store.py
@@ -110,7 +110,7 @@
         self._history_start = self._revision
         self._history.clear()
 
-    def keys(self) -> set[str]:
+    def list_keys(self) -> set[str]:
         """Return the keys there are."""
         self._end_leases()
         return set(self._item_by_key)
--- /dev/null
+++ b/tests/adapter/test_entries.py
@@ -0,0 +1,141 @@
+"""Entries of the store as the platform writes them."""
+
+from __future__ import annotations
+
+import msgspec
+import pytest
+
+from persimmonlink_adapter.entries import StoreEntryReader
+from persimmonlink_router.beliefs import DrainEntry, ServerEntry
+from persimmonlink_router.calls import WireFormatError
+from persimmonlink_router.configuration import RequestKind
+from persimmonlink_router.store import StoredItem
+
+READER = StoreEntryReader()
+SERVER = {
+    "service": "engines",
+    "addr": "10.1.0.9:8080",
+    "zone": "a",
+    "version": "v1",
+    "slots": 64,
+    "state": "ready",
+    "cold-left-ms": 1500,
+    "models": [{"name": "m", "version": 1}],
+    "seq": 4,
+    "born": 17,
+}
+ROUTE = {
+    "name": "r",
+    "host": "Shop.Example",
+    "prefix": "/a/",
+    "kind": "stream",
+    "timeout-ms": 12000,
+    "slo-ms": 1400,
+    "priority": 1,
+    "backends": [{"service": "x", "weight": 90}, {"service": "y", "weight": 10}],
+    "stages": [{"service": "s", "after": [], "bytes": 800000}],
+    "resumable": True,
+    "new-field": {"any": 1},
+}
+SERVICE = {
+    "name": "s",
+    "health-path": "/healthz",
+    "max-conns": 270,
+    "cold-start-s": 3.0,
+    "cold-per-s": 14.0,
+    "pieces": {
+        "slots": 1,
+        "batch": 5,
+        "call-ms": 240,
+        "item-ms": 41.6,
+        "headroom-mb": 6,
+    },
+}
+
+
+def read(key: str, value: object) -> object:
+    raw = value if isinstance(value, bytes) else msgspec.json.encode(value)
+    return READER.read(StoredItem(key, raw, 7))
+
+
+def test_a_server_is_read_into_our_words():
+    server = read("servers/i-1", SERVER).server
+    assert (server.server_id, server.domain, server.born_ms) == ("i-1", "a", 17)
+    assert server.cold_left_s == 1.5
+    assert not server.is_draining
+
+
+def test_only_what_matters_changes_a_server():
+    first = read("servers/i-1", SERVER)
+    assert read("servers/i-1", {**SERVER, "seq": 5, "version": "v2"}) == first
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"state": "odd"},
+        {"addr": "nowhere"},
+        {"addr": 5},
+        {"slots": "many"},
+        {"zone": None},
+        {"service": None},
+    ],
+)
+def test_entries_of_another_form_name_no_server(change):
+    assert read("servers/i-1", {**SERVER, **change}) == ServerEntry("i-1", None)
+
+
+@pytest.mark.parametrize("raw", [b"", b"\xff", b"[]", b'{"service":"engines"}'])
+def test_unreadable_entries_name_no_server(raw):
+    assert read("servers/i-1", raw) == ServerEntry("i-1", None)
+
+
+def test_a_deleted_entry_names_no_server():
+    assert READER.read(StoredItem("servers/i-1", None, 9)) == ServerEntry("i-1", None)
+
+
+def test_a_drain_and_its_end():
+    assert read("op/evacuate/a", {}) == DrainEntry("a", True)
+    assert READER.read(StoredItem("op/evacuate/a", None, 9)) == DrainEntry("a", False)
+
+
+def test_a_configuration_is_read_into_our_words():
+    configuration = read(
+        "op/config",
+        {
+            "version": 7,
+            "routes": [ROUTE],
+            "services": [SERVICE],
+            "limits": {"idle-timeout-ms": 15000},
+            "tenants": [{"name": "acme", "api-keys": ["k"], "priority": 0}],
+        },
+    )
+    route = configuration.find_route("shop.example", "/a/b")
+    assert route.kind is RequestKind.STREAM
+    assert route.is_repeatable
+    assert [(t.service, t.weight) for t in route.targets] == [("x", 90), ("y", 10)]
+    assert (route.timeout_s, route.objective_s) == (12.0, 1.4)
+    batch = configuration.service_by_name["s"].batch
+    assert (batch.size, batch.call_s, batch.result_room_bytes) == (5, 0.24, 6e6)
+    assert configuration.account_by_key["k"].name == "acme"
+    assert configuration.account_by_key["k"].priority == 0
+    assert configuration.limits.idle_timeout_s == 15.0
+
+
+def test_the_longest_prefix_wins():
+    routes = [{**ROUTE, "name": p, "prefix": p} for p in ("/", "/a/b/", "/a/")]
+    configuration = read("op/config", {"version": 1, "routes": routes, "services": []})
+    assert configuration.find_route("shop.example", "/a/b/c").name == "/a/b/"
+    assert configuration.find_route("shop.example", "/a/c").name == "/a/"
+    assert configuration.find_route("other.example", "/a/c") is None
+    assert not configuration.has_accounts
+
+
+@pytest.mark.parametrize("raw", [b"{}", b"\xff", b'{"version":"x"}', b"[]"])
+def test_a_malformed_configuration_is_an_error(raw):
+    with pytest.raises(WireFormatError):
+        read("op/config", raw)
+
+
+def test_other_keys_mean_nothing():
+    assert read("op/other", {}) is None
--- /dev/null
+++ b/tests/adapter/test_http_wire.py
@@ -0,0 +1,113 @@
+"""Headers of requests and answers, and the messages of stage servers."""
+
+from __future__ import annotations
+
+import msgspec
+import pytest
+from tests.router.chains import make_server
+
+from persimmonlink_adapter.http_wire import HttpWire
+from persimmonlink_router.calls import Dispatch, Piece, PieceResult, WireFormatError
+from persimmonlink_router.http_messages import HttpHead, HttpRequest
+
+WIRE = HttpWire()
+HEADERS = (
+    (b"host", b"shop.example"),
+    (b"persimmonlink-request-id", b"9c41"),
+    (b"persimmonlink-deadline-ms", b"12000"),
+    (b"persimmonlink-model", b"m"),
+    (b"persimmonlink-token-count", b"1460,80"),
+    (b"persimmonlink-prompt-prefix", b"5c1e:800,91bd:410,e440:250"),
+    (b"persimmonlink-pieces", b"2,0,4"),
+    (b"persimmonlink-piece-key", b"7c1e"),
+    (b"authorization", b"Bearer secret"),
+    (b"last-event-id", b"12"),
+    (b"connection", b"keep-alive, x-hop"),
+    (b"x-hop", b"1"),
+    (b"x-own", b"kept"),
+    (b"persimmonlink-inputs", b"forged"),
+    (b"persimmonlink-pin-ms", b"4000"),
+)
+
+
+def make_request(*extra: tuple[bytes, bytes], method: bytes = b"POST") -> HttpRequest:
+    return HttpRequest(method, b"/a/b?c=d", (*HEADERS, *extra), b"body")
+
+
+def test_a_request_says_what_it_needs():
+    call = WIRE.read_call(make_request())
+    assert (call.request_id, call.key, call.deadline_s) == ("9c41", "secret", 12.0)
+    assert (call.prompt_tokens, call.output_tokens) == (1460, 80)
+    assert next((p.part_id, p.tokens) for p in call.prompt_parts) == ("5c1e", 800)
+    assert call.piece_counts == (2, 0, 4)
+    assert call.last_event_id == b"12"
+
+
+@pytest.mark.parametrize(
+    "headers",
+    [
+        (),
+        ((b"persimmonlink-request-id", b""),),
+        ((b"persimmonlink-request-id", b"x"), (b"persimmonlink-deadline-ms", b"soon")),
+        ((b"persimmonlink-request-id", b"x"), (b"persimmonlink-token-count", b"a,b")),
+        ((b"persimmonlink-request-id", b"x"), (b"persimmonlink-pieces", b"1,,z")),
+    ],
+)
+def test_malformed_requests_are_errors(headers):
+    with pytest.raises(WireFormatError):
+        WIRE.read_call(HttpRequest(b"GET", b"/", headers))
+
+
+def test_a_server_gets_our_headers_and_none_of_the_clients_own_for_them():
+    dispatch = Dispatch(make_server("i-1"), 3.25, "acme", 1, ("h1", "h2"), b"14")
+    headers = dict(WIRE.make_headers(make_request(), dispatch))
+    assert headers[b"persimmonlink-deadline-ms"] == b"3250"
+    assert headers[b"persimmonlink-expect-instance"] == b"i-1"
+    assert headers[b"persimmonlink-tenant"] == b"acme"
+    assert headers[b"persimmonlink-inputs"] == b"h1,h2"
+    assert headers[b"last-event-id"] == b"14"
+    assert headers[b"content-length"] == b"4"
+    assert headers[b"x-own"] == b"kept"
+    for name in (b"authorization", b"x-hop", b"connection", b"persimmonlink-pin-ms"):
+        assert name not in headers
+
+
+def test_an_answer_is_read():
+    head = HttpHead(
+        503,
+        ((b"persimmonlink-request-id", b"9c41"), (b"persimmonlink-not-executed", b"1")),
+    )
+    info = WIRE.read_answer(head)
+    assert info.was_not_run
+    assert not info.is_signed
+    encoded = HttpHead(200, ((b"content-encoding", b"gzip"),))
+    assert WIRE.read_answer(encoded).is_encoded
+
+
+def test_a_batch_holds_keys_or_inputs():
+    pieces = [Piece("a", 0, 2, 0.9, "key"), Piece("b", 2, 0, 1.5, "", ("h1",))]
+    call = WIRE.make_batch(make_server("i-1"), pieces)
+    items = msgspec.json.decode(call.body)["items"]
+    assert items[0] == {
+        "id": "a",
+        "stage": 0,
+        "piece": 2,
+        "remaining-ms": 900,
+        "key": "key",
+    }
+    assert items[1]["inputs"] == ["h1"]
+    assert "key" not in items[1]
+
+
+def test_batch_results_are_read():
+    body = b'{"items":[{"handle":"1.2.3.4:5/x"},{"reason":"gone"}]}'
+    assert WIRE.read_batch(body, 2) == (
+        PieceResult("1.2.3.4:5/x"),
+        PieceResult(reason="gone"),
+    )
+
+
+@pytest.mark.parametrize("body", [b"", b"[]", b'{"items":5}', b'{"items":[{}]}'])
+def test_malformed_batch_results_are_errors(body):
+    with pytest.raises(WireFormatError):
+        WIRE.read_batch(body, 2)
--- /dev/null
+++ b/tests/adapter/test_store_client.py
@@ -0,0 +1,128 @@
+"""Calls to the platform's store, against its stand-in."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from persimmonlink_adapter import store_client
+from persimmonlink_adapter.store_client import HttpMetadataStore
+from persimmonlink_router.store import (
+    HistoryLostError,
+    LeaseEndedError,
+    StoreUnavailableError,
+)
+from persimmonlink_stand_ins.metadata_store import MetadataStoreStandIn
+
+
+def run(scenario, page_size: int = 500) -> None:
+    async def wrapped():
+        stand_in = MetadataStoreStandIn(page_size)
+        await stand_in.start()
+        try:
+            await scenario(stand_in, HttpMetadataStore(stand_in.address))
+        finally:
+            await stand_in.stop()
+
+    asyncio.run(wrapped())
+
+
+def test_all_pages_hold_all_items():
+    async def scenario(stand_in, store):
+        for index in range(7):
+            stand_in.put(f"p/{index}", b"\x00\xff")
+        stand_in.put("q/other", b"")
+        keys, after = [], ""
+        while True:
+            page = await store.read_page("p/", after)
+            keys += [item.key for item in page.items]
+            assert all(item.value == b"\x00\xff" for item in page.items)
+            if not page.has_more:
+                break
+            after = keys[-1]
+        assert keys == [f"p/{index}" for index in range(7)]
+
+    run(scenario, page_size=3)
+
+
+def test_a_watch_tells_writes_and_deletions_once():
+    async def scenario(stand_in, store):
+        first = await store.read_page("", "")
+        stand_in.put("a", b"1")
+        stand_in.delete("a")
+        page = await store.watch("", first.revision, 1.0)
+        assert [(i.key, i.value) for i in page.items] == [("a", b"1"), ("a", None)]
+        assert (await store.watch("", page.revision, 0.05)).items == ()
+
+    run(scenario)
+
+
+def test_lost_history_is_told():
+    async def scenario(stand_in, store):
+        stand_in.put("a", b"1")
+        stand_in.forget_history()
+        with pytest.raises(HistoryLostError):
+            await store.watch("", 1, 0.1)
+
+    run(scenario)
+
+
+def test_a_lease_carries_its_keys():
+    async def scenario(stand_in, store):
+        lease = await store.grant_lease(5.0)
+        revision = await store.put_leased("n/1", b"me", lease)
+        assert revision > 1
+        await store.keep_lease(lease)
+        await store.end_lease(lease)
+        assert "n/1" not in stand_in.list_keys()
+        with pytest.raises(LeaseEndedError):
+            await store.keep_lease(lease)
+        with pytest.raises(LeaseEndedError):
+            await store.put_leased("n/1", b"me", lease)
+
+    run(scenario)
+
+
+@pytest.mark.parametrize("status", [429, 503, 500, 403])
+def test_refusals_of_the_store_are_told_alike(status):
+    async def scenario(stand_in, store):
+        stand_in.faults.status = status
+        with pytest.raises(StoreUnavailableError):
+            await store.read_page("", "")
+
+    run(scenario)
+
+
+def test_a_lost_answer_is_told_and_the_next_call_works():
+    async def scenario(stand_in, store):
+        lease = await store.grant_lease(5.0)
+        stand_in.faults.loses_answers = True
+        with pytest.raises(StoreUnavailableError):
+            await store.put_leased("n/1", b"me", lease)
+        assert "n/1" in stand_in.list_keys()
+        stand_in.faults.loses_answers = False
+        await store.keep_lease(lease)
+
+    run(scenario)
+
+
+def test_a_silent_store_is_given_up(monkeypatch):
+    monkeypatch.setattr(
+        store_client.HttpMetadataStore._call, "__kwdefaults__", {"limit_s": 0.1}
+    )
+
+    async def scenario(stand_in, store):
+        stand_in.faults.is_silent = True
+        with pytest.raises(StoreUnavailableError):
+            await store.read_page("", "")
+
+    run(scenario)
+
+
+def test_a_store_that_is_gone_is_told():
+    async def scenario():
+        with pytest.raises(StoreUnavailableError):
+            await HttpMetadataStore("127.0.0.1:1").read_page("", "")
+
+    asyncio.run(scenario())
--- a/tests/router/process_rig.py
+++ b/tests/router/process_rig.py
@@ -146,4 +146,4 @@
 
 
 def _members(store: MetadataStoreStandIn) -> list[str]:
-    return [key for key in store.keys() if key.startswith("persimmonlink/nodes/")]
+    return [key for key in store.list_keys() if key.startswith("persimmonlink/nodes/")]
--- /dev/null
+++ b/tests/router/test_decision_log.py
@@ -0,0 +1,64 @@
+"""The log is bounded and never waited for."""
+
+from __future__ import annotations
+
+import os
+
+import msgspec
+
+from persimmonlink_router.decision_log import (
+    BURST_LINES,
+    LINES_PER_S,
+    BoundedLineWriter,
+)
+
+
+def make_pipe() -> tuple[int, int]:
+    reader, writer = os.pipe()
+    os.set_blocking(writer, False)
+    os.set_blocking(reader, False)
+    return reader, writer
+
+
+def test_lines_over_the_bound_are_dropped_and_counted():
+    now = 0.0
+    reader, descriptor = make_pipe()
+    writer = BoundedLineWriter(descriptor, lambda: now)
+    for _ in range(BURST_LINES + 50):
+        writer.write(b"x\n")
+    assert writer.dropped == 50
+    now = 1.0
+    writer.write(b"later\n")
+    lines = os.read(reader, 1 << 20).splitlines()
+    assert msgspec.json.decode(lines[-2]) == {"event": "log.dropped", "lines": 50}
+    assert lines[-1] == b"later"
+
+
+def test_the_bound_refills_with_time():
+    now = 0.0
+    _, descriptor = make_pipe()
+    writer = BoundedLineWriter(descriptor, lambda: now)
+    for _ in range(BURST_LINES):
+        writer.write(b"x\n")
+    now = 0.5
+    for _ in range(LINES_PER_S // 2):
+        writer.write(b"x\n")
+    assert writer.dropped == 0
+
+
+def test_a_reader_that_does_not_read_blocks_nobody():
+    now = 0.0
+    _, descriptor = make_pipe()
+    writer = BoundedLineWriter(descriptor, lambda: now)
+    for _ in range(2000):
+        now += 1.0
+        writer.write(b"y" * 1000 + b"\n")
+    assert writer.dropped > 0
+
+
+def test_a_closed_reader_ends_nothing():
+    reader, descriptor = make_pipe()
+    os.close(reader)
+    writer = BoundedLineWriter(descriptor, lambda: 0.0)
+    writer.write(b"x\n")
+    assert writer.dropped == 1
--- /dev/null
+++ b/tests/router/test_router_settings.py
@@ -0,0 +1,67 @@
+"""Settings are checked, with every fault named."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+from returns.result import Failure, Success
+
+from persimmonlink_router.router_settings import read_router_settings
+
+GOOD = {
+    "node": "entry-1",
+    "domain": "a",
+    "listen": {
+        "clients": "10.1.0.1:8625",
+        "readiness": "10.1.0.1:8621",
+        "directory": "10.1.0.1:8620",
+        "peers": "10.1.0.1:8628",
+        "metrics": "10.1.0.1:9464",
+    },
+    "store": "10.200.1.7:8624",
+    "seeds": ["10.1.0.1:8628"],
+    "limits": {
+        "retry_ratio": 0.2,
+        "retry_window_s": 10,
+        "retry_slack": 52,
+        "cold_burst_factor": 1.5,
+        "cold_slack": 5,
+        "stop_s": 8,
+        "directory_ttl_s": 5,
+    },
+}
+
+
+def read(tmp_path, text: str):
+    path = tmp_path / "settings.json"
+    path.write_text(text)
+    return read_router_settings(path)
+
+
+def test_comments_are_allowed(tmp_path):
+    result = read(tmp_path, "// ours\n" + json.dumps(GOOD))
+    assert isinstance(result, Success)
+    assert result.unwrap().limits.stop_s == 8
+
+
+@pytest.mark.parametrize(
+    ("change", "path"),
+    [
+        ({"node": ""}, "node"),
+        ({"store": "nowhere"}, "store"),
+        ({"seeds": ["x"]}, "seeds[0]"),
+        ({"surplus": 1}, "surplus"),
+        ({"listen": {}}, "listen.clients"),
+        ({"log_level": "LOUD"}, "log_level"),
+        ({"limits": {**GOOD["limits"], "stop_s": 0}}, "limits.stop_s"),
+    ],
+)
+def test_faults_are_named_with_their_path(tmp_path, change, path):
+    result = read(tmp_path, json.dumps({**GOOD, **change}))
+    assert isinstance(result, Failure)
+    assert path in {fault.path for fault in result.failure()}
+
+
+def test_a_file_that_is_no_json_is_a_fault(tmp_path):
+    assert isinstance(read(tmp_path, "{"), Failure)
