--- a/packages/persimmonlink-router/src/persimmonlink_router/fleet.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/fleet.py
@@ -148,14 +148,19 @@
     def choose_coordinator(self, excluded: set[str]) -> str:
         """Return the node that coordinates, chosen alike by all nodes.
 
-        It is the one that has been a member for longest.
+        Of those with as many processor cores as any, it is the one that has been a
+        member for longest.
         """
         candidates = [
-            (getattr(member, "seniority", 0) or UNKNOWN_SENIORITY, member.node_id)
+            (
+                -round(getattr(member, "cores", 1.0), 1),
+                getattr(member, "seniority", 0) or UNKNOWN_SENIORITY,
+                member.node_id,
+            )
             for member in self.list_entries()
             if member.node_id not in excluded
         ]
-        return min(candidates, default=(0, self.own.node_id))[1]
+        return min(candidates, default=(0, 0, self.own.node_id))[2]
 
     def is_answering(self, node_id: str) -> bool:
         """Whether a member lives, as far as this node can tell."""
--- a/packages/persimmonlink-router/src/persimmonlink_router/peer_messages.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/peer_messages.py
@@ -18,9 +18,12 @@
     seniority : int
         Revision of the store at which it first named itself there, 0 before that.
         The member with the least coordinates, so that tasks move seldom.
+    cores : float
+        Processor cores that it has; members with few of them don't coordinate.
     """
 
     seniority: int = 0
+    cores: float = 1.0
 
 
 @dataclass(frozen=True)
--- a/packages/persimmonlink-router/src/persimmonlink_router/router.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/router.py
@@ -128,6 +128,7 @@
             settings.domain,
             settings.listen.clients,
             settings.listen.peers,
+            cores=settings.core_share * settings.core_speed,
         )
         self.fleet = Fleet(
             own, settings.seeds, self.beliefs, self._mirror, self._list_loads
--- a/packages/persimmonlink-router/src/persimmonlink_router/router_settings.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/router_settings.py
@@ -94,6 +94,10 @@
         Peer addresses to ask before any is known.
     limits : LimitSettings
         Bounds over all nodes.
+    core_share : float
+        Share of a processor core that the process may use.
+    core_speed : float
+        Speed of that core against a usual one.
     log_level : str
         Least level of what is logged.
     """
@@ -104,6 +108,8 @@
     store: Address
     seeds: tuple[Address, ...]
     limits: LimitSettings
+    core_share: Annotated[float, Meta(gt=0)] = 1.0
+    core_speed: Annotated[float, Meta(gt=0)] = 1.0
     log_level: Annotated[str, Meta(pattern="^(DEBUG|INFO|WARNING|ERROR)$")] = "INFO"
 
 
--- a/tests/router/test_fleet.py
+++ b/tests/router/test_fleet.py
@@ -58,6 +58,12 @@
     assert fleet.choose_coordinator({"old"}) == "me"
 
 
+def test_a_member_with_few_cores_does_not_coordinate():
+    fleet = make_fleet()
+    hear(fleet, make_member("old-and-small", 3, cores=0.3))
+    assert fleet.choose_coordinator(set()) == "me"
+
+
 def test_nodes_that_learn_of_a_member_in_different_ways_choose_alike():
     by_store, by_peer = make_fleet("b", 20), make_fleet("c", 30)
     store_entry(by_store, make_member("first"), 4)
