A leaving coordinator passes on what it has begun

Cause (incident inc-eec8, rolling restarts): a coordinator that left finished its begun requests for up to 7.6 s beside the next one, and the next was stopped two seconds later: up to four coordinated at once from 8 s to 17 s, with 393 inputs gone. Now it sends nothing more and hands results over.

--- a/packages/persimmonlink-router/src/persimmonlink_router/peer_messages.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/peer_messages.py
@@ -6,7 +6,7 @@
 
 from persimmonlink_model.membership import Member
 from persimmonlink_peers.message import Sender
-from persimmonlink_router.stage_chain import StageJob
+from persimmonlink_router.stage_chain import MadeResult, StageJob
 
 
 @dataclass(frozen=True)
@@ -113,6 +113,7 @@
     bytes_by_domain: dict[str, float] = field(default_factory=dict)
     retry_after_s: float = 0.0
     predicted_s: float = 0.0
+    made: tuple[MadeResult, ...] = ()
 
 
 @dataclass(frozen=True)
--- a/packages/persimmonlink-router/src/persimmonlink_router/stage_chain.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stage_chain.py
@@ -33,6 +33,31 @@
     pieces: int
 
 
+@dataclass(frozen=True, slots=True)
+class MadeResult:
+    """A result that one coordinator passes on to the next.
+
+    Parameters
+    ----------
+    stage : int
+        Index of the stage.
+    number : int
+        Number of the piece in its stage.
+    handle : str
+        Handle of the result; empty if it was used up by the stages after it.
+    server_id : str
+        Server at which it lies.
+    size : int
+        Its size, in bytes.
+    """
+
+    stage: int
+    number: int
+    handle: str
+    server_id: str
+    size: int
+
+
 @dataclass(frozen=True, slots=True)
 class StageJob:
     """A request whose stages are to be run.
@@ -57,6 +82,8 @@
         What the pieces of the first stages are made from.
     stages : tuple of StageNeed
         The stages, by index.
+    made : tuple of MadeResult
+        Results that a former coordinator had of it.
     """
 
     request_id: str
@@ -68,6 +95,7 @@
     answer_domain: str
     piece_key: str
     stages: tuple[StageNeed, ...]
+    made: tuple[MadeResult, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -119,7 +147,8 @@
         self.arrived_at = now
         self.objective_at = now + job.objective_left_s
         self.deadline_at = now + job.deadline_left_s
-        self.has_started = False
+        self.has_started = bool(job.made)
+        self.in_flight = 0
         self.is_over = False
         self._results: list[list[StageResult | None]] = [
             [None] * need.pieces for need in job.stages
@@ -157,7 +186,7 @@
         """Return the stages whose inputs are there, each of them once."""
         ready = []
         for index, need in enumerate(self.job.stages):
-            if index in self._queued or need.pieces == 0:
+            if index in self._queued or self.is_stage_done(index):
                 continue
             if not all(self.is_stage_done(other) for other in need.after):
                 continue
@@ -219,6 +248,42 @@
         """Whether no other stage needs the results of a stage."""
         return not any(index in need.after for need in self.job.stages)
 
+    def has_result(self, stage: int, number: int) -> bool:
+        """Whether a piece has its result."""
+        return self._results[stage][number] is not None
+
+    def list_made(self) -> tuple[MadeResult, ...]:
+        """Return what another coordinator needs to go on with this request.
+
+        Results whose inputs were freed while pieces beside them are missing are left
+        out: their stage is to be run again with the one before it.
+        """
+        made = []
+        for index, results in enumerate(self._results):
+            is_used_up = index in self._released
+            if is_used_up and not self._is_used(index):
+                continue
+            if self.lacks_inputs(index) and not self.is_stage_done(index):
+                continue
+            for number, result in enumerate(results):
+                if result is None:
+                    continue
+                handle = "" if is_used_up else result.handle
+                server_id = result.server.server_id
+                made.append(MadeResult(index, number, handle, server_id, result.size))
+        return tuple(made)
+
+    def restore(self, made: MadeResult, server: Server) -> None:
+        """Take over a result that a former coordinator had."""
+        result = StageResult(made.handle, server, made.size)
+        if self.put(made.stage, made.number, result) and not made.handle:
+            self._released.add(made.stage)
+
+    def _is_used(self, index: int) -> bool:
+        """Whether all stages that need the results of a stage are done."""
+        users = [u for u, need in enumerate(self.job.stages) if index in need.after]
+        return all(self.is_stage_done(user) for user in users)
+
     def put(self, stage: int, number: int, result: StageResult) -> bool:
         """Take in a result; return False if the piece had one already."""
         results = self._results[stage]
@@ -284,4 +349,4 @@
         return tuple(r for i in stages for r in self._results[i] if r is not None)
 
 
-__all__ = ("StageChain", "StageJob", "StageNeed", "StageResult")
+__all__ = ("MadeResult", "StageChain", "StageJob", "StageNeed", "StageResult")
--- a/packages/persimmonlink-router/src/persimmonlink_router/stage_dispatcher.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stage_dispatcher.py
@@ -77,6 +77,7 @@
         self._on_outcome = on_outcome
         self._on_sent = on_sent
         self._queue_by_service: dict[str, StageQueue] = {}
+        self.is_stopped = False
         self.batches = 0
         self.batched_pieces = 0
 
@@ -100,7 +101,7 @@
         """Send batches of a service to the servers that should get a call."""
         queue = self._queue_by_service.get(name)
         service = self._beliefs.find_service(name)
-        if queue is None or service is None:
+        if queue is None or service is None or self.is_stopped:
             return
         queue.drop_over()
         is_progress = True
@@ -128,6 +129,7 @@
         for ticket in batch:
             ticket.chain.note_unsent(ticket.stage, -1)
             ticket.chain.note_sent(ticket.stage, now)
+            ticket.chain.in_flight += 1
             self._on_sent(ticket.chain, ticket.stage)
         self.batches += 1
         self.batched_pieces += len(batch)
--- a/packages/persimmonlink-router/src/persimmonlink_router/stage_link.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stage_link.py
@@ -69,6 +69,8 @@
                 outcome = await self._ask(node_id, left_job)
             if outcome is not None and outcome.state != "moved":
                 return outcome
+            if outcome is not None:
+                job = replace(job, made=outcome.made)
             self._excluded_until_by_id[node_id] = boot_time() + EXCLUDE_S
             logger.bind(request=job.request_id, member=node_id).warning(
                 "stages.coordinator_failed"
@@ -99,6 +101,7 @@
             outcome.bytes_by_domain,
             outcome.retry_after_s,
             outcome.predicted_s,
+            outcome.made,
         )
 
     async def handle_release(self, message: ReleaseResults) -> Done:
@@ -141,6 +144,7 @@
             prepared.bytes_by_domain,
             prepared.retry_after_s,
             prepared.predicted_s,
+            prepared.made,
         )
 
     async def _send_releases(self, node_id: str) -> None:
--- a/packages/persimmonlink-router/src/persimmonlink_router/stage_scheduler.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stage_scheduler.py
@@ -13,6 +13,7 @@
 from persimmonlink_router.stage_admission import (
     LATE_PATIENCE,
     AccountShares,
+    Admission,
     ArrivalRates,
     Lane,
     ServiceLoad,
@@ -22,7 +23,7 @@
 )
 from persimmonlink_router.stage_backlog import StageBacklog
 from persimmonlink_router.stage_calls import StageCalls
-from persimmonlink_router.stage_chain import StageChain, StageResult
+from persimmonlink_router.stage_chain import MadeResult, StageChain, StageResult
 from persimmonlink_router.stage_dispatcher import StageDispatcher
 from persimmonlink_router.stage_queue import Ticket
 from persimmonlink_router.stage_servers import StageServers
@@ -33,7 +34,6 @@
     from persimmonlink_router.connection_pool import ConnectionPool
     from persimmonlink_router.send_limits import RetryBudget
     from persimmonlink_router.server_health import ServerHealth
-    from persimmonlink_router.stage_admission import Admission
     from persimmonlink_router.stage_chain import StageJob
     from persimmonlink_router.stage_dispatcher import BatchOutcome
 
@@ -61,6 +61,8 @@
         When to come back, in seconds, if refused.
     predicted_s : float
         Predicted time to the first event, in seconds.
+    made : tuple of MadeResult
+        Results for the next coordinator, if moved.
     """
 
     state: str
@@ -68,6 +70,7 @@
     bytes_by_domain: dict[str, float] = field(default_factory=dict)
     retry_after_s: float = 0.0
     predicted_s: float = 0.0
+    made: tuple[MadeResult, ...] = ()
 
 
 @dataclass(slots=True, eq=False)
@@ -130,8 +133,13 @@
         load_by_service = self._list_loads({n.service for n in job.stages if n.pieces})
         if any(n.pieces and n.service not in load_by_service for n in job.stages):
             return StageOutcome("unknown_service")
+        if self.dispatcher.is_stopped:
+            return StageOutcome("moved", made=job.made)
         is_over = self._shares.is_over(job.account, now)
         admission = decide(job, load_by_service, is_over_share=is_over)
+        if job.made:
+            # It was taken before, by a coordinator that has left.
+            admission = Admission(Lane.ON_TIME, admission.predicted_s)
         self._log_admission(job, admission, is_over=is_over)
         if admission.lane is Lane.REFUSED:
             return StageOutcome(
@@ -143,9 +151,20 @@
         is_late = admission.lane is Lane.LATE
         tails_s = list_tails_s(job, load_by_service)
         chain = StageChain(job, now, tails_s, is_admitted_late=is_late)
+        self._restore(chain)
         done: asyncio.Future[StageOutcome] = asyncio.get_running_loop().create_future()
         return await self._see_through(_Run(chain, done, admission.predicted_s))
 
+    def _restore(self, chain: StageChain) -> None:
+        """Take over the results that a former coordinator had."""
+        for made in chain.job.made:
+            server = self._beliefs.servers.server_by_id.get(made.server_id)
+            if server is None:
+                continue
+            chain.restore(made, server)
+            if made.handle:
+                self.servers.state(server).held_bytes += made.size
+
     def release(self, request_id: str) -> None:
         """Free the results of a request, which is started or over."""
         run = self._run_by_request.pop(request_id, None)
@@ -153,6 +172,8 @@
             return
         run.chain.is_over = True
         self._backlog.remove(run.chain)
+        if run.done.done() and run.done.result().state == "moved":
+            return
         self._calls.release(run.chain.take_all())
 
     def count_running(self) -> int:
@@ -160,10 +181,18 @@
         return sum(1 for r in self._run_by_request.values() if not r.done.done())
 
     def hand_over(self) -> None:
-        """Give requests that have not been begun to the next coordinator."""
+        """Give all requests to the next coordinator, with the results they have.
+
+        Those of which pieces are being run follow when these have ended.
+        """
+        self.dispatcher.is_stopped = True
         for run in list(self._run_by_request.values()):
-            if not run.chain.has_started:
-                self._finish(run, StageOutcome("moved"))
+            self._move_if_idle(run)
+
+    def _move_if_idle(self, run: _Run) -> None:
+        if run.done.done() or run.chain.in_flight > 0:
+            return
+        self._finish(run, StageOutcome("moved", made=run.chain.list_made()))
 
     def tick(self) -> None:
         """Give waiting pieces another chance, and up what can't end in time."""
@@ -277,6 +306,7 @@
                     float(sum(result.size for result in inputs)),
                 )
                 for number in range(need.pieces)
+                if not chain.has_result(index, number)
             ]
             self.dispatcher.put(tickets)
         for service in {need.service for need in chain.job.stages}:
@@ -298,6 +328,7 @@
         changed: dict[str, _Run] = {}
         state = self.servers.state(outcome.server)
         for index, ticket in enumerate(outcome.tickets):
+            ticket.chain.in_flight -= 1
             run = self._find_wanting(ticket)
             made = outcome.results[index] if outcome.results is not None else None
             if made is not None and made.handle:
@@ -351,6 +382,9 @@
             return
         chain = run.chain
         if not chain.is_done():
+            if self.dispatcher.is_stopped:
+                self._move_if_idle(run)
+                return
             self._queue_ready(run)
             self._calls.release(chain.take_consumed())
             return
--- a/tests/router/test_process_failures.py
+++ b/tests/router/test_process_failures.py
@@ -116,3 +116,35 @@
             assert "process.reload" in events
 
     asyncio.run(scenario())
+
+
+def test_a_leaving_coordinator_passes_on_what_it_has_begun(tmp_path):
+    async def scenario():
+        async with make_process_rig(tmp_path) as rig:
+            for index in range(3):
+                assert (await rig.ask("/chain/1", node=index, **STAGED)).status == 200
+            coordinator = rig.coordinator()
+            others = [i for i in range(3) if i != coordinator]
+            asked = []
+            for index in range(30):
+                node = others[index % 2]
+                asked.append(
+                    asyncio.ensure_future(rig.ask("/chain/1", node=node, **STAGED))
+                )
+                await asyncio.sleep(0.02)
+                if index == 10:
+                    rig.processes[coordinator].signal(signal.SIGTERM)
+            answers = await asyncio.gather(*asked)
+            assert [a.status for a in answers] == [200] * 30
+            log = rig.processes[coordinator].read_log()
+            stopping = next(
+                line["boot_s"] for line in log if line["event"] == "process.stopping"
+            )
+            late = [
+                line
+                for line in log
+                if line["event"] == "stages.batch" and line["boot_s"] > stopping + 0.2
+            ]
+            assert late == []
+
+    asyncio.run(scenario())
--- a/tests/router/test_stage_chain.py
+++ b/tests/router/test_stage_chain.py
@@ -2,7 +2,11 @@
 
 from __future__ import annotations
 
-from tests.router.chains import make_chain, make_result
+from dataclasses import replace
+
+from tests.router.chains import make_chain, make_result, make_server
+
+from persimmonlink_router.stage_chain import StageChain
 
 
 def run_stage(chain, index: int) -> None:
@@ -65,3 +69,46 @@
     run_stage(chain, 1)
     assert [r.handle for r in chain.take_consumed()] == ["h0.0"]
     assert [r.handle for r in chain.take_all()] == ["h1.0"]
+
+
+def test_another_coordinator_goes_on_with_what_was_made():
+    chain = make_chain(pieces=(1, 2))
+    chain.take_ready_stages()
+    run_stage(chain, 0)
+    chain.take_ready_stages()
+    chain.put(1, 0, make_result("h1.0"))
+    made = chain.list_made()
+    assert [(m.stage, m.number, m.handle) for m in made] == [
+        (0, 0, "h0.0"),
+        (1, 0, "h1.0"),
+    ]
+    after = StageChain(replace(chain.job, made=made), 1.0)
+    for result in made:
+        after.restore(result, make_server())
+    assert after.has_started
+    assert after.take_ready_stages() == [1]
+    assert after.has_result(1, 0)
+    assert not after.has_result(1, 1)
+
+
+def test_results_that_were_used_up_are_passed_on_without_their_handles():
+    chain = make_chain(pieces=(1, 1, 1))
+    run_stage(chain, 0)
+    run_stage(chain, 1)
+    chain.take_consumed()
+    made = chain.list_made()
+    assert [(m.stage, m.handle) for m in made] == [(0, ""), (1, "h1.0")]
+    after = StageChain(replace(chain.job, made=made), 1.0)
+    for result in made:
+        after.restore(result, make_server())
+    assert after.take_ready_stages() == [2]
+    assert [r.handle for r in after.take_all()] == ["h1.0"]
+
+
+def test_a_stage_whose_inputs_were_freed_early_is_run_again_with_them():
+    chain = make_chain(pieces=(1, 2))
+    run_stage(chain, 0)
+    chain.note_sent(1, 0.0)
+    chain.put(1, 0, make_result("h1.0"))
+    chain.take_read_inputs(1)
+    assert chain.list_made() == ()
