Free the results of requests whose clients leave during their stages

The wait for a request's stages was cancelled with its client, which cancelled the future itself; reading its outcome then raised, and nothing was freed. Ruled out: late releases (no request held results over 1.1 s) and the hand-over of coordinators. Two tests fail without the change. Results that nobody frees, since their node died, are forgotten after 5 s instead of at the deadline.

--- a/packages/persimmonlink-router/src/persimmonlink_router/stage_scheduler.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stage_scheduler.py
@@ -41,6 +41,7 @@
 TAKEOVER_S = 3.0  # Time without requests after which a node has not coordinated.
 MAX_TRIES = 4  # Times that pieces of a request are sent again, for each stage.
 PUMP_INTERVAL_S = 0.1  # How often waiting pieces are looked at without a cause.
+UNCLAIMED_S = 5.0  # Time after which results that nobody freed have ended.
 FORGET_S = 1.0  # Time after its deadline at which a request is forgotten.
 
 
@@ -81,6 +82,8 @@
     done: asyncio.Future[StageOutcome]
     predicted_s: float = 0.0
     tries: int = 0
+    has_moved: bool = False
+    done_at: float = 0.0
 
 
 class StageScheduler:
@@ -172,7 +175,7 @@
             return
         run.chain.is_over = True
         self._backlog.remove(run.chain)
-        if run.done.done() and run.done.result().state == "moved":
+        if run.has_moved:
             return
         self._calls.release(run.chain.take_all())
 
@@ -192,13 +195,15 @@
     def _move_if_idle(self, run: _Run) -> None:
         if run.done.done() or run.chain.in_flight > 0:
             return
+        run.has_moved = True
         self._finish(run, StageOutcome("moved", made=run.chain.list_made()))
 
     def tick(self) -> None:
         """Give waiting pieces another chance, and up what can't end in time."""
         now = boot_time()
         for request_id, run in list(self._run_by_request.items()):
-            if now > run.chain.deadline_at + FORGET_S:
+            is_unclaimed = run.done.done() and now > run.done_at + UNCLAIMED_S
+            if is_unclaimed or now > run.chain.deadline_at + FORGET_S:
                 self.release(request_id)
             elif not run.done.done():
                 self._give_up_if_hopeless(run, now)
@@ -218,13 +223,17 @@
             self._queue_ready(run)
         try:
             async with asyncio.timeout(job.deadline_left_s):
-                return await run.done
+                # Shielded: who waits may leave, which must not look like an outcome.
+                outcome = await asyncio.shield(run.done)
         except TimeoutError:
+            self.release(job.request_id)
             return StageOutcome("failed")
-        finally:
-            outcome = run.done.result() if run.done.done() else None
-            if outcome is None or outcome.state != "done":
-                self.release(job.request_id)
+        except asyncio.CancelledError:
+            self.release(job.request_id)
+            raise
+        if outcome.state != "done":
+            self.release(job.request_id)
+        return outcome
 
     def _note_activity(self, now: float) -> None:
         if now - self._active_at > TAKEOVER_S:
@@ -405,6 +414,7 @@
         self._backlog.remove(run.chain)
         if not run.done.done():
             run.done.set_result(outcome)
+            run.done_at = boot_time()
         if outcome.state != "done":
             run.chain.is_over = True
 
--- /dev/null
+++ b/tests/router/test_stage_scheduler.py
@@ -0,0 +1,51 @@
+"""What the scheduler does with requests whose callers leave."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+from tests.router.rig import make_rig, wait_until
+from tests.router.test_whole_path import STAGED
+
+
+def test_a_client_that_leaves_during_the_stages_holds_no_memory():
+    async def scenario():
+        async with make_rig(servers=1) as rig:
+            scheduler = rig.routers[0]._scheduler
+            for index in range(20):
+                task = asyncio.ensure_future(rig.ask("/chain/1", **STAGED))
+                await asyncio.sleep(0.005 * (index % 10))
+                task.cancel()
+            await wait_until(lambda: not scheduler._run_by_request)
+            servers = rig.routers[0].beliefs.servers.list_usable("stage")
+            states = [scheduler.servers.state(server) for server in servers]
+            await wait_until(lambda: all(s.held_bytes == 0 for s in states), 2.0)
+            assert all(s.calls == 0 for s in states)
+            assert not scheduler._backlog.begun("stage").total()
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("delay_s", [0.0, 0.03, 0.06])
+def test_a_peers_client_that_leaves_holds_no_memory(delay_s):
+    async def scenario():
+        async with make_rig(routers=2, servers=1) as rig:
+            await wait_until(
+                lambda: all(len(r.fleet.list_entries()) == 2 for r in rig.routers)
+            )
+            leader = rig.routers[0].fleet.choose_coordinator(set())
+            ids = [r.fleet.own.node_id for r in rig.routers]
+            coordinator = rig.routers[ids.index(leader)]
+            node = 1 - ids.index(leader)
+            for _ in range(5):
+                task = asyncio.ensure_future(rig.ask("/chain/1", node=node, **STAGED))
+                await asyncio.sleep(delay_s)
+                task.cancel()
+            scheduler = coordinator._scheduler
+            await wait_until(lambda: not scheduler._run_by_request)
+            servers = coordinator.beliefs.servers.list_usable("stage")
+            states = [scheduler.servers.state(server) for server in servers]
+            await wait_until(lambda: all(s.held_bytes == 0 for s in states), 2.0)
+
+    asyncio.run(scenario())
