Never ask for a piece without the inputs of its stage

Pieces are made as the batch is chosen, what has lost its inputs is not sent, and an entry at a node's own address is no member. Ruled out: the change of coordinators by hand-over (no node was stopping).

--- a/packages/persimmonlink-router/src/persimmonlink_router/fleet.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/fleet.py
@@ -128,6 +128,9 @@
         except msgspec.MsgspecError as error:
             logger.bind(key=item.key, error=str(error)).warning("belief.unreadable")
             return
+        if member.peer_address == self.own.peer_address:
+            # This node's former self, whose lease has not ended yet.
+            return
         if not member.seniority:
             # It wrote this before it knew the revision.
             member = replace(member, seniority=item.revision)
--- a/packages/persimmonlink-router/src/persimmonlink_router/stage_chain.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stage_chain.py
@@ -296,6 +296,11 @@
         """Return the results that a stage needs."""
         return self._collect(self.job.stages[stage].after)
 
+    def has_inputs(self, stage: int) -> bool:
+        """Whether all results that a stage needs are there, none of them freed."""
+        needed = sum(self.job.stages[i].pieces for i in self.job.stages[stage].after)
+        return len(self.find_inputs(stage)) == needed and not self.lacks_inputs(stage)
+
     def list_final(self) -> tuple[StageResult, ...]:
         """Return the results that the request itself needs."""
         last = [i for i in range(len(self.job.stages)) if self.is_last(i)]
--- a/packages/persimmonlink-router/src/persimmonlink_router/stage_dispatcher.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stage_dispatcher.py
@@ -133,7 +133,9 @@
             self._on_sent(ticket.chain, ticket.stage)
         self.batches += 1
         self.batched_pieces += len(batch)
-        self._calls.spawn(self._run_batch(service, server, batch, expected_s))
+        # Made before anything else runs: a client that leaves takes its results away.
+        pieces = [_make_piece(ticket, now) for ticket in batch]
+        self._calls.spawn(self._run_batch(service, server, batch, pieces))
         if not is_shared:
             self._calls.spawn(self._release_read(batch))
         return True
@@ -149,11 +151,17 @@
                 self._calls.release(ticket.chain.take_read_inputs(ticket.stage))
 
     async def _run_batch(
-        self, service: Service, server: Server, batch: list[Ticket], expected_s: float
+        self,
+        service: Service,
+        server: Server,
+        batch: Sequence[Ticket],
+        pieces: Sequence[Piece],
     ) -> None:
         started = boot_time()
         results: Sequence[PieceResult] | None = None
-        pieces = [_make_piece(ticket, started) for ticket in batch]
+        expected_s = 0.0
+        if service.batch is not None:
+            expected_s = estimate_call_s(service.batch, len(batch))
         limit_s = self._servers.limit_call_s(server, expected_s, started)
         size = sum(ticket.result_bytes for ticket in batch)
         try:
--- a/packages/persimmonlink-router/src/persimmonlink_router/stage_queue.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stage_queue.py
@@ -70,6 +70,10 @@
         """Whether the piece is still wanted."""
         return not self.chain.is_over and self.chain.epoch(self.stage) == self.epoch
 
+    def is_sendable(self) -> bool:
+        """Whether the piece is still wanted and has all its inputs."""
+        return self.is_current() and self.chain.has_inputs(self.stage)
+
     def accepts(self, domain: str, served_domains: Collection[str], now: float) -> bool:
         """Whether the piece may be run in a failure domain, or waits for its own."""
         if domain == self.domain or self.domain not in served_domains:
@@ -115,8 +119,8 @@
         self._tickets.extend(tickets)
 
     def drop_over(self) -> None:
-        """Forget pieces that are no longer wanted."""
-        self._tickets = [t for t in self._tickets if t.is_current()]
+        """Forget pieces that are no longer wanted, or have lost their inputs."""
+        self._tickets = [t for t in self._tickets if t.is_sendable()]
 
     def take_batch(
         self, spec: BatchSpec, view: StageServerView, now: float
--- a/tests/router/test_fleet.py
+++ b/tests/router/test_fleet.py
@@ -135,3 +135,18 @@
     fleet = make_fleet()
     fleet.take_store_item(StoredItem(MEMBER_PREFIX + "odd", value, 4))
     assert entries(fleet) == ["me"]
+
+
+def test_a_nodes_former_self_is_no_member():
+    fleet = make_fleet()
+    former = RouterMember(
+        "me-before",
+        "1",
+        "a",
+        fleet.own.http_address,
+        fleet.own.peer_address,
+        revision=1,
+    )
+    store_entry(fleet, former, 2)
+    assert entries(fleet) == ["me"]
+    assert fleet.choose_coordinator(set()) == "me"
--- a/tests/router/test_stage_queue.py
+++ b/tests/router/test_stage_queue.py
@@ -6,7 +6,7 @@
 
 from hypothesis import given
 from hypothesis import strategies as st
-from tests.router.chains import SPEC, make_chain
+from tests.router.chains import SPEC, make_chain, make_result
 
 from persimmonlink_router.stage_queue import StageQueue, StageServerView, Ticket
 
@@ -111,3 +111,12 @@
         assert len(batch) <= SPEC.size
         taken.extend((t.chain.job.request_id, t.number) for t in batch)
     assert len(taken) == len(set(taken)) == total
+
+
+def test_a_piece_whose_inputs_were_taken_away_is_not_sent():
+    queue = StageQueue()
+    chain = make_chain(pieces=(1, 1))
+    chain.put(0, 0, make_result("h"))
+    queue.put([Ticket(chain, 1, 0, chain.epoch(1), 0.0)])
+    chain.take_all()
+    assert take_ids(queue) == []
--- a/tests/router/test_stage_scheduler.py
+++ b/tests/router/test_stage_scheduler.py
@@ -49,3 +49,25 @@
             await wait_until(lambda: all(s.held_bytes == 0 for s in states), 2.0)
 
     asyncio.run(scenario())
+
+
+def test_a_request_that_is_released_as_its_batch_starts_is_sent_with_its_inputs():
+    async def scenario():
+        async with make_rig(servers=1) as rig:
+            scheduler = rig.routers[0]._scheduler
+            sent = scheduler.dispatcher._on_sent
+
+            def release_at_second_stage(chain, index):
+                sent(chain, index)
+                if index == 1:
+                    request_id = chain.job.request_id
+                    asyncio.get_running_loop().call_soon(scheduler.release, request_id)
+
+            scheduler.dispatcher._on_sent = release_at_second_stage
+            task = asyncio.ensure_future(rig.ask("/chain/1", **STAGED))
+            server = rig.server_by_id["stage-0"]
+            await wait_until(lambda: any(p["stage"] == 1 for p in server.pieces))
+            assert all(p.get("inputs") for p in server.pieces if p["stage"] == 1)
+            task.cancel()
+
+    asyncio.run(scenario())
