Keep registered members that are no neighbours

A node that had once heard a member and was no longer its neighbour took it for dead two seconds later. Ruled out: the coordinator's load (0.4 cores) and missed heartbeats (none logged). The test failed first.

--- a/packages/persimmonlink-router/src/persimmonlink_router/fleet.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/fleet.py
@@ -78,6 +78,7 @@
         self._channel_by_address: dict[str, PeerChannel] = {}
         self._misses_by_id: dict[str, int] = {}
         self._accused_until_by_id: dict[str, float] = {}
+        self._registered_ids: set[str] = set()
         self._load_by_node: dict[str, tuple[float, dict[str, EngineLoad]]] = {}
         self._started_at = boot_time()
         self._peaks: list[tuple[float, int]] = []
@@ -118,6 +119,7 @@
             return
         now = boot_time()
         if item.value is None:
+            self._registered_ids.discard(node_id)
             # A lease also ends where a node can't reach the store but is well.
             is_known = self.members.find(node_id) is not None
             if is_known and not self.members.is_neighbour(node_id, now):
@@ -136,16 +138,16 @@
             member = replace(member, seniority=item.revision)
         if self.members.find(node_id) is None:
             logger.bind(member=node_id, peer=member.peer_address).info("belief.member")
+        self._registered_ids.add(node_id)
         self.members.hear_report(MemberReport(member, 0.0), now)
         self._replace_former(member)
 
     def list_entries(self) -> list[Member]:
         """Return the live, configured members that are not leaving, by name."""
-        now = boot_time()
         return [
             member
-            for member in self.members.list_staying(now)
-            if member.revision and not self._is_silent(member)
+            for _, member in sorted(self.members.member_by_id.items())
+            if member.revision and not member.leaving and self._is_alive(member)
         ]
 
     def choose_coordinator(self, excluded: set[str]) -> str:
@@ -168,14 +170,12 @@
     def is_answering(self, node_id: str) -> bool:
         """Whether a member lives, as far as this node can tell."""
         member = self.members.find(node_id)
-        if member is None or self._is_silent(member):
-            return False
-        return self.members.is_live(node_id, boot_time())
+        return member is not None and self._is_alive(member)
 
     def count_nodes(self) -> int:
         """Return the nodes that bounds are split over: the most seen lately."""
-        now = boot_time()
-        count = len(self.members.list_live(now))
+        members = self.members.member_by_id.values()
+        count = sum(1 for member in members if self._is_alive(member))
         self._peaks = [(t, n) for t, n in self._peaks if now - t < PEAK_WINDOW_S]
         if not self._peaks or self._peaks[-1][1] != count:
             self._peaks.append((now, count))
@@ -228,8 +228,8 @@
             channel.close()
 
     def _list_targets(self) -> list[tuple[str, str]]:
-        now = boot_time()
-        ids = [m.node_id for m in self.members.list_live(now)]
+        members = self.members.member_by_id.values()
+        ids = [member.node_id for member in members if self._is_alive(member)]
         # Nodes that fell silent are asked too, so that their return is seen.
         ids += [
             node_id
@@ -325,6 +325,7 @@
         for other in list(self.members.member_by_id.values()):
             is_former = other.peer_address == member.peer_address
             if is_former and other.node_id != member.node_id:
+                self._registered_ids.discard(other.node_id)
                 if self.members.is_live(other.node_id, boot_time()):
                     self.members.note_unanswering(other.node_id, boot_time())
                 self._misses_by_id.pop(other.node_id, None)
@@ -336,6 +337,18 @@
             self.members.note_unanswering(node_id, boot_time())
             logger.bind(member=node_id).warning("dependency.lost")
 
+    def _is_alive(self, member: Member) -> bool:
+        """Whether a member was heard lately, or is registered and not found silent.
+
+        In a large fleet most members are no neighbours: that one of them was heard
+        once, and is not any more, says nothing.
+        """
+        if self._is_silent(member):
+            return False
+        if self.members.is_live(member.node_id, boot_time()):
+            return True
+        return member.node_id in self._registered_ids
+
     def _is_silent(self, member: Member) -> bool:
         if self._misses_by_id.get(member.node_id, 0) >= 2:
             return True
--- a/tests/router/test_fleet.py
+++ b/tests/router/test_fleet.py
@@ -150,3 +150,22 @@
     store_entry(fleet, former, 2)
     assert entries(fleet) == ["me"]
     assert fleet.choose_coordinator(set()) == "me"
+
+
+def test_a_registered_member_that_was_heard_once_is_not_taken_for_dead(monkeypatch):
+    fleet = make_fleet()
+    far = make_member("far", 4)
+    store_entry(fleet, far, 4)
+    hear(fleet, far)
+    later = boot_time() + 10
+    monkeypatch.setattr("persimmonlink_router.fleet.boot_time", lambda: later)
+    assert fleet.choose_coordinator(set()) == "far"
+    assert fleet.is_answering("far")
+
+
+def test_a_registered_member_that_does_not_answer_is_left_out():
+    fleet = make_fleet()
+    store_entry(fleet, make_member("far"), 4)
+    fleet._note_miss("far")
+    fleet._note_miss("far")
+    assert "far" not in entries(fleet)
