--- a/packages/persimmonlink-router/src/persimmonlink_router/fleet.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/fleet.py
@@ -174,6 +174,7 @@
 
     def count_nodes(self) -> int:
         """Return the nodes that bounds are split over: the most seen lately."""
+        now = boot_time()
         members = self.members.member_by_id.values()
         count = sum(1 for member in members if self._is_alive(member))
         self._peaks = [(t, n) for t, n in self._peaks if now - t < PEAK_WINDOW_S]
