Name the product's interfaces to outside systems for what they are

The package persimmonlink-platform holds the protocols and clients of the key-value service, the VM list, engines, plain services, clocks and timers of the daemon's own interface. Beside platform/, the adapter to the users' platform, the name misled.

--- a/packages/persimmonlink-platform/src/persimmonlink_platform/engine_client.py
+++ b/packages/persimmonlink-interfaces/src/persimmonlink_interfaces/engine_client.py
@@ -13,9 +13,9 @@
 from returns.result import Result, Success
 from urllib3.exceptions import HTTPError
 
-from persimmonlink_platform.connection import ConnectionPools, make_pool, make_timeout
-from persimmonlink_platform.plain_client import check_status, classify_error
-from persimmonlink_platform.stage_client import (
+from persimmonlink_interfaces.connection import ConnectionPools, make_pool, make_timeout
+from persimmonlink_interfaces.plain_client import check_status, classify_error
+from persimmonlink_interfaces.stage_client import (
     INCARNATION_HEADER,
     CallFailure,
     CallFault,
@@ -26,8 +26,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
 
+    from persimmonlink_interfaces.cancellation import Cancellation
     from persimmonlink_model.deadline import Deadline
-    from persimmonlink_platform.cancellation import Cancellation
 
 DECODE_TOKEN_COST_S = 0.004
 PREFILL_TOKEN_COST_S = 0.0002
--- a/packages/persimmonlink-platform/src/persimmonlink_platform/etcd_key_value.py
+++ b/packages/persimmonlink-interfaces/src/persimmonlink_interfaces/etcd_key_value.py
@@ -10,14 +10,14 @@
 from returns.result import Result, Success
 from urllib3.exceptions import HTTPError
 
-from persimmonlink_model.result_code import Failure, ResultCode
-from persimmonlink_platform.connection import ConnectionPools, make_timeout
-from persimmonlink_platform.key_value import (
+from persimmonlink_interfaces.connection import ConnectionPools, make_timeout
+from persimmonlink_interfaces.key_value import (
     KeyRange,
     KeyValue,
     KeyWrite,
     SwapOutcome,
 )
+from persimmonlink_model.result_code import Failure, ResultCode
 
 if TYPE_CHECKING:
     from collections.abc import Iterator, Mapping, Sequence
--- a/packages/persimmonlink-platform/src/persimmonlink_platform/plain_client.py
+++ b/packages/persimmonlink-interfaces/src/persimmonlink_interfaces/plain_client.py
@@ -16,8 +16,8 @@
     ReadTimeoutError,
 )
 
-from persimmonlink_platform.connection import ConnectionPools, make_pool, make_timeout
-from persimmonlink_platform.stage_client import (
+from persimmonlink_interfaces.connection import ConnectionPools, make_pool, make_timeout
+from persimmonlink_interfaces.stage_client import (
     INCARNATION_HEADER,
     NOT_RUN_HEADER,
     CallFailure,
@@ -29,8 +29,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from persimmonlink_interfaces.cancellation import Cancellation
     from persimmonlink_model.deadline import Deadline
-    from persimmonlink_platform.cancellation import Cancellation
 
 _HTTP_OK = 200
 _HTTP_UNAVAILABLE = 503
--- a/packages/persimmonlink-platform/src/persimmonlink_platform/stage_client.py
+++ b/packages/persimmonlink-interfaces/src/persimmonlink_interfaces/stage_client.py
@@ -11,8 +11,8 @@
 
     from returns.result import Result
 
+    from persimmonlink_interfaces.cancellation import Cancellation
     from persimmonlink_model.deadline import Deadline
-    from persimmonlink_platform.cancellation import Cancellation
 
 NOT_RUN_HEADER = "X-Not-Run"
 INCARNATION_HEADER = "X-Server-Incarnation"
--- a/packages/persimmonlink-platform/src/persimmonlink_platform/vm_list.py
+++ b/packages/persimmonlink-interfaces/src/persimmonlink_interfaces/vm_list.py
@@ -9,9 +9,9 @@
 from returns.result import Result, Success
 from urllib3.exceptions import HTTPError
 
+from persimmonlink_interfaces.connection import make_pool, make_timeout
 from persimmonlink_model.result_code import Failure, ResultCode
 from persimmonlink_model.server_directory import VmListing
-from persimmonlink_platform.connection import make_pool, make_timeout
 
 READ_TIMEOUT_S = 1.0
 _HTTP_OK = 200
--- a/packages/persimmonlink-node/src/persimmonlink_node/address_book.py
+++ b/packages/persimmonlink-node/src/persimmonlink_node/address_book.py
@@ -10,10 +10,10 @@
     import random
     from collections.abc import Iterable
 
+    from persimmonlink_interfaces.clock import Clock
     from persimmonlink_model.membership import Member
     from persimmonlink_node.member_view import MemberView
     from persimmonlink_node.node_state import NodeIdentity, NodeState
-    from persimmonlink_platform.clock import Clock
 
 BUSY_LOAD = 0.8
 LEAST_WEIGHT = 0.05
--- a/packages/persimmonlink-node/src/persimmonlink_node/answer_fetcher.py
+++ b/packages/persimmonlink-node/src/persimmonlink_node/answer_fetcher.py
@@ -21,12 +21,12 @@
 if TYPE_CHECKING:
     from typing import Any
 
+    from persimmonlink_interfaces.clock import Clock
     from persimmonlink_node.member_view import MemberView
     from persimmonlink_node.outcomes import Outcome
     from persimmonlink_node.peer_links import PeerLinks
     from persimmonlink_node.pipeline_request import PipelineRequest
     from persimmonlink_node.request_claimer import ClaimHolder
-    from persimmonlink_platform.clock import Clock
 
 FETCH_TIMEOUT_S = 1.0
 FORWARD_MARGIN_S = 0.2
--- a/packages/persimmonlink-node/src/persimmonlink_node/answer_server.py
+++ b/packages/persimmonlink-node/src/persimmonlink_node/answer_server.py
@@ -21,12 +21,12 @@
 )
 
 if TYPE_CHECKING:
+    from persimmonlink_interfaces.clock import Clock
     from persimmonlink_node.node_state import NodeIdentity
     from persimmonlink_node.outcomes import Outcome
     from persimmonlink_node.pipeline_request import RequestIntake
     from persimmonlink_node.request_service import RequestService
     from persimmonlink_peers.peer_server import PeerServer
-    from persimmonlink_platform.clock import Clock
 
 
 class AnswerServer:
--- a/packages/persimmonlink-node/src/persimmonlink_node/answer_stream.py
+++ b/packages/persimmonlink-node/src/persimmonlink_node/answer_stream.py
@@ -9,10 +9,10 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from persimmonlink_interfaces.clock import Clock
     from persimmonlink_model.request import Answer
     from persimmonlink_model.result_code import Failure
     from persimmonlink_node.http_exchange import Exchange
-    from persimmonlink_platform.clock import Clock
 
 
 class AnswerStream:
--- a/packages/persimmonlink-node/src/persimmonlink_node/caller_surface.py
+++ b/packages/persimmonlink-node/src/persimmonlink_node/caller_surface.py
@@ -13,12 +13,12 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from persimmonlink_interfaces.clock import Clock
     from persimmonlink_node.address_book import AddressBook
     from persimmonlink_node.http_exchange import Exchange
     from persimmonlink_node.pipeline_request import PipelineRequest, RequestIntake
     from persimmonlink_node.request_service import RequestService
     from persimmonlink_node.settings import LimitSettings
-    from persimmonlink_platform.clock import Clock
 
 
 class CallerSurface:
--- a/packages/persimmonlink-node/src/persimmonlink_node/claim_committer.py
+++ b/packages/persimmonlink-node/src/persimmonlink_node/claim_committer.py
@@ -17,11 +17,11 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+    from persimmonlink_interfaces.clock import Clock
     from persimmonlink_model.claim_log import Decision
     from persimmonlink_model.request_id import RetryHorizon
     from persimmonlink_node.claim_log_store import ClaimLogStore, SharedLease
     from persimmonlink_node.metrics import Metrics
-    from persimmonlink_platform.clock import Clock
 
 MAX_TRIES = 4
 # A read that fails once may have met a connection that went silent long ago.
--- a/packages/persimmonlink-node/src/persimmonlink_node/claim_log_store.py
+++ b/packages/persimmonlink-node/src/persimmonlink_node/claim_log_store.py
@@ -11,18 +11,18 @@
 from returns.result import Failure as Err
 from returns.result import Result, Success
 
+from persimmonlink_interfaces.key_value import KeyWrite
 from persimmonlink_model.claim_log import ClaimBatch, LogHead
 from persimmonlink_model.result_code import Failure, ResultCode
-from persimmonlink_platform.key_value import KeyWrite
 
 if TYPE_CHECKING:
-    from persimmonlink_model.claim_log import Append, ClaimLog
-    from persimmonlink_platform.clock import Clock
-    from persimmonlink_platform.key_value import (
+    from persimmonlink_interfaces.clock import Clock
+    from persimmonlink_interfaces.key_value import (
         KeyRange,
         KeyValueStore,
         SwapOutcome,
     )
+    from persimmonlink_model.claim_log import Append, ClaimLog
 
 LEASE_SHARE_S = 60.0
 READ_PAGE_ENTRIES = 500
--- a/packages/persimmonlink-node/src/persimmonlink_node/config_spread.py
+++ b/packages/persimmonlink-node/src/persimmonlink_node/config_spread.py
@@ -8,6 +8,7 @@
 from loguru import logger
 from returns.result import Failure as Err
 
+from persimmonlink_interfaces.key_value import KeyValue
 from persimmonlink_node.record_codec import CONFIG_PREFIX, encode_record
 from persimmonlink_node.view_freshness import FULL_MESH_PEERS
 from persimmonlink_peers.config_messages import (
@@ -16,12 +17,12 @@
     ConfigPush,
     ConfigReply,
 )
-from persimmonlink_platform.key_value import KeyValue
 
 if TYPE_CHECKING:
     import random
     from collections.abc import Iterable, Sequence
 
+    from persimmonlink_interfaces.clock import Clock
     from persimmonlink_model.membership import Member
     from persimmonlink_model.record import Record
     from persimmonlink_node.control_loop import ControlLoop
@@ -30,7 +31,6 @@
     from persimmonlink_node.peer_links import PeerLinks
     from persimmonlink_node.view_freshness import ViewFreshness
     from persimmonlink_peers.peer_server import PeerServer
-    from persimmonlink_platform.clock import Clock
 
 CALL_TIMEOUT_S = 1.0
 FAN_OUT = 3
--- a/packages/persimmonlink-node/src/persimmonlink_node/config_watcher.py
+++ b/packages/persimmonlink-node/src/persimmonlink_node/config_watcher.py
@@ -19,11 +19,11 @@
     import random
     from collections.abc import Callable, Iterable
 
+    from persimmonlink_interfaces.clock import Clock
+    from persimmonlink_interfaces.key_value import KeyRange, KeyValue, KeyValueStore
     from persimmonlink_node.metrics import Metrics
     from persimmonlink_node.node_state import NodeState
     from persimmonlink_node.view_freshness import ViewFreshness
-    from persimmonlink_platform.clock import Clock
-    from persimmonlink_platform.key_value import KeyRange, KeyValue, KeyValueStore
 
 RETRY_DELAY_S = 0.5
 RETRY_NODES_PER_S = 8
--- a/packages/persimmonlink-node/src/persimmonlink_node/control_path.py
+++ b/packages/persimmonlink-node/src/persimmonlink_node/control_path.py
@@ -8,6 +8,9 @@
 from loguru import logger
 from returns.result import Failure as Err
 
+from persimmonlink_interfaces.clock import SystemClock, ThreadTimerService
+from persimmonlink_interfaces.etcd_key_value import EtcdKeyValueStore
+from persimmonlink_interfaces.vm_list import HttpVmListReader
 from persimmonlink_model.server_directory import VmState
 from persimmonlink_node.address_book import AddressBook
 from persimmonlink_node.config_spread import ConfigSpread
@@ -20,9 +23,6 @@
 from persimmonlink_node.peer_links import PeerLinks
 from persimmonlink_node.view_freshness import ViewFreshness
 from persimmonlink_peers.peer_server import PeerServer
-from persimmonlink_platform.clock import SystemClock, ThreadTimerService
-from persimmonlink_platform.etcd_key_value import EtcdKeyValueStore
-from persimmonlink_platform.vm_list import HttpVmListReader
 
 if TYPE_CHECKING:
     from persimmonlink_model.result_code import ResultCode
--- a/packages/persimmonlink-node/src/persimmonlink_node/coordinated_granter.py
+++ b/packages/persimmonlink-node/src/persimmonlink_node/coordinated_granter.py
@@ -20,6 +20,7 @@
 )
 
 if TYPE_CHECKING:
+    from persimmonlink_interfaces.clock import Clock, TimerService
     from persimmonlink_node.control_loop import ControlLoop
     from persimmonlink_node.member_view import MemberView
     from persimmonlink_node.node_state import NodeIdentity, NodeState
@@ -29,7 +30,6 @@
     from persimmonlink_node.settings import GrantSettings
     from persimmonlink_node.view_freshness import FreshView
     from persimmonlink_peers.peer_server import PeerServer
-    from persimmonlink_platform.clock import Clock, TimerService
 
 REVOCATION_TIMEOUT_S = 0.5
 
--- a/packages/persimmonlink-node/src/persimmonlink_node/daemon.py
+++ b/packages/persimmonlink-node/src/persimmonlink_node/daemon.py
@@ -7,6 +7,8 @@
 
 from loguru import logger
 
+from persimmonlink_interfaces.engine_client import EngineClient
+from persimmonlink_interfaces.plain_client import PlainClient
 from persimmonlink_model.kept_results import KeptResults
 from persimmonlink_model.record import ServiceKind
 from persimmonlink_model.request_id import RetryHorizon
@@ -42,8 +44,6 @@
 from persimmonlink_node.stage_caller import StageCaller
 from persimmonlink_node.stage_runner import StageRunner
 from persimmonlink_node.status import StatusReporter
-from persimmonlink_platform.engine_client import EngineClient
-from persimmonlink_platform.plain_client import PlainClient
 
 if TYPE_CHECKING:
     from persimmonlink_node.request_claimer import RequestClaimer
--- a/packages/persimmonlink-node/src/persimmonlink_node/deadline_policy.py
+++ b/packages/persimmonlink-node/src/persimmonlink_node/deadline_policy.py
@@ -15,9 +15,9 @@
 from persimmonlink_model.wait_predictor import WaitEntry, WaitPredictor
 
 if TYPE_CHECKING:
+    from persimmonlink_interfaces.clock import Clock
     from persimmonlink_model.record import StageSpec
     from persimmonlink_node.pipeline_request import PipelineRequest
-    from persimmonlink_platform.clock import Clock
 
 SLOW_CALL_FACTOR = 4.0
 MIN_CALL_TIMEOUT_S = 0.1
--- a/packages/persimmonlink-node/src/persimmonlink_node/dispatcher.py
+++ b/packages/persimmonlink-node/src/persimmonlink_node/dispatcher.py
@@ -18,11 +18,11 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from persimmonlink_interfaces.cancellation import Cancellation
+    from persimmonlink_interfaces.clock import Clock
     from persimmonlink_model.deadline import Deadline
     from persimmonlink_model.waiting_line import WaitingLine
     from persimmonlink_node.server_chooser import ServerChooser
-    from persimmonlink_platform.cancellation import Cancellation
-    from persimmonlink_platform.clock import Clock
 
 RETRY_AFTER_S = 1.0
 # Longer than a change of coordinator leaves a pool without grants.
--- a/packages/persimmonlink-node/src/persimmonlink_node/graceful_stop.py
+++ b/packages/persimmonlink-node/src/persimmonlink_node/graceful_stop.py
@@ -18,12 +18,12 @@
 
     from returns.result import Result
 
+    from persimmonlink_interfaces.clock import Clock
     from persimmonlink_model.result_code import Failure
     from persimmonlink_node.address_book import AddressBook
     from persimmonlink_node.member_view import MemberView
     from persimmonlink_node.node_state import NodeIdentity
     from persimmonlink_peers.membership_messages import HeartbeatReply
-    from persimmonlink_platform.clock import Clock
 
 # A caller may open a connection just before its answer expires.
 CALLER_MARGIN_S = 1.0
--- a/packages/persimmonlink-node/src/persimmonlink_node/grant_client.py
+++ b/packages/persimmonlink-node/src/persimmonlink_node/grant_client.py
@@ -29,6 +29,7 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+    from persimmonlink_interfaces.clock import Clock
     from persimmonlink_node.control_loop import ControlLoop
     from persimmonlink_node.dispatcher import ServiceDemand
     from persimmonlink_node.member_view import MemberView
@@ -38,7 +39,6 @@
     from persimmonlink_node.server_notices import ProgressSource
     from persimmonlink_node.service_dispatchers import ServiceDispatchers
     from persimmonlink_node.settings import GrantSettings
-    from persimmonlink_platform.clock import Clock
 
 FOLLOW_INTERVAL_S = 0.1
 LEAST_GAP_S = 0.1
--- a/packages/persimmonlink-node/src/persimmonlink_node/heartbeats.py
+++ b/packages/persimmonlink-node/src/persimmonlink_node/heartbeats.py
@@ -14,12 +14,12 @@
 from persimmonlink_peers.message import Sender
 
 if TYPE_CHECKING:
+    from persimmonlink_interfaces.clock import Clock
     from persimmonlink_node.address_book import AddressBook
     from persimmonlink_node.member_view import MemberView
     from persimmonlink_node.node_state import NodeIdentity, NodeState
     from persimmonlink_node.settings import MembershipSettings
     from persimmonlink_peers.peer_server import PeerServer
-    from persimmonlink_platform.clock import Clock
 
 # Times that a node passes on what is new about another.
 NEWS_SENDS = 12
--- a/packages/persimmonlink-node/src/persimmonlink_node/http_server.py
+++ b/packages/persimmonlink-node/src/persimmonlink_node/http_server.py
@@ -8,10 +8,10 @@
 from cheroot.wsgi import Server
 from loguru import logger
 
+from persimmonlink_interfaces.connection import SILENCE_OPTIONS
 from persimmonlink_model.result_code import Failure, ResultCode, RunState
 from persimmonlink_node.http_exchange import Exchange
 from persimmonlink_node.load_shedder import LoadShedder
-from persimmonlink_platform.connection import SILENCE_OPTIONS
 
 if TYPE_CHECKING:
     import socket
--- a/packages/persimmonlink-node/src/persimmonlink_node/load_poller.py
+++ b/packages/persimmonlink-node/src/persimmonlink_node/load_poller.py
@@ -10,14 +10,14 @@
 import msgspec
 from urllib3.exceptions import HTTPError
 
-from persimmonlink_platform.connection import make_pool, make_timeout
+from persimmonlink_interfaces.connection import make_pool, make_timeout
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
 
     from urllib3 import HTTPConnectionPool
 
-    from persimmonlink_platform.clock import Subscription, TimerService
+    from persimmonlink_interfaces.clock import Subscription, TimerService
 
 POLL_TIMEOUT_S = 0.4
 HTTP_OK = 200
--- a/packages/persimmonlink-node/src/persimmonlink_node/member_view.py
+++ b/packages/persimmonlink-node/src/persimmonlink_node/member_view.py
@@ -11,8 +11,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from persimmonlink_interfaces.clock import Clock
     from persimmonlink_node.node_state import NodeIdentity, NodeState
-    from persimmonlink_platform.clock import Clock
 
 LOAD_STEPS = 20
 
--- a/packages/persimmonlink-node/src/persimmonlink_node/node_state.py
+++ b/packages/persimmonlink-node/src/persimmonlink_node/node_state.py
@@ -25,6 +25,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
+    from persimmonlink_interfaces.key_value import KeyValue
     from persimmonlink_model.configuration import RefusedRecord
     from persimmonlink_model.record import (
         AccountSpec,
@@ -34,7 +35,6 @@
     )
     from persimmonlink_node.metrics import Metrics
     from persimmonlink_node.settings import Settings
-    from persimmonlink_platform.key_value import KeyValue
 
 
 @dataclass(frozen=True)
--- a/packages/persimmonlink-node/src/persimmonlink_node/peer_links.py
+++ b/packages/persimmonlink-node/src/persimmonlink_node/peer_links.py
@@ -12,12 +12,12 @@
 from returns.result import Result
 from urllib3.exceptions import HTTPError
 
+from persimmonlink_interfaces.connection import make_pool, make_timeout
 from persimmonlink_model.heartbeat_ring import list_successors
 from persimmonlink_model.result_code import Failure, ResultCode, RunState
 from persimmonlink_node.node_state import NodeIdentity
 from persimmonlink_peers.membership_messages import HeartbeatReply
 from persimmonlink_peers.peer_channel import PeerChannel
-from persimmonlink_platform.connection import make_pool, make_timeout
 
 if TYPE_CHECKING:
     from persimmonlink_node.control_loop import ControlLoop
--- a/packages/persimmonlink-node/src/persimmonlink_node/pipeline_request.py
+++ b/packages/persimmonlink-node/src/persimmonlink_node/pipeline_request.py
@@ -11,6 +11,7 @@
 from returns.result import Failure as Err
 from returns.result import Result, Success
 
+from persimmonlink_interfaces.cancellation import Cancellation
 from persimmonlink_model.deadline import Deadline
 from persimmonlink_model.record import AccountSpec, PipelineSpec
 from persimmonlink_model.request import RequestBody
@@ -22,14 +23,13 @@
     parse_request_id,
 )
 from persimmonlink_model.result_code import Failure, ResultCode, RunState
-from persimmonlink_platform.cancellation import Cancellation
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from persimmonlink_interfaces.clock import Clock
     from persimmonlink_model.record import StageSpec
     from persimmonlink_node.node_state import NodeIdentity, NodeState
-    from persimmonlink_platform.clock import Clock
 
 
 @dataclass(frozen=True)
--- a/packages/persimmonlink-node/src/persimmonlink_node/pipeline_runner.py
+++ b/packages/persimmonlink-node/src/persimmonlink_node/pipeline_runner.py
@@ -16,6 +16,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from persimmonlink_interfaces.clock import Clock
     from persimmonlink_model.record import StageSpec
     from persimmonlink_node.answer_fetcher import AnswerFetcher
     from persimmonlink_node.metrics import Metrics
@@ -25,7 +26,6 @@
     from persimmonlink_node.request_trace import TraceStore
     from persimmonlink_node.stage_runner import StageRunner
     from persimmonlink_node.stage_task import StageFailure
-    from persimmonlink_platform.clock import Clock
 
 
 @dataclass(frozen=True)
--- a/packages/persimmonlink-node/src/persimmonlink_node/pool_coordinator.py
+++ b/packages/persimmonlink-node/src/persimmonlink_node/pool_coordinator.py
@@ -27,6 +27,7 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+    from persimmonlink_interfaces.clock import Clock
     from persimmonlink_model.record import ServiceSpec
     from persimmonlink_node.load_poller import Poll
     from persimmonlink_node.member_view import MemberView
@@ -34,7 +35,6 @@
     from persimmonlink_node.settings import GrantSettings
     from persimmonlink_node.view_freshness import FreshView
     from persimmonlink_peers.message import Sender
-    from persimmonlink_platform.clock import Clock
 
 TICK_INTERVAL_S = 0.1
 # A longer gap means that this process stood still: its pools may be another's now.
--- a/packages/persimmonlink-node/src/persimmonlink_node/record_codec.py
+++ b/packages/persimmonlink-node/src/persimmonlink_node/record_codec.py
@@ -13,7 +13,7 @@
 from persimmonlink_model.result_code import Failure, ResultCode
 
 if TYPE_CHECKING:
-    from persimmonlink_platform.key_value import KeyValue
+    from persimmonlink_interfaces.key_value import KeyValue
 
 CONFIG_PREFIX = "config/"
 HISTORY_PREFIX = "history/"
--- a/packages/persimmonlink-node/src/persimmonlink_node/record_writer.py
+++ b/packages/persimmonlink-node/src/persimmonlink_node/record_writer.py
@@ -22,9 +22,9 @@
 )
 
 if TYPE_CHECKING:
+    from persimmonlink_interfaces.clock import Clock
+    from persimmonlink_interfaces.key_value import KeyValue, KeyValueStore
     from persimmonlink_node.node_state import NodeState
-    from persimmonlink_platform.clock import Clock
-    from persimmonlink_platform.key_value import KeyValue, KeyValueStore
 
 MAX_SWAP_TRIES = 5
 WRITE_LIMIT_S = 4.0
--- a/packages/persimmonlink-node/src/persimmonlink_node/reported_load.py
+++ b/packages/persimmonlink-node/src/persimmonlink_node/reported_load.py
@@ -13,11 +13,11 @@
     import random
     from collections.abc import Mapping
 
+    from persimmonlink_interfaces.clock import TimerService
     from persimmonlink_model.waiting_line import Ticket
     from persimmonlink_node.node_state import NodeState
     from persimmonlink_node.server_notices import ProgressSource
     from persimmonlink_node.service_dispatchers import ServiceDispatchers
-    from persimmonlink_platform.clock import TimerService
 
 REFRESH_INTERVAL_S = 0.25
 
--- a/packages/persimmonlink-node/src/persimmonlink_node/request_claimer.py
+++ b/packages/persimmonlink-node/src/persimmonlink_node/request_claimer.py
@@ -13,10 +13,10 @@
 from persimmonlink_model.result_code import Failure, ResultCode, RunState
 
 if TYPE_CHECKING:
+    from persimmonlink_interfaces.key_value import KeyValueStore
     from persimmonlink_model.deadline import Deadline
     from persimmonlink_model.request_id import RequestId
     from persimmonlink_node.node_state import NodeIdentity
-    from persimmonlink_platform.key_value import KeyValueStore
 
 
 @dataclass(frozen=True)
--- a/packages/persimmonlink-node/src/persimmonlink_node/request_service.py
+++ b/packages/persimmonlink-node/src/persimmonlink_node/request_service.py
@@ -26,6 +26,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
+    from persimmonlink_interfaces.clock import Clock
     from persimmonlink_model.deadline import Deadline
     from persimmonlink_model.kept_results import KeptResult, Progress
     from persimmonlink_model.request_id import RetryHorizon
@@ -35,7 +36,6 @@
     from persimmonlink_node.node_state import NodeIdentity
     from persimmonlink_node.pipeline_runner import PipelineRunner
     from persimmonlink_node.request_trace import TraceStore
-    from persimmonlink_platform.clock import Clock
 
 OVERLOAD_RETRY_AFTER_S = 1.0
 
--- a/packages/persimmonlink-node/src/persimmonlink_node/server_notices.py
+++ b/packages/persimmonlink-node/src/persimmonlink_node/server_notices.py
@@ -8,15 +8,15 @@
 
 from returns.result import Success
 
+from persimmonlink_interfaces.stage_client import CallFault
 from persimmonlink_peers.grant_messages import ServerProgress
-from persimmonlink_platform.stage_client import CallFault
 
 if TYPE_CHECKING:
     from returns.result import Result
 
+    from persimmonlink_interfaces.stage_client import CallFailure, StageOutput
     from persimmonlink_model.record import StageSpec
     from persimmonlink_node.server_watch import ServerObserver
-    from persimmonlink_platform.stage_client import CallFailure, StageOutput
 
 FIRST_BYTE_FACTOR = 8.0
 LEAST_LATE_FIRST_BYTE_S = 0.25
--- a/packages/persimmonlink-node/src/persimmonlink_node/server_watch.py
+++ b/packages/persimmonlink-node/src/persimmonlink_node/server_watch.py
@@ -10,8 +10,8 @@
 if TYPE_CHECKING:
     from returns.result import Result
 
+    from persimmonlink_interfaces.stage_client import CallFailure, StageOutput
     from persimmonlink_model.record import StageSpec
-    from persimmonlink_platform.stage_client import CallFailure, StageOutput
 
 COST_SMOOTHING = 0.1
 FIRST_COST_S = 0.02
--- a/packages/persimmonlink-node/src/persimmonlink_node/service_dispatchers.py
+++ b/packages/persimmonlink-node/src/persimmonlink_node/service_dispatchers.py
@@ -30,8 +30,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from persimmonlink_interfaces.clock import Clock
     from persimmonlink_node.speed_book import SpeedBook
-    from persimmonlink_platform.clock import Clock
 
 
 class ServiceDispatchers:
--- a/packages/persimmonlink-node/src/persimmonlink_node/shard_claimer.py
+++ b/packages/persimmonlink-node/src/persimmonlink_node/shard_claimer.py
@@ -20,6 +20,8 @@
 from persimmonlink_peers.claim_messages import CommitClaim, CommitClaimReply
 
 if TYPE_CHECKING:
+    from persimmonlink_interfaces.clock import Clock
+    from persimmonlink_interfaces.key_value import KeyValueStore
     from persimmonlink_model.deadline import Deadline
     from persimmonlink_model.request_id import RequestId, RetryHorizon
     from persimmonlink_node.claim_committer import ClaimOutcome
@@ -29,8 +31,6 @@
     from persimmonlink_node.peer_links import PeerLinks
     from persimmonlink_node.settings import ClaimSettings
     from persimmonlink_peers.peer_server import PeerServer
-    from persimmonlink_platform.clock import Clock
-    from persimmonlink_platform.key_value import KeyValueStore
 
 OWNER_TIMEOUT_S = 1.0
 RETRY_AFTER_S = 1.0
--- a/packages/persimmonlink-node/src/persimmonlink_node/slot_granter.py
+++ b/packages/persimmonlink-node/src/persimmonlink_node/slot_granter.py
@@ -8,10 +8,10 @@
 from persimmonlink_model.slots import SlotGrant
 
 if TYPE_CHECKING:
+    from persimmonlink_interfaces.clock import TimerService
     from persimmonlink_node.node_state import NodeState
     from persimmonlink_node.server_notices import ProgressSource
     from persimmonlink_node.service_dispatchers import ServiceDispatchers
-    from persimmonlink_platform.clock import TimerService
 
 REFRESH_INTERVAL_S = 0.25
 
--- a/packages/persimmonlink-node/src/persimmonlink_node/speed_book.py
+++ b/packages/persimmonlink-node/src/persimmonlink_node/speed_book.py
@@ -10,7 +10,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from persimmonlink_platform.clock import Clock
+    from persimmonlink_interfaces.clock import Clock
 
 
 class SpeedBook:
--- a/packages/persimmonlink-node/src/persimmonlink_node/stage_caller.py
+++ b/packages/persimmonlink-node/src/persimmonlink_node/stage_caller.py
@@ -8,11 +8,13 @@
 from returns.result import Failure as Err
 from returns.result import Result
 
-from persimmonlink_platform.stage_client import CallFailure, CallFault, StageCall
+from persimmonlink_interfaces.stage_client import CallFailure, CallFault, StageCall
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+    from persimmonlink_interfaces.clock import Clock
+    from persimmonlink_interfaces.stage_client import StageClient, StageOutput
     from persimmonlink_model.record import ServiceKind, ServiceSpec
     from persimmonlink_node.deadline_policy import DeadlinePolicy
     from persimmonlink_node.dispatcher import SlotLease
@@ -23,8 +25,6 @@
     from persimmonlink_node.service_dispatchers import ServiceDispatchers
     from persimmonlink_node.speed_book import SpeedBook
     from persimmonlink_node.stage_task import StageTask
-    from persimmonlink_platform.clock import Clock
-    from persimmonlink_platform.stage_client import StageClient, StageOutput
 
 
 class StageCaller:
--- a/packages/persimmonlink-node/src/persimmonlink_node/stage_runner.py
+++ b/packages/persimmonlink-node/src/persimmonlink_node/stage_runner.py
@@ -8,14 +8,15 @@
 from returns.result import Failure as Err
 from returns.result import Result, Success
 
+from persimmonlink_interfaces.stage_client import CallFailure, CallFault
 from persimmonlink_model.result_code import Failure, ResultCode, RunState
 from persimmonlink_model.waiting_line import Ticket
 from persimmonlink_node.stage_task import StageFailure, StageResult, StageTask
-from persimmonlink_platform.stage_client import CallFailure, CallFault
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from persimmonlink_interfaces.clock import Clock
     from persimmonlink_model.record import StageSpec
     from persimmonlink_node.deadline_policy import DeadlinePolicy, StagePlan
     from persimmonlink_node.dispatcher import SlotLease
@@ -24,7 +25,6 @@
     from persimmonlink_node.server_watch import ServerObserver
     from persimmonlink_node.service_dispatchers import ServiceDispatchers
     from persimmonlink_node.stage_caller import StageCaller
-    from persimmonlink_platform.clock import Clock
 
 MAX_ATTEMPTS = 4
 
--- a/packages/persimmonlink-node/src/persimmonlink_node/stage_task.py
+++ b/packages/persimmonlink-node/src/persimmonlink_node/stage_task.py
@@ -7,11 +7,11 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from persimmonlink_interfaces.stage_client import StageCall
 from persimmonlink_model.record import StageSpec
 from persimmonlink_model.request import StageReport
 from persimmonlink_model.result_code import Failure
 from persimmonlink_node.pipeline_request import PipelineRequest
-from persimmonlink_platform.stage_client import StageCall
 
 if TYPE_CHECKING:
     from persimmonlink_model.record import ServiceSpec
--- a/packages/persimmonlink-node/src/persimmonlink_node/view_freshness.py
+++ b/packages/persimmonlink-node/src/persimmonlink_node/view_freshness.py
@@ -11,9 +11,9 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection
 
+    from persimmonlink_interfaces.clock import Clock
     from persimmonlink_node.node_state import ConfigurationVersion
     from persimmonlink_peers.config_messages import ConfigReply
-    from persimmonlink_platform.clock import Clock
 
 FRESH_FOR_S = 1.5
 WATCHER_GRACE_S = 2.5
--- a/tests/platform/test_vm_list.py
+++ b/tests/interfaces/test_vm_list.py
@@ -7,11 +7,11 @@
 import pytest
 from returns.result import Failure as Err
 
+from persimmonlink_interfaces.vm_list import HttpVmListReader
 from persimmonlink_model.result_code import ResultCode
 from persimmonlink_node.metrics import Metrics
 from persimmonlink_node.node_state import NodeState
 from persimmonlink_node.settings import MetricsSettings
-from persimmonlink_platform.vm_list import HttpVmListReader
 from persimmonlink_stand_ins.serving import Answer, Call, RunningServer
 from persimmonlink_stand_ins.vm_list import VmList
 
--- a/tests/node/fake_key_value.py
+++ b/tests/node/fake_key_value.py
@@ -7,8 +7,8 @@
 from returns.result import Failure as Err
 from returns.result import Result, Success
 
+from persimmonlink_interfaces.key_value import KeyRange, KeyValue, SwapOutcome
 from persimmonlink_model.result_code import Failure, ResultCode
-from persimmonlink_platform.key_value import KeyRange, KeyValue, SwapOutcome
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator, Mapping, Sequence
--- a/tests/node/test_cold_evidence.py
+++ b/tests/node/test_cold_evidence.py
@@ -4,6 +4,7 @@
 
 from returns.result import Failure, Result, Success
 
+from persimmonlink_interfaces.stage_client import CallFailure, CallFault, StageOutput
 from persimmonlink_model.pool import Pool
 from persimmonlink_model.pool_grant import NodeReport, PoolTimes
 from persimmonlink_model.pool_ownership import PoolKey
@@ -15,7 +16,6 @@
 from persimmonlink_node.server_notices import ServerNotices
 from persimmonlink_node.server_watch import CallStatistics
 from persimmonlink_peers.grant_messages import PoolReply, ServerProgress
-from persimmonlink_platform.stage_client import CallFailure, CallFault, StageOutput
 
 STAGE = StageSpec("encode", "encoder")
 KEY = PoolKey("encoder", "midlands-a")
--- a/tests/node/test_config_spread.py
+++ b/tests/node/test_config_spread.py
@@ -9,11 +9,11 @@
 from returns.result import Result, Success
 from tests.node.fake_key_value import FakeClock, FakeMetrics
 
+from persimmonlink_interfaces.key_value import KeyValue
 from persimmonlink_node.config_spread import ConfigSpread
 from persimmonlink_node.node_state import ConfigurationVersion, NodeState
 from persimmonlink_node.view_freshness import ViewFreshness
 from persimmonlink_peers.message import Sender
-from persimmonlink_platform.key_value import KeyValue
 
 if TYPE_CHECKING:
     from persimmonlink_model.result_code import Failure
--- a/tests/node/test_config_watcher.py
+++ b/tests/node/test_config_watcher.py
@@ -7,10 +7,10 @@
 import pytest
 from tests.node.fake_key_value import FakeClock, FakeKeyValueStore, FakeMetrics
 
+from persimmonlink_interfaces.key_value import KeyRange, KeyValue
 from persimmonlink_node.config_watcher import ConfigWatcher
 from persimmonlink_node.node_state import NodeState
 from persimmonlink_node.view_freshness import ViewFreshness
-from persimmonlink_platform.key_value import KeyRange, KeyValue
 
 KEY = "config/account/crew"
 
--- a/tests/node/test_dispatcher.py
+++ b/tests/node/test_dispatcher.py
@@ -6,13 +6,13 @@
 
 from returns.result import Failure as Err
 
+from persimmonlink_interfaces.cancellation import Cancellation
 from persimmonlink_model.deadline import Deadline
 from persimmonlink_model.result_code import ResultCode, RunState
 from persimmonlink_model.slots import SlotGrant
 from persimmonlink_model.waiting_line import FairLine, Ticket
 from persimmonlink_node.dispatcher import NO_GRANT_LIMIT_S, ServiceDispatcher
 from persimmonlink_node.server_chooser import MostFreeChooser
-from persimmonlink_platform.cancellation import Cancellation
 
 
 class FixedClock:
