Pause between tries to resume a stream, and bound them

Cause, found by reading: a broken stream whose stages were then refused asked the coordinator again without a pause until a quarter of its objective was left. The test that failed first counted over a thousand admissions in 3 s. Now five tries at most, each after the time that the refusal names.

--- a/packages/persimmonlink-router/src/persimmonlink_router/stream_relay.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stream_relay.py
@@ -25,6 +25,8 @@
 PROMPT_TOKENS_PER_S = 60000.0  # Rate at which engines read prompts, by the sheets.
 MIN_SILENCE_S = 1.2  # Shortest silence after which a resumable stream goes elsewhere.
 SILENCE_FACTOR = 6.0  # Times the expected time that this may take for long prompts.
+MAX_TRIES = 5  # Times that a stream is begun or resumed, refusals counted.
+MIN_PAUSE_S = 0.2  # Shortest pause after a refusal on the way to a resumption.
 FAILED_RETRY_AFTER_S = 0.5  # When to come back after stages failed.
 MAX_ERROR_BYTES = 1048576  # Most bytes of a failure's body.
 
@@ -38,7 +40,9 @@
 ) -> None:
     """Run a request's stages, pass it on, and its events back as they come."""
     splitter = EventSplitter()
+    tries = 0
     while True:
+        tries += 1
         try:
             inputs = await _prepare(state, sender, stages)
             try:
@@ -51,8 +55,11 @@
             if is_done:
                 return
         except (StreamBrokenError, FailedError, RefusedError) as error:
-            if not _may_resume(state):
+            if tries >= MAX_TRIES or not _may_resume(state):
                 raise _as_failure(state, error) from error
+            if isinstance(error, RefusedError):
+                pause_s = max(error.retry_after_s, MIN_PAUSE_S)
+                await asyncio.sleep(min(pause_s, state.time_left_s))
             logger.bind(
                 request=state.call.request_id,
                 last_event=splitter.last_id.decode("latin-1"),
--- a/tests/router/rig.py
+++ b/tests/router/rig.py
@@ -100,6 +100,9 @@
             make_route("/list/", "stream", STREAM_SERVICE, resumable=True),
             make_route("/claim/", "stream", STREAM_SERVICE, attempts=1),
             make_route("/chain/", "stream", STREAM_SERVICE, stages=chain),
+            make_route(
+                "/long/", "stream", STREAM_SERVICE, stages=chain, resumable=True
+            ),
         ],
         "services": [
             {"name": STREAM_SERVICE, "engine": engine, "cold-start-s": 3.0},
--- a/tests/router/test_stage_scheduler.py
+++ b/tests/router/test_stage_scheduler.py
@@ -8,6 +8,8 @@
 from tests.router.rig import make_rig, wait_until
 from tests.router.test_whole_path import STAGED
 
+from persimmonlink_router.stage_scheduler import StageOutcome
+
 
 def test_a_client_that_leaves_during_the_stages_holds_no_memory():
     async def scenario():
@@ -71,3 +73,24 @@
             task.cancel()
 
     asyncio.run(scenario())
+
+
+def test_a_stream_whose_stages_are_refused_on_resumption_does_not_ask_in_a_loop():
+    async def scenario():
+        async with make_rig(servers=1) as rig:
+            rig.server_by_id["engines-0"].faults.cuts_after = 2
+            scheduler = rig.routers[0]._scheduler
+            run, asked = scheduler.run, []
+
+            async def refuse_after_first(job):
+                asked.append(job.request_id)
+                if len(asked) == 1:
+                    return await run(job)
+                return StageOutcome("refused", retry_after_s=0.1)
+
+            scheduler.run = refuse_after_first
+            answer = await rig.ask("/long/1", deadline_ms=3000, **STAGED)
+            assert not answer.is_whole
+            assert len(asked) <= 5
+
+    asyncio.run(scenario())
