Let no SIGHUP end a router that is still loading

The soak no longer starts a router twice when two faults end it at once, which left a process behind.

--- a/deploy/start.py
+++ b/deploy/start.py
@@ -17,9 +17,9 @@
 def main() -> int:
     """Put the sources on the path and run."""
     sys.path[:0] = [str(ROOT / source) for source in SOURCES]
-    from persimmonlink_adapter.run import run
+    from persimmonlink_adapter.__main__ import main as run_router
 
-    return run()
+    return run_router()
 
 
 if __name__ == "__main__":
--- a/tests/router/process_rig.py
+++ b/tests/router/process_rig.py
@@ -98,7 +98,7 @@
                 [
                     sys.executable,
                     "-m",
-                    "persimmonlink_adapter.run",
+                    "persimmonlink_adapter",
                     "--settings",
                     str(path),
                 ],
--- a/tests/router/test_process_failures.py
+++ b/tests/router/test_process_failures.py
@@ -148,3 +148,19 @@
             assert late == []
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("delay_s", [0.1, 0.2, 0.3])
+def test_a_reload_that_is_asked_for_during_the_start_does_not_end_a_router(
+    tmp_path, delay_s
+):
+    async def scenario():
+        async with make_process_rig(tmp_path, routers=1) as rig:
+            rig.processes[0].signal(signal.SIGKILL)
+            rig.processes[0].process.wait()
+            router = rig.start(0, tmp_path)
+            await asyncio.sleep(delay_s)
+            router.signal(signal.SIGHUP)
+            await rig.wait_ready(0)
+
+    asyncio.run(scenario())
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -39,6 +39,8 @@
         self._rng = rng
         self._folder = folder
         self._version = 10
+        # Two faults that end the same router must not both start it again.
+        self._lock_by_index = {i: asyncio.Lock() for i in range(len(rig.processes))}
         self.history: list[str] = []
 
     async def strike(self) -> None:
@@ -64,16 +66,18 @@
     def _pick_router(self) -> int:
         return self._rng.randrange(len(self._rig.processes))
 
-    async def _restart(self, index: int) -> None:
-        process = self._rig.processes[index].process
-        await asyncio.to_thread(process.wait)
-        self._rig.start(index, self._folder)
-        await self._rig.wait_ready(index)
+    async def _end(self, number: signal.Signals) -> None:
+        """End a router by a signal and start it again."""
+        index = self._pick_router()
+        async with self._lock_by_index[index]:
+            router = self._rig.processes[index]
+            router.signal(number)
+            await asyncio.to_thread(router.process.wait)
+            self._rig.start(index, self._folder)
+            await self._rig.wait_ready(index)
 
     async def _kill(self) -> None:
-        index = self._pick_router()
-        self._rig.processes[index].signal(signal.SIGKILL)
-        await self._restart(index)
+        await self._end(signal.SIGKILL)
 
     async def _pause(self) -> None:
         router = self._rig.processes[self._pick_router()]
@@ -82,9 +86,7 @@
         router.signal(signal.SIGCONT)
 
     async def _stop(self) -> None:
-        index = self._pick_router()
-        self._rig.processes[index].signal(signal.SIGTERM)
-        await self._restart(index)
+        await self._end(signal.SIGTERM)
 
     async def _reload(self) -> None:
         self._rig.processes[self._pick_router()].signal(signal.SIGHUP)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -18,7 +18,8 @@
 from tests.soak.faults import FaultInjector
 
 SEEDS = (1, 2)
-REGRESSION_SEEDS: tuple[int, ...] = ()
+# 1000: SIGHUP came while a router was still loading its libraries, and ended it.
+REGRESSION_SEEDS = (1000,)
 SECONDS = float(os.environ.get("SOAK_SECONDS", "6"))
 ROUTERS = 3
 REQUESTS_A_SECOND = 30
