Run a chain anew from where its inputs still are

Cause: a piece that a stage server had no room for is run again with the stage before it, whose own inputs had been freed as read. That stage's pieces were dropped from the queue as lacking inputs, and the request hung until its client left. Ruled out: a lost answer of the coordinator (its log showed no end of the stages), a full retry budget (that ends in 503 at once).

--- a/packages/persimmonlink-router/src/persimmonlink_router/stage_chain.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stage_chain.py
@@ -330,6 +330,19 @@
         self._results = [[] for _ in self.job.stages]
         return results
 
+    def reset_inputs(self, index: int) -> list[StageResult]:
+        """Forget the results that a stage needs, to make them again.
+
+        Those whose own inputs were freed are made again from the first stage on whose
+        inputs are there. Returns the results that were there.
+        """
+        freed = []
+        for other in self.job.stages[index].after:
+            freed.extend(self.reset_stage(other))
+            if self.lacks_inputs(other):
+                freed.extend(self.reset_inputs(other))
+        return freed
+
     def reset_stage(self, index: int) -> list[StageResult]:
         """Forget the results of a stage, and of those after it, to run them again.
 
--- a/packages/persimmonlink-router/src/persimmonlink_router/stage_scheduler.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stage_scheduler.py
@@ -381,8 +381,7 @@
             self._finish(run, StageOutcome("failed"))
             return
         if reason == "gone" or chain.lacks_inputs(ticket.stage):
-            for index in chain.job.stages[ticket.stage].after:
-                self._calls.release(chain.reset_stage(index))
+            self._calls.release(chain.reset_inputs(ticket.stage))
             return
         self.dispatcher.put([ticket])
 
--- a/tests/router/test_stage_chain.py
+++ b/tests/router/test_stage_chain.py
@@ -112,3 +112,32 @@
     chain.put(1, 0, make_result("h1.0"))
     chain.take_read_inputs(1)
     assert chain.list_made() == ()
+
+
+def test_a_stage_that_is_run_anew_takes_along_those_whose_results_were_freed():
+    chain = make_chain(pieces=(1, 1, 1))
+    for index in range(2):
+        assert chain.take_ready_stages() == [index]
+        chain.note_sent(index, 0.0)
+        run_stage(chain, index)
+    assert chain.take_ready_stages() == [2]
+    chain.note_sent(2, 0.0)
+    chain.take_read_inputs(1)
+    chain.take_read_inputs(2)
+    assert chain.reset_inputs(2) == []
+    assert chain.take_ready_stages() == [0]
+    run_stage(chain, 0)
+    assert chain.take_ready_stages() == [1]
+    assert chain.has_inputs(1)
+
+
+def test_a_stage_that_is_run_anew_keeps_results_that_are_still_there():
+    chain = make_chain(pieces=(1, 1, 1))
+    for index in range(2):
+        chain.take_ready_stages()
+        chain.note_sent(index, 0.0)
+        run_stage(chain, index)
+    chain.take_ready_stages()
+    assert {r.handle for r in chain.reset_inputs(2)} == {"h1.0"}
+    assert chain.take_ready_stages() == [1]
+    assert chain.has_inputs(1)
