End stages before the client of a stream leaves

Cause: clients leave a stream that stays silent for four objectives, well before their deadline; stages were run, and waited for, until the deadline. Ruled out: another hung chain (each of these had pieces waiting behind others).

--- a/packages/persimmonlink-router/src/persimmonlink_router/configuration.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/configuration.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from enum import StrEnum
@@ -72,6 +73,8 @@
         Whether requests need no key.
     is_resumable : bool
         Whether a broken stream may go on at another server.
+    patience_s : float
+        Longest silence before an event that clients of a stream wait out, in seconds.
     """
 
     name: str
@@ -86,6 +89,7 @@
     stages: tuple[StagePlan, ...] = ()
     is_public: bool = False
     is_resumable: bool = False
+    patience_s: float = math.inf
 
     @property
     def is_repeatable(self) -> bool:
--- a/packages/persimmonlink-router/src/persimmonlink_router/request_state.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/request_state.py
@@ -76,6 +76,10 @@
     servers: list[str] = field(default_factory=list)
     first_event_s: float | None = None
     prediction_s: float | None = None
+    silent_since: float = 0.0
+
+    def __post_init__(self) -> None:
+        self.silent_since = self.arrived_at
 
     @property
     def deadline_at(self) -> float:
@@ -95,6 +99,12 @@
         """Time until then, in seconds."""
         return self.end_at - boot_time()
 
+    @property
+    def event_left_s(self) -> float:
+        """Time until the client gives up if no event comes, in seconds."""
+        patience_end_at = self.silent_since + self.route.patience_s
+        return min(self.time_left_s, patience_end_at - boot_time())
+
     @property
     def priority(self) -> int:
         """Rank of the request, that of the account going first."""
--- a/packages/persimmonlink-router/src/persimmonlink_router/stream_relay.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stream_relay.py
@@ -88,8 +88,8 @@
         call.request_id,
         state.account_name,
         state.priority,
-        state.route.objective_s - spent_s if not state.runs else state.time_left_s,
-        state.time_left_s,
+        state.route.objective_s - spent_s if not state.runs else state.event_left_s,
+        state.event_left_s,
         ANSWER_BASE_S + call.prompt_tokens / PROMPT_TOKENS_PER_S,
         sender.expect_domain(state),
         call.piece_key,
@@ -173,6 +173,7 @@
                     answer.head.status, strip_hop_headers(answer.head.headers)
                 )
             await exchange.send(whole)
+            state.silent_since = boot_time()
         rest = splitter.take_rest()
         if not exchange.has_started:
             exchange.start_stream(
--- a/tests/adapter/test_entries.py
+++ b/tests/adapter/test_entries.py
@@ -139,3 +139,16 @@
 
 def test_other_keys_mean_nothing():
     assert read("op/other", {}) is None
+
+
+@pytest.mark.parametrize(
+    ("objective_ms", "pause_ms", "patience_s"),
+    [(1400, 250, 5.6), (300, 100, 2.0), (500, 600, 4.8)],
+)
+def test_clients_wait_for_an_event_as_long_as_the_page_says(
+    objective_ms, pause_ms, patience_s
+):
+    route = {**ROUTE, "slo-ms": objective_ms, "gap-slo-ms": pause_ms}
+    written = {"version": 1, "routes": [route], "services": [SERVICE]}
+    configuration = read("op/config", written)
+    assert configuration.routes[0].patience_s == pytest.approx(patience_s)
