Learn from missing room what else takes a stage server's memory

Cause: results differ in size from what the configuration says, and after a change of the coordinator those of the former one still lie there; pieces were sent that found no room, were sent again at once (ten calls in 10 ms at one server), used up the retry budget and had their chains run anew. Ruled out: a leak in the count of held memory (it goes to 0 in the tests and between bursts).

--- a/packages/persimmonlink-router/src/persimmonlink_router/calls.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/calls.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from enum import StrEnum
 from typing import TYPE_CHECKING, Protocol
 
 from persimmonlink_router.http_messages import Headers
@@ -143,12 +144,21 @@
     inputs: tuple[str, ...] = ()
 
 
+class PieceFailure(StrEnum):
+    """Why a stage server made no result of a piece."""
+
+    TOO_LATE = "too_late"
+    INPUT_GONE = "input_gone"
+    NO_ROOM = "no_room"
+    ERROR = "error"
+
+
 @dataclass(frozen=True, slots=True)
 class PieceResult:
     """What a stage server says of a piece: a handle, or why there is none."""
 
     handle: str = ""
-    reason: str = ""
+    failure: PieceFailure | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -202,6 +212,7 @@
     "Call",
     "Dispatch",
     "Piece",
+    "PieceFailure",
     "PieceResult",
     "PromptPart",
     "ServerCall",
--- a/packages/persimmonlink-router/src/persimmonlink_router/stage_dispatcher.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stage_dispatcher.py
@@ -11,7 +11,7 @@
 from loguru import logger
 
 from persimmonlink_router.boot_clock import boot_time
-from persimmonlink_router.calls import Piece, PieceResult, WireFormatError
+from persimmonlink_router.calls import Piece, PieceFailure, PieceResult, WireFormatError
 from persimmonlink_router.http_client import ConnectError, ConnectionLostError
 from persimmonlink_router.servers import Server
 from persimmonlink_router.stage_queue import StageQueue, Ticket, estimate_call_s
@@ -170,6 +170,8 @@
             self._servers.note_answered(server, results, ratio, boot_time())
             if results is None:
                 self._servers.state(server).give_back(size)
+            else:
+                self._note_lacking(service, server, batch, results)
         except ConnectError as error:
             self._servers.state(server).give_back(size)
             self._note_failed(server, error, is_dead=True)
@@ -182,6 +184,23 @@
         self._on_outcome(BatchOutcome(server, batch, results))
         self.pump(service.name)
 
+    def _note_lacking(
+        self,
+        service: Service,
+        server: Server,
+        batch: Sequence[Ticket],
+        results: Sequence[PieceResult],
+    ) -> None:
+        """Learn from results that found no room what else takes the memory."""
+        lacking_bytes = sum(
+            ticket.result_bytes
+            for ticket, result in zip(batch, results, strict=True)
+            if result.failure is PieceFailure.NO_ROOM
+        )
+        if lacking_bytes and service.batch is not None:
+            state = self._servers.state(server)
+            state.note_lacking(service.batch, lacking_bytes, boot_time())
+
     def _give_back_later(self, service: Service, server: Server, size: float) -> None:
         """Keep room for results that may have been made, until they end."""
         life_s = service.batch.result_life_s if service.batch is not None else 0.0
@@ -213,7 +232,7 @@
     took_s: float,
     expected_s: float,
 ) -> None:
-    reasons = Counter(r.reason for r in results or () if not r.handle)
+    failures = Counter(r.failure for r in results or () if r.failure is not None)
     logger.bind(
         server=server.server_id,
         service=server.service,
@@ -222,7 +241,7 @@
         took_s=round(took_s, 3),
         expected_s=round(expected_s, 3),
         outcome="no_results" if results is None else "done",
-        reasons=dict(reasons),
+        failures=dict(failures),
     ).info("stages.batch")
 
 
--- a/packages/persimmonlink-router/src/persimmonlink_router/stage_scheduler.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stage_scheduler.py
@@ -10,6 +10,7 @@
 from loguru import logger
 
 from persimmonlink_router.boot_clock import boot_time
+from persimmonlink_router.calls import PieceFailure
 from persimmonlink_router.stage_admission import (
     LATE_PATIENCE,
     AccountShares,
@@ -352,7 +353,7 @@
                 continue
             changed[run.chain.job.request_id] = run
             if made is None or not made.handle:
-                self._handle_missing(run, ticket, made.reason if made else "")
+                self._handle_missing(run, ticket, made.failure if made else None)
             else:
                 run.chain.note_made(ticket.stage, boot_time())
         for run in changed.values():
@@ -365,13 +366,15 @@
             return None
         return run if ticket.is_current() else None
 
-    def _handle_missing(self, run: _Run, ticket: Ticket, reason: str) -> None:
+    def _handle_missing(
+        self, run: _Run, ticket: Ticket, failure: PieceFailure | None
+    ) -> None:
         """Decide what becomes of a piece without a result."""
         chain = ticket.chain
         if run.done.done() or not ticket.is_current():
             return
         now = boot_time()
-        if reason == "late" or now > chain.deadline_at:
+        if failure is PieceFailure.TOO_LATE or now > chain.deadline_at:
             self._finish(run, StageOutcome("failed"))
             return
         service = chain.job.stages[ticket.stage].service
@@ -380,7 +383,7 @@
         if not is_allowed or not self._budget.take(service, 1, now):
             self._finish(run, StageOutcome("failed"))
             return
-        if reason == "gone" or chain.lacks_inputs(ticket.stage):
+        if failure is PieceFailure.INPUT_GONE or chain.lacks_inputs(ticket.stage):
             self._calls.release(chain.reset_inputs(ticket.stage))
             return
         self.dispatcher.put([ticket])
--- a/packages/persimmonlink-router/src/persimmonlink_router/stage_servers.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stage_servers.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from persimmonlink_router.calls import PieceFailure
 from persimmonlink_router.stage_queue import StageServerView, estimate_call_s
 
 if TYPE_CHECKING:
@@ -27,8 +28,8 @@
 FAILURE_FACTOR = 4  # Times that a server which fails all calls counts as slower.
 SHARED_S = 1.0  # Time for which a server is taken to serve another coordinator too.
 INTERFERENCE_FACTOR = 1.2  # Times the expected time that show another's calls.
-TIGHT_S = 0.6  # Time for which a server that had no room gets smaller batches.
-TIGHT_SHARE = 0.75  # Part of its room that these may fill.
+FULL_S = 0.15  # Time for which a server that had no room at all gets no call.
+ROOM_SHARE = 0.94  # Part of the memory that is filled, as sizes are approximate.
 
 
 @dataclass(slots=True)
@@ -40,7 +41,8 @@
     busy_until: float = 0.0
     blocked_until: float = 0.0
     shared_until: float = 0.0
-    tight_until: float = 0.0
+    other_bytes: float = 0.0
+    other_seen_at: float = 0.0
 
     def give_back(self, size: float) -> None:
         """Count memory as free again."""
@@ -48,10 +50,25 @@
 
     def room_bytes(self, spec: BatchSpec, now: float) -> float:
         """Return the memory that is free for results."""
-        if not self.held_bytes:
+        other_bytes = self._estimate_other_bytes(spec, now)
+        if not self.held_bytes and not other_bytes:
             return spec.result_room_bytes
-        share = TIGHT_SHARE if self.tight_until > now else 1.0
-        return spec.result_room_bytes * share - self.held_bytes
+        room_bytes = spec.result_room_bytes * ROOM_SHARE
+        return room_bytes - self.held_bytes - other_bytes
+
+    def note_lacking(self, spec: BatchSpec, lacking_bytes: float, now: float) -> None:
+        """Take in that results of a size, counted as held, found no room.
+
+        What else takes the memory may be results of a former coordinator.
+        """
+        fitting_bytes = self.held_bytes - lacking_bytes
+        self.other_bytes = max(0.0, spec.result_room_bytes - fitting_bytes)
+        self.other_seen_at = now
+
+    def _estimate_other_bytes(self, spec: BatchSpec, now: float) -> float:
+        """Return the memory that other results take; they end one after the other."""
+        left = 1 - (now - self.other_seen_at) / spec.result_life_s
+        return self.other_bytes * max(0.0, left)
 
 
 class StageServers:
@@ -105,7 +122,7 @@
                 left_s = max(0.0, state.busy_until - now)
                 soonest = min(soonest, left_s + call_s * slowness)
                 continue
-            if state.held_bytes and state.room_bytes(spec, now) < queue.least_bytes():
+            if state.room_bytes(spec, now) < queue.least_bytes():
                 continue
             idle.append((round(slowness, 1), server.server_id, server))
         idle.sort(key=lambda entry: entry[:2])
@@ -170,14 +187,15 @@
         the coordinator, make its memory and its turn uncertain for a while.
         """
         state = self.state(server)
-        is_without_room = any(r.reason == "room" for r in results or ())
-        if is_without_room:
-            state.tight_until = now + TIGHT_S
-        if results is None or is_without_room or ratio > INTERFERENCE_FACTOR:
+        if results is None or ratio > INTERFERENCE_FACTOR:
             state.shared_until = now + SHARED_S
         if results is None:
             state.blocked_until = now + BACKOFF_S
             return
+        if all(result.failure is PieceFailure.NO_ROOM for result in results):
+            # It says nothing of the server's speed.
+            state.blocked_until = now + FULL_S
+            return
         self._health.note_success(server.key, ratio, now)
 
     def note_failed(self, server: Server, now: float, *, is_dead: bool) -> None:
--- a/tests/adapter/test_http_wire.py
+++ b/tests/adapter/test_http_wire.py
@@ -7,7 +7,13 @@
 from tests.router.chains import make_server
 
 from persimmonlink_adapter.http_wire import HttpWire
-from persimmonlink_router.calls import Dispatch, Piece, PieceResult, WireFormatError
+from persimmonlink_router.calls import (
+    Dispatch,
+    Piece,
+    PieceFailure,
+    PieceResult,
+    WireFormatError,
+)
 from persimmonlink_router.http_messages import HttpHead, HttpRequest
 
 WIRE = HttpWire()
@@ -103,7 +109,7 @@
     body = b'{"items":[{"handle":"1.2.3.4:5/x"},{"reason":"gone"}]}'
     assert WIRE.read_batch(body, 2) == (
         PieceResult("1.2.3.4:5/x"),
-        PieceResult(reason="gone"),
+        PieceResult(failure=PieceFailure.INPUT_GONE),
     )
 
 
--- a/tests/router/test_request_state.py
+++ b/tests/router/test_request_state.py
@@ -2,16 +2,18 @@
 
 from __future__ import annotations
 
-from typing import cast
+from typing import TYPE_CHECKING, cast
 
 import pytest
 
 from persimmonlink_router.boot_clock import boot_time
 from persimmonlink_router.calls import Call
 from persimmonlink_router.configuration import RequestKind, Route, Target
-from persimmonlink_router.http_server import Exchange
 from persimmonlink_router.request_state import RequestState
 
+if TYPE_CHECKING:
+    from persimmonlink_router.http_server import Exchange
+
 
 def make_state(deadline_s: float = 12.0, patience_s: float = 5.6) -> RequestState:
     route = Route(
