Serve clients that come back after a refusal, behind those that can be on time

Cause: clients were told to return after half a second, came back into the same burst and were refused for good; those that were taken had room that requests which could still be on time went without. Their deadlines tell them from first tries, once they are asked to stay away for a fifth of the time that they have.

--- a/packages/persimmonlink-router/src/persimmonlink_router/request_service.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/request_service.py
@@ -11,6 +11,7 @@
 
 from persimmonlink_router.boot_clock import boot_time
 from persimmonlink_router.calls import WireFormatError
+from persimmonlink_router.client_returns import ClientReturns
 from persimmonlink_router.configuration import RequestKind
 from persimmonlink_router.http_server import ClientLeftError
 from persimmonlink_router.plain_relay import relay_plain
@@ -89,6 +90,11 @@
         self._stages = stages
         self._metrics = metrics
         self._rng = rng
+        self._returns = ClientReturns()
+
+    def forget_other_routes(self, names: frozenset[str]) -> None:
+        """Forget what was learned of routes that are gone."""
+        self._returns.keep_only(names)
 
     async def handle(self, exchange: Exchange) -> None:
         """Answer one request."""
@@ -154,7 +160,9 @@
             if account is None:
                 return OwnAnswer(401, "unknown key")
         service = self._choose_service(route)
-        return RequestState(exchange, call, route, service, account, arrived_at)
+        state = RequestState(exchange, call, route, service, account, arrived_at)
+        state.has_returned = self._returns.note(route.name, call.deadline_s)
+        return state
 
     def _choose_service(self, route: Route) -> str:
         if len(route.targets) == 1:
@@ -207,6 +215,7 @@
             status=status,
             reason=reason,
             took_s=took_s,
+            has_returned=state.has_returned,
             first_event_s=None if first is None else round(first, 3),
             predicted_s=None if prediction is None else round(prediction, 3),
             sends=state.sends,
--- a/packages/persimmonlink-router/src/persimmonlink_router/request_state.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/request_state.py
@@ -6,6 +6,10 @@
 
 from persimmonlink_router.boot_clock import boot_time
 from persimmonlink_router.calls import Call
+from persimmonlink_router.client_returns import (
+    RETURNED_OBJECTIVE_SHARE,
+    RETURNED_PRIORITY_STEP,
+)
 from persimmonlink_router.configuration import Account, Route
 from persimmonlink_router.http_server import Exchange
 
@@ -62,6 +66,8 @@
         Client account, None on public routes.
     arrived_at : float
         Boot time of its arrival, in seconds.
+    has_returned : bool
+        Whether its client seems to have been refused before.
     """
 
     exchange: Exchange
@@ -77,6 +83,7 @@
     first_event_s: float | None = None
     prediction_s: float | None = None
     silent_since: float = 0.0
+    has_returned: bool = False
 
     def __post_init__(self) -> None:
         self.silent_since = self.arrived_at
@@ -105,6 +112,22 @@
         patience_end_at = self.silent_since + self.route.patience_s
         return min(self.time_left_s, patience_end_at - boot_time())
 
+    @property
+    def objective_left_s(self) -> float:
+        """Time in which the first event should come, in seconds."""
+        if self.runs:
+            return self.event_left_s
+        if self.has_returned:
+            return RETURNED_OBJECTIVE_SHARE * self.event_left_s
+        return self.arrived_at + self.route.objective_s - boot_time()
+
+    @property
+    def stage_priority(self) -> int:
+        """Rank among the requests that wait for stages."""
+        if self.has_returned:
+            return self.priority + RETURNED_PRIORITY_STEP
+        return self.priority
+
     @property
     def priority(self) -> int:
         """Rank of the request, that of the account going first."""
--- a/packages/persimmonlink-router/src/persimmonlink_router/router.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/router.py
@@ -285,6 +285,8 @@
         self._limits.body_bytes = limits.body_bytes
         self._limits.header_timeout_s = limits.header_timeout_s
         self._limits.idle_timeout_s = limits.idle_timeout_s
+        names = frozenset(route.name for route in configuration.routes)
+        self._requests.forget_other_routes(names)
         self._scheduler.dispatcher.pump_all()
 
     def _list_loads(self) -> dict[str, EngineLoad]:
--- a/packages/persimmonlink-router/src/persimmonlink_router/stream_relay.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stream_relay.py
@@ -8,6 +8,7 @@
 from loguru import logger
 
 from persimmonlink_router.boot_clock import boot_time
+from persimmonlink_router.client_returns import choose_return_s
 from persimmonlink_router.event_stream import EventSplitter
 from persimmonlink_router.http_client import ConnectionLostError
 from persimmonlink_router.http_messages import strip_hop_headers
@@ -83,12 +84,11 @@
     if not any(need.pieces for need in needs):
         return NO_INPUTS
     call = state.call
-    spent_s = boot_time() - state.arrived_at
     job = StageJob(
         call.request_id,
         state.account_name,
-        state.priority,
-        state.route.objective_s - spent_s if not state.runs else state.event_left_s,
+        state.stage_priority,
+        state.objective_left_s,
         state.event_left_s,
         ANSWER_BASE_S + call.prompt_tokens / PROMPT_TOKENS_PER_S,
         sender.expect_domain(state),
@@ -100,7 +100,8 @@
     if outcome.state == "done":
         return StageInputs(outcome.handles, outcome.bytes_by_domain)
     if outcome.state == "refused":
-        raise RefusedError("the stages can't be run in time", outcome.retry_after_s)
+        return_s = choose_return_s(outcome.retry_after_s, state.time_left_s)
+        raise RefusedError("the stages can't be run in time", return_s)
     raise RefusedError(f"the stages came to {outcome.state}", FAILED_RETRY_AFTER_S)
 
 
--- a/tests/router/test_request_state.py
+++ b/tests/router/test_request_state.py
@@ -43,3 +43,11 @@
 
 def test_no_patience_outlasts_the_deadline():
     assert make_state(deadline_s=2.0).event_left_s == pytest.approx(2.0, abs=0.1)
+
+
+def test_a_client_that_came_back_waits_behind_those_that_can_be_on_time():
+    state, returned = make_state(), make_state()
+    returned.has_returned = True
+    assert returned.stage_priority > 9 >= state.stage_priority
+    assert returned.objective_left_s > state.objective_left_s
+    assert returned.objective_left_s < returned.event_left_s
