Let pieces that can't be on time any more go after those that can

Cause: pieces were ranked by the latest time at which they must start, also when that had passed: in a burst each request waited for one that was late already, and ended a little late as well. Ruled out before: too many taken, a wrong rate, waiting for servers nearby.

--- a/packages/persimmonlink-router/src/persimmonlink_router/stage_queue.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stage_queue.py
@@ -172,8 +172,10 @@
     # Results that last for a short time and take much room are used up first.
     is_ending = now > ticket.inputs_end_at - EXPIRY_MARGIN_S
     is_holding = ticket.input_bytes > HELD_BYTES
-    is_late = chain.is_late(now) and not is_holding
     latest_start = chain.objective_at - chain.tail_s(ticket.stage)
+    # One that can't be on time any more would only make the next ones late as well.
+    is_late = chain.is_late(now) or now > latest_start
+    is_late = is_late and not is_holding
     return not is_ending, is_late, chain.job.priority, latest_start
 
 
--- a/tests/router/test_stage_queue.py
+++ b/tests/router/test_stage_queue.py
@@ -8,6 +8,7 @@
 from hypothesis import strategies as st
 from tests.router.chains import SPEC, make_chain, make_result
 
+from persimmonlink_router.stage_chain import StageChain
 from persimmonlink_router.stage_queue import StageQueue, StageServerView, Ticket
 
 VIEW = StageServerView("a", 1e9, ("a", "b"))
@@ -132,3 +133,13 @@
     assert len(rest.tickets) == 2
     assert not rest.has_left_some
     assert len(queue) == 1
+
+
+def test_a_request_that_can_no_longer_be_on_time_does_not_delay_those_that_can():
+    queue = StageQueue()
+    missed = make_chain(request_id="missed", pieces=(5,), objective_s=1.0)
+    missed = StageChain(missed.job, 0.0, [0.8])
+    timely = StageChain(make_chain(request_id="timely").job, 0.0, [0.8])
+    queue.put(make_tickets(missed, 5))
+    queue.put(make_tickets(timely))
+    assert take_ids(queue, now=0.5)[0] == "timely"
