Leave the wait for a server nearby sooner, while the stages after it still fit

Cause: a piece waited for a server in its inputs' domain until 0.2 s before it had to start, and the waits at the stages after it made its request late.

--- a/packages/persimmonlink-router/src/persimmonlink_router/stage_queue.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stage_queue.py
@@ -22,7 +22,7 @@
 # Waiting for a server in the same failure domain, against bytes that would cross.
 LOCAL_WAIT_S_PER_BYTE = 3.0e-7
 MAX_LOCAL_WAIT_S = 0.45  # About the time of one full call.
-MIN_SLACK_S = 0.2  # Time left at which a piece goes to whichever server is free.
+MIN_SLACK_S = 0.4  # Time left at which a piece goes to whichever server is free.
 
 
 @dataclass(frozen=True, slots=True, eq=False)
