Free a request's results also where the coordinator's reply is lost

Cause: a client that leaves as its stages end cancels the call to the coordinator, which has ended them already; its reply is lost and nobody asks for the results to be freed, so that they take memory for 5 s. The call's cancellation now releases them. Ruled out: a reset that the coordinator does not see (it then ends the run by itself). Seen to fail: test_stage_link.py without the change, at once.

--- a/packages/persimmonlink-router/src/persimmonlink_router/stage_link.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stage_link.py
@@ -63,10 +63,15 @@
             node_id = self._choose()
             self._coordinator_by_request[job.request_id] = node_id
             outcome: StageOutcome | None
-            if node_id == self._fleet.own.node_id:
-                outcome = await self._scheduler.run(left_job)
-            else:
-                outcome = await self._ask(node_id, left_job)
+            try:
+                if node_id == self._fleet.own.node_id:
+                    outcome = await self._scheduler.run(left_job)
+                else:
+                    outcome = await self._ask(node_id, left_job)
+            except asyncio.CancelledError:
+                # The coordinator may have ended the stages: its reply is lost then.
+                self.release(job.request_id)
+                raise
             if outcome is not None and outcome.state != "moved":
                 return outcome
             if outcome is not None:
--- /dev/null
+++ b/tests/router/test_stage_link.py
@@ -0,0 +1,62 @@
+"""What a node tells the coordinator of its requests' stages."""
+
+from __future__ import annotations
+
+import asyncio
+from types import SimpleNamespace
+
+import pytest
+from returns.result import Success
+from tests.router.chains import make_job
+from tests.router.rig import wait_until
+
+from persimmonlink_router.peer_messages import Done, PrepareStages, ReleaseResults
+from persimmonlink_router.stage_link import StageLink
+
+
+class SilentChannel:
+    """Never replies to requests for stages."""
+
+    def __init__(self) -> None:
+        self.messages: list[object] = []
+
+    async def call(self, message, reply_type, timeout_s):
+        self.messages.append(message)
+        if isinstance(message, PrepareStages):
+            await asyncio.sleep(timeout_s)
+        return Success(Done())
+
+
+class TwoNodes:
+    """A fleet of this node and a coordinator."""
+
+    def __init__(self) -> None:
+        self.own = SimpleNamespace(node_id="own")
+        self.sender = None
+        peer = SimpleNamespace(peer_address="10.0.0.2:1")
+        self.members = SimpleNamespace(find=lambda node_id: peer)
+        self.coordinator_channel = SilentChannel()
+
+    def choose_coordinator(self, excluded) -> str:
+        return "peer"
+
+    def is_answering(self, node_id) -> bool:
+        return True
+
+    def channel(self, address) -> SilentChannel:
+        return self.coordinator_channel
+
+
+def test_a_client_that_leaves_has_its_results_freed_although_the_reply_is_lost():
+    async def scenario():
+        fleet = TwoNodes()
+        task = asyncio.ensure_future(StageLink(fleet, None).run(make_job("r1")))
+        messages = fleet.coordinator_channel.messages
+        await wait_until(lambda: messages)
+        task.cancel()
+        with pytest.raises(asyncio.CancelledError):
+            await task
+        await wait_until(lambda: isinstance(messages[-1], ReleaseResults))
+        assert messages[-1].request_ids == ("r1",)
+
+    asyncio.run(scenario())
