One exchange over kept connections; typed outcomes of stages; no dead code

The store's client and the calls to stage servers did the same exchange, and the outcome of stages stood twice, its states as strings. Token counts that nothing read, a property for tests only and an unused figure of engines go. The test of a node that the store turns away replaces the exchange where it now is. No decision changes.

--- a/packages/persimmonlink-router/src/persimmonlink_router/configuration.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/configuration.py
@@ -135,12 +135,9 @@
     ----------
     slots : int
         Requests that it runs at the same time.
-    memory_tokens : int
-        Tokens that its memory holds.
     """
 
     slots: int
-    memory_tokens: int
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/persimmonlink-router/src/persimmonlink_router/connection_pool.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/connection_pool.py
@@ -10,6 +10,9 @@
 if TYPE_CHECKING:
     from collections.abc import Collection, Hashable
 
+    from persimmonlink_router.calls import ServerCall
+    from persimmonlink_router.http_messages import HttpHead
+
 CONNECT_TIMEOUT_S = 0.35  # Servers are milliseconds away; a lost packet costs 1 s.
 DEFAULT_IDLE_LIMIT_S = 4.0  # Idle life where the server states none.
 IDLE_MARGIN_S = 1.0  # Servers round the stated time to whole seconds.
@@ -40,6 +43,30 @@
             return
         self._idle_by_key.setdefault(key, []).append(connection)
 
+    async def exchange(
+        self,
+        key: Hashable,
+        address: str,
+        call: ServerCall,
+        max_body_bytes: int,
+        max_idle_s: float = DEFAULT_IDLE_LIMIT_S,
+    ) -> tuple[HttpHead, bytes]:
+        """Send a request and read its whole answer.
+
+        Raises `ConnectError` or `ConnectionLostError`; the connection is kept only if
+        the exchange has ended.
+        """
+        connection = await self.acquire(key, address, max_idle_s)
+        try:
+            connection.send(call.method, call.target, call.headers, call.body)
+            head = await connection.read_head()
+            body = await connection.read_body(max_body_bytes)
+        except BaseException:
+            connection.close()
+            raise
+        self.release(key, connection)
+        return head, body
+
     def has_idle(self, key: Hashable) -> bool:
         """Whether a connection to a server is kept."""
         return any(c.is_reusable for c in self._idle_by_key.get(key, ()))
--- a/packages/persimmonlink-router/src/persimmonlink_router/event_stream.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/event_stream.py
@@ -21,11 +21,6 @@
         self._note_last_id(whole)
         return whole
 
-    @property
-    def has_rest(self) -> bool:
-        """Whether the stream stands in the middle of an event."""
-        return bool(self._rest)
-
     def take_rest(self) -> bytes:
         """Return what is left of the stream after its last whole event."""
         rest, self._rest = self._rest, b""
--- a/packages/persimmonlink-router/src/persimmonlink_router/peer_messages.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/peer_messages.py
@@ -6,7 +6,7 @@
 
 from persimmonlink_model.membership import Member
 from persimmonlink_peers.message import Sender
-from persimmonlink_router.stage_chain import MadeResult, StageJob
+from persimmonlink_router.stage_chain import StageJob
 
 
 @dataclass(frozen=True)
@@ -104,18 +104,6 @@
     job: StageJob
 
 
-@dataclass(frozen=True)
-class StagesPrepared:
-    """What became of the stages; the fields are those of `StageOutcome`."""
-
-    state: str
-    handles: tuple[str, ...] = ()
-    bytes_by_domain: dict[str, float] = field(default_factory=dict)
-    retry_after_s: float = 0.0
-    predicted_s: float = 0.0
-    made: tuple[MadeResult, ...] = ()
-
-
 @dataclass(frozen=True)
 class ReleaseResults:
     """Tells the coordinator that the results of requests are of no more use."""
@@ -139,5 +127,4 @@
     "ReleaseResults",
     "RouterHeartbeat",
     "RouterMember",
-    "StagesPrepared",
 )
--- a/packages/persimmonlink-router/src/persimmonlink_router/router.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/router.py
@@ -27,13 +27,13 @@
     ReleaseResults,
     RouterHeartbeat,
     RouterMember,
-    StagesPrepared,
 )
 from persimmonlink_router.request_service import RequestService
 from persimmonlink_router.send_limits import ColdLimit, RetryBudget
 from persimmonlink_router.server_health import ServerHealth
 from persimmonlink_router.server_sender import ServerSender
 from persimmonlink_router.stage_link import StageLink
+from persimmonlink_router.stage_outcome import StageOutcome
 from persimmonlink_router.stage_scheduler import PUMP_INTERVAL_S, StageScheduler
 from persimmonlink_router.store import MetadataStore
 from persimmonlink_router.store_follower import MemberRegistration, StoreFollower
@@ -238,7 +238,7 @@
         stages = self._stages
         peers.register(RouterHeartbeat, RouterHeartbeat, fleet.handle_heartbeat)
         peers.register(MirrorPull, MirrorNews, fleet.handle_pull)
-        peers.register(PrepareStages, StagesPrepared, stages.handle_prepare)
+        peers.register(PrepareStages, StageOutcome, stages.handle_prepare)
         peers.register(ReleaseResults, Done, stages.handle_release)
         host, _, port = self._settings.listen.peers.rpartition(":")
         await peers.start(host, int(port))
--- a/packages/persimmonlink-router/src/persimmonlink_router/server_health.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/server_health.py
@@ -24,7 +24,6 @@
     seen_at: float = 0.0
     in_flight: int = 0
     unread_tokens: int = 0
-    held_tokens: int = 0
     unanswered: deque[float] = field(default_factory=deque)
 
 
@@ -42,7 +41,6 @@
         self,
         key: Hashable,
         prompt_tokens: int = 0,
-        held_tokens: int = 0,
         sent_at: float | None = None,
     ) -> None:
         """Count a request that is sent to a server."""
@@ -51,7 +49,6 @@
             record.unanswered.append(sent_at)
         record.in_flight += 1
         record.unread_tokens += prompt_tokens
-        record.held_tokens += held_tokens
 
     def note_answered(self, key: Hashable, sent_at: float) -> None:
         """Count a request as answered, or as no longer waited for."""
@@ -64,11 +61,10 @@
         record = self._find(key)
         record.unread_tokens = max(0, record.unread_tokens - prompt_tokens)
 
-    def end(self, key: Hashable, held_tokens: int = 0) -> None:
+    def end(self, key: Hashable) -> None:
         """Count a request as ended, whatever became of it."""
         record = self._find(key)
         record.in_flight = max(0, record.in_flight - 1)
-        record.held_tokens = max(0, record.held_tokens - held_tokens)
 
     def note_success(self, key: Hashable, slowness: float, now: float) -> None:
         """Count an answer that took `slowness` times the expected time."""
@@ -105,10 +101,6 @@
         """Return the prompt tokens at a server that it has still to read."""
         return self._find(key).unread_tokens
 
-    def held_tokens(self, key: Hashable) -> int:
-        """Return the memory that this node's requests take at a server, in tokens."""
-        return self._find(key).held_tokens
-
     def forget_other(self, keys: Collection[Hashable]) -> None:
         """Forget servers that are gone and have nothing in flight."""
         for key, record in list(self._record_by_key.items()):
--- a/packages/persimmonlink-router/src/persimmonlink_router/server_sender.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/server_sender.py
@@ -181,7 +181,7 @@
     def end(self, state: RequestState, answer: OpenAnswer, *, is_whole: bool) -> None:
         """End an answer: keep its connection if it was read whole."""
         key = answer.server.key
-        self._health.end(key, _held_tokens(state))
+        self._health.end(key)
         if is_whole:
             self._pool.release(key, answer.connection)
         else:
@@ -264,9 +264,7 @@
             self._budget.note_request(state.service, now)
         state.sends += 1
         state.servers.append(server.server_id)
-        self._health.start(
-            server.key, state.call.prompt_tokens, _held_tokens(state), now
-        )
+        self._health.start(server.key, state.call.prompt_tokens, now)
         self.cache.note(server.key, state.call.prompt_parts)
         is_open = False
         try:
@@ -278,7 +276,7 @@
                 if not connection.is_reusable:
                     connection.close()
                 self._health.read_prompt(server.key, state.call.prompt_tokens)
-                self._health.end(server.key, _held_tokens(state))
+                self._health.end(server.key)
         state.runs += 1
         state.may_have_run = True
         return OpenAnswer(server, connection, head, info, now)
@@ -405,8 +403,4 @@
         return self._health.unread_tokens(key) + self._load_by_key[key].unread_tokens
 
 
-def _held_tokens(state: RequestState) -> int:
-    return state.call.prompt_tokens + state.call.output_tokens
-
-
 __all__ = ("NO_INPUTS", "OpenAnswer", "ServerSender", "StageInputs")
--- a/packages/persimmonlink-router/src/persimmonlink_router/stage_calls.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stage_calls.py
@@ -14,9 +14,8 @@
     from typing import Any
 
     from persimmonlink_router.beliefs import Beliefs
-    from persimmonlink_router.calls import Piece, PieceResult, ServerCall, Wire
+    from persimmonlink_router.calls import Piece, PieceResult, Wire
     from persimmonlink_router.connection_pool import ConnectionPool
-    from persimmonlink_router.http_messages import HttpHead
     from persimmonlink_router.servers import Server
     from persimmonlink_router.stage_chain import StageResult
     from persimmonlink_router.stage_servers import StageServers
@@ -69,7 +68,9 @@
             return None
         call = self._wire.make_batch(server, pieces)
         async with asyncio.timeout(limit_s):
-            head, body = await self._exchange(server, call)
+            head, body = await self._pool.exchange(
+                server.key, server.address, call, MAX_BODY_BYTES
+            )
         info = self._wire.read_answer(head)
         if info.was_not_run or info.is_other_server:
             return None
@@ -92,7 +93,9 @@
         call = self._wire.make_release(server, [r.handle for r in results])
         try:
             async with asyncio.timeout(RELEASE_TIMEOUT_S):
-                await self._exchange(server, call)
+                await self._pool.exchange(
+                    server.key, server.address, call, MAX_BODY_BYTES
+                )
         except (ConnectError, ConnectionLostError, TimeoutError) as error:
             # The results end by themselves after a while.
             logger.bind(server=server.server_id, error=repr(error)).info(
@@ -100,20 +103,6 @@
             )
         self._servers.state(server).give_back(sum(r.size for r in results))
 
-    async def _exchange(
-        self, server: Server, call: ServerCall
-    ) -> tuple[HttpHead, bytes]:
-        connection = await self._pool.acquire(server.key, server.address)
-        try:
-            connection.send(call.method, call.target, call.headers, call.body)
-            head = await connection.read_head()
-            body = await connection.read_body(MAX_BODY_BYTES)
-        except BaseException:
-            connection.close()
-            raise
-        self._pool.release(server.key, connection)
-        return head, body
-
     def _end(self, task: asyncio.Task[None]) -> None:
         self._tasks.discard(task)
         if task.cancelled():
--- a/packages/persimmonlink-router/src/persimmonlink_router/stage_link.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stage_link.py
@@ -14,9 +14,8 @@
     Done,
     PrepareStages,
     ReleaseResults,
-    StagesPrepared,
 )
-from persimmonlink_router.stage_scheduler import StageOutcome
+from persimmonlink_router.stage_outcome import StageOutcome, StageState
 
 if TYPE_CHECKING:
     from persimmonlink_router.fleet import Fleet
@@ -59,7 +58,7 @@
             spent_s = boot_time() - started
             left_job = _shorten(job, spent_s)
             if left_job.deadline_left_s <= 0:
-                return StageOutcome("failed")
+                return StageOutcome(StageState.FAILED)
             node_id = self._choose()
             self._coordinator_by_request[job.request_id] = node_id
             outcome: StageOutcome | None
@@ -72,7 +71,7 @@
                 # The coordinator may have ended the stages: its reply is lost then.
                 self.release(job.request_id)
                 raise
-            if outcome is not None and outcome.state != "moved":
+            if outcome is not None and outcome.state is not StageState.MOVED:
                 return outcome
             if outcome is not None:
                 job = replace(job, made=outcome.made)
@@ -80,7 +79,7 @@
             logger.bind(request=job.request_id, member=node_id).warning(
                 "stages.coordinator_failed"
             )
-        return StageOutcome("failed")
+        return StageOutcome(StageState.FAILED)
 
     def release(self, request_id: str) -> None:
         """Tell the coordinator that a request no longer needs its results."""
@@ -97,17 +96,9 @@
             task.add_done_callback(self._tasks.discard)
         self._releases_by_id[node_id].append(request_id)
 
-    async def handle_prepare(self, message: PrepareStages) -> StagesPrepared:
+    async def handle_prepare(self, message: PrepareStages) -> StageOutcome:
         """Run the stages of a peer's request."""
-        outcome = await self._scheduler.run(message.job)
-        return StagesPrepared(
-            outcome.state,
-            outcome.handles,
-            outcome.bytes_by_domain,
-            outcome.retry_after_s,
-            outcome.predicted_s,
-            outcome.made,
-        )
+        return await self._scheduler.run(message.job)
 
     async def handle_release(self, message: ReleaseResults) -> Done:
         """Free the results of a peer's requests."""
@@ -128,7 +119,7 @@
         message = PrepareStages(self._fleet.sender, job)
         channel = self._fleet.channel(member.peer_address)
         call = asyncio.ensure_future(
-            channel.call(message, StagesPrepared, job.deadline_left_s)
+            channel.call(message, StageOutcome, job.deadline_left_s)
         )
         try:
             while not call.done():
@@ -140,17 +131,8 @@
         reply = call.result()
         if isinstance(reply, Err):
             return None
-        prepared = reply.unwrap()
-        if prepared.state == "unknown_service":
-            return None
-        return StageOutcome(
-            prepared.state,
-            prepared.handles,
-            prepared.bytes_by_domain,
-            prepared.retry_after_s,
-            prepared.predicted_s,
-            prepared.made,
-        )
+        outcome: StageOutcome = reply.unwrap()
+        return None if outcome.state is StageState.UNKNOWN_SERVICE else outcome
 
     async def _send_releases(self, node_id: str) -> None:
         await asyncio.sleep(RELEASE_DELAY_S)
--- a/packages/persimmonlink-router/src/persimmonlink_router/stage_scheduler.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stage_scheduler.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections import Counter
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from loguru import logger
@@ -24,8 +24,9 @@
 )
 from persimmonlink_router.stage_backlog import StageBacklog
 from persimmonlink_router.stage_calls import StageCalls
-from persimmonlink_router.stage_chain import MadeResult, StageChain, StageResult
+from persimmonlink_router.stage_chain import StageChain, StageResult
 from persimmonlink_router.stage_dispatcher import StageDispatcher
+from persimmonlink_router.stage_outcome import StageOutcome, StageState
 from persimmonlink_router.stage_queue import Ticket
 from persimmonlink_router.stage_servers import StageServers
 
@@ -46,35 +47,6 @@
 FORGET_S = 1.0  # Time after its deadline at which a request is forgotten.
 
 
-@dataclass(frozen=True, slots=True)
-class StageOutcome:
-    """What became of a request's stages.
-
-    Parameters
-    ----------
-    state : str
-        `done`, `refused`, `failed`, `unknown_service`, or `moved` if another node is
-        to be asked.
-    handles : tuple of str
-        Handles for the request itself, if done.
-    bytes_by_domain : dict
-        Bytes of these results in each failure domain.
-    retry_after_s : float
-        When to come back, in seconds, if refused.
-    predicted_s : float
-        Predicted time to the first event, in seconds.
-    made : tuple of MadeResult
-        Results for the next coordinator, if moved.
-    """
-
-    state: str
-    handles: tuple[str, ...] = ()
-    bytes_by_domain: dict[str, float] = field(default_factory=dict)
-    retry_after_s: float = 0.0
-    predicted_s: float = 0.0
-    made: tuple[MadeResult, ...] = ()
-
-
 @dataclass(slots=True, eq=False)
 class _Run:
     """A chain, and who waits for it."""
@@ -132,13 +104,13 @@
         self._note_activity(now)
         former = self._run_by_request.get(job.request_id)
         if former is not None:
-            self._finish(former, StageOutcome("failed"))
+            self._finish(former, StageOutcome(StageState.FAILED))
             self.release(job.request_id)
         load_by_service = self._list_loads({n.service for n in job.stages if n.pieces})
         if any(n.pieces and n.service not in load_by_service for n in job.stages):
-            return StageOutcome("unknown_service")
+            return StageOutcome(StageState.UNKNOWN_SERVICE)
         if self.dispatcher.is_stopped:
-            return StageOutcome("moved", made=job.made)
+            return StageOutcome(StageState.MOVED, made=job.made)
         is_over = self._shares.is_over(job.account, now)
         admission = decide(job, load_by_service, is_over_share=is_over)
         if job.made:
@@ -147,7 +119,7 @@
         self._log_admission(job, admission, is_over=is_over)
         if admission.lane is Lane.REFUSED:
             return StageOutcome(
-                "refused",
+                StageState.REFUSED,
                 retry_after_s=admission.retry_after_s,
                 predicted_s=admission.predicted_s,
             )
@@ -197,7 +169,7 @@
         if run.done.done() or run.chain.in_flight > 0:
             return
         run.has_moved = True
-        self._finish(run, StageOutcome("moved", made=run.chain.list_made()))
+        self._finish(run, StageOutcome(StageState.MOVED, made=run.chain.list_made()))
 
     def tick(self) -> None:
         """Give waiting pieces another chance, and up what can't end in time."""
@@ -228,11 +200,11 @@
                 outcome = await asyncio.shield(run.done)
         except TimeoutError:
             self.release(job.request_id)
-            return StageOutcome("failed")
+            return StageOutcome(StageState.FAILED)
         except asyncio.CancelledError:
             self.release(job.request_id)
             raise
-        if outcome.state != "done":
+        if outcome.state is not StageState.DONE:
             self.release(job.request_id)
         return outcome
 
@@ -275,7 +247,9 @@
             waited_s=round(waited_s, 3),
             started=chain.has_started,
         ).info("stages.given_up")
-        self._finish(run, StageOutcome("refused", retry_after_s=GIVEN_UP_RETRY_S))
+        self._finish(
+            run, StageOutcome(StageState.REFUSED, retry_after_s=GIVEN_UP_RETRY_S)
+        )
 
     def _list_loads(self, services: set[str]) -> dict[str, ServiceLoad]:
         now = boot_time()
@@ -376,13 +350,13 @@
             return
         now = boot_time()
         if failure is PieceFailure.TOO_LATE or now > chain.deadline_at:
-            self._finish(run, StageOutcome("failed"))
+            self._finish(run, StageOutcome(StageState.FAILED))
             return
         service = chain.job.stages[ticket.stage].service
         run.tries += 1
         is_allowed = run.tries <= MAX_TRIES * len(chain.job.stages)
         if not is_allowed or not self._budget.take(service, 1, now):
-            self._finish(run, StageOutcome("failed"))
+            self._finish(run, StageOutcome(StageState.FAILED))
             return
         if failure is PieceFailure.INPUT_GONE or chain.lacks_inputs(ticket.stage):
             self._calls.release(chain.reset_inputs(ticket.stage))
@@ -409,7 +383,10 @@
         self._finish(
             run,
             StageOutcome(
-                "done", handles, dict(bytes_by_domain), predicted_s=run.predicted_s
+                StageState.DONE,
+                handles,
+                dict(bytes_by_domain),
+                predicted_s=run.predicted_s,
             ),
         )
 
@@ -418,7 +395,7 @@
         if not run.done.done():
             run.done.set_result(outcome)
             run.done_at = boot_time()
-        if outcome.state != "done":
+        if outcome.state is not StageState.DONE:
             run.chain.is_over = True
 
     def _log_admission(
@@ -472,4 +449,4 @@
     return domain, float(bytes_by_domain[domain])
 
 
-__all__ = ("PUMP_INTERVAL_S", "StageOutcome", "StageScheduler")
+__all__ = ("PUMP_INTERVAL_S", "StageScheduler")
--- a/packages/persimmonlink-router/src/persimmonlink_router/stream_relay.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stream_relay.py
@@ -16,6 +16,7 @@
 from persimmonlink_router.request_state import FailedError, RefusedError
 from persimmonlink_router.server_sender import NO_INPUTS, StageInputs
 from persimmonlink_router.stage_chain import StageJob, StageNeed
+from persimmonlink_router.stage_outcome import StageState
 
 if TYPE_CHECKING:
     from persimmonlink_router.request_state import RequestState
@@ -97,9 +98,9 @@
     )
     outcome = await stages.run(job)
     state.prediction_s = outcome.predicted_s
-    if outcome.state == "done":
+    if outcome.state is StageState.DONE:
         return StageInputs(outcome.handles, outcome.bytes_by_domain)
-    if outcome.state == "refused":
+    if outcome.state is StageState.REFUSED:
         return_s = choose_return_s(outcome.retry_after_s, state.time_left_s)
         raise RefusedError("the stages can't be run in time", return_s)
     raise RefusedError(f"the stages came to {outcome.state}", FAILED_RETRY_AFTER_S)
--- a/tests/router/test_event_stream.py
+++ b/tests/router/test_event_stream.py
@@ -26,6 +26,5 @@
 def test_half_an_event_is_held_back():
     splitter = EventSplitter()
     assert splitter.feed(b"id: 1\ndata: x\n\nid: 2\nda") == b"id: 1\ndata: x\n\n"
-    assert splitter.has_rest
     assert splitter.last_id == b"1"
     assert splitter.take_rest() == b"id: 2\nda"
--- a/tests/router/test_stage_scheduler.py
+++ b/tests/router/test_stage_scheduler.py
@@ -8,7 +8,7 @@
 from tests.router.rig import make_rig, wait_until
 from tests.router.test_whole_path import STAGED
 
-from persimmonlink_router.stage_scheduler import StageOutcome
+from persimmonlink_router.stage_outcome import StageOutcome, StageState
 
 
 def test_a_client_that_leaves_during_the_stages_holds_no_memory():
@@ -86,7 +86,7 @@
                 asked.append(job.request_id)
                 if len(asked) == 1:
                     return await run(job)
-                return StageOutcome("refused", retry_after_s=0.1)
+                return StageOutcome(StageState.REFUSED, retry_after_s=0.1)
 
             scheduler.run = refuse_after_first
             answer = await rig.ask("/long/1", deadline_ms=3000, **STAGED)
--- a/tests/router/test_whole_path.py
+++ b/tests/router/test_whole_path.py
@@ -284,7 +284,7 @@
             async def turn_away(*_):
                 raise ConnectError("turned away")
 
-            rig.routers[1]._adapters.store._exchange = turn_away
+            rig.routers[1]._adapters.store._pool.exchange = turn_away
             await wait_until(lambda: not rig.routers[1].beliefs.is_in_contact)
             rig.store.put("op/config", make_configuration(9))
             rig.store.delete("servers/desk-0")
