--- a/packages/persimmonlink-router/src/persimmonlink_router/peer_messages.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/peer_messages.py
@@ -6,7 +6,7 @@
 
 from persimmonlink_model.membership import Member
 from persimmonlink_peers.message import Sender
-from persimmonlink_router.stage_chain import StageJob
+from persimmonlink_router.stage_job import StageJob
 
 
 @dataclass(frozen=True)
--- a/packages/persimmonlink-router/src/persimmonlink_router/stage_admission.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stage_admission.py
@@ -19,7 +19,7 @@
 from persimmonlink_router.stage_servers import FILL_SHARE
 
 if TYPE_CHECKING:
-    from persimmonlink_router.stage_chain import StageJob, StageNeed
+    from persimmonlink_router.stage_job import StageJob, StageNeed
 
 RATE_WINDOW_S = 2.0  # Time over which arrivals are averaged.
 SHARE_WINDOW_S = 10.0  # Window over which the shares of accounts are compared.
--- a/packages/persimmonlink-router/src/persimmonlink_router/stage_calls.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stage_calls.py
@@ -17,7 +17,7 @@
     from persimmonlink_router.calls import Piece, PieceResult, Wire
     from persimmonlink_router.connection_pool import ConnectionPool
     from persimmonlink_router.servers import Server
-    from persimmonlink_router.stage_chain import StageResult
+    from persimmonlink_router.stage_job import StageResult
     from persimmonlink_router.stage_servers import StageServers
 
 RELEASE_DELAY_S = 0.01  # Results that become free together are freed in one call.
--- a/packages/persimmonlink-router/src/persimmonlink_router/stage_dispatcher.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stage_dispatcher.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from collections import Counter
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
@@ -14,6 +13,7 @@
 from persimmonlink_router.calls import Piece, PieceFailure, PieceResult, WireFormatError
 from persimmonlink_router.http_client import ConnectError, ConnectionLostError
 from persimmonlink_router.servers import Server
+from persimmonlink_router.stage_log import log_batch
 from persimmonlink_router.stage_queue import StageQueue, Ticket, estimate_call_s
 
 if TYPE_CHECKING:
@@ -183,7 +183,7 @@
             self._give_back_later(service, server, size)
         finally:
             self._servers.note_ended(server, boot_time())
-        _log_batch(server, batch, results, boot_time() - started, expected_s)
+        log_batch(server, batch, results, boot_time() - started, expected_s)
         self._on_outcome(BatchOutcome(server, batch, results))
         self.pump(service.name)
 
@@ -228,24 +228,4 @@
     )
 
 
-def _log_batch(
-    server: Server,
-    batch: Sequence[Ticket],
-    results: Sequence[PieceResult] | None,
-    took_s: float,
-    expected_s: float,
-) -> None:
-    failures = Counter(r.failure for r in results or () if r.failure is not None)
-    logger.bind(
-        server=server.server_id,
-        service=server.service,
-        pieces=len(batch),
-        requests=sorted({t.chain.job.request_id for t in batch}),
-        took_s=round(took_s, 3),
-        expected_s=round(expected_s, 3),
-        outcome="no_results" if results is None else "done",
-        failures=dict(failures),
-    ).info("stages.batch")
-
-
 __all__ = ("BatchOutcome", "StageDispatcher")
--- a/packages/persimmonlink-router/src/persimmonlink_router/stage_link.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stage_link.py
@@ -19,7 +19,7 @@
 
 if TYPE_CHECKING:
     from persimmonlink_router.fleet import Fleet
-    from persimmonlink_router.stage_chain import StageJob
+    from persimmonlink_router.stage_job import StageJob
     from persimmonlink_router.stage_scheduler import StageScheduler
 
 CHECK_INTERVAL_S = 0.1  # How often it is looked whether the coordinator lives.
--- /dev/null
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stage_log.py
@@ -0,0 +1,79 @@
+"""Log lines of the coordinator: one for each decision on a request's stages."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import TYPE_CHECKING
+
+from loguru import logger
+
+from persimmonlink_router.boot_clock import boot_time
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping, Sequence
+
+    from persimmonlink_router.calls import PieceResult
+    from persimmonlink_router.servers import Server
+    from persimmonlink_router.stage_admission import Admission
+    from persimmonlink_router.stage_chain import StageChain
+    from persimmonlink_router.stage_job import StageJob
+    from persimmonlink_router.stage_queue import Ticket
+
+
+def log_admission(
+    job: StageJob, admission: Admission, waiting: Mapping[str, int], *, is_over: bool
+) -> None:
+    """Log how a request was taken, and what waited then."""
+    logger.bind(
+        request=job.request_id,
+        lane=admission.lane.value,
+        predicted_s=round(admission.predicted_s, 3),
+        objective_left_s=round(job.objective_left_s, 3),
+        waiting=waiting,
+        account=job.account,
+        over_share=is_over,
+    ).info("stages.admission")
+
+
+def log_done(chain: StageChain) -> None:
+    """Log how long each stage of a request waited and ran."""
+    now = boot_time()
+    logger.bind(
+        request=chain.job.request_id,
+        took_s=round(now - chain.arrived_at, 3),
+        objective_left_s=round(chain.objective_at - now, 3),
+        stages=[
+            {
+                "service": need.service,
+                "pieces": need.pieces,
+                "waited_s": round(times.sent_at - times.ready_at, 3),
+                "ran_s": round(times.done_at - times.sent_at, 3),
+            }
+            for need, times in zip(chain.job.stages, chain.times, strict=True)
+            if need.pieces
+        ],
+    ).info("stages.done")
+
+
+def log_batch(
+    server: Server,
+    batch: Sequence[Ticket],
+    results: Sequence[PieceResult] | None,
+    took_s: float,
+    expected_s: float,
+) -> None:
+    """Log a call to a stage server, the time it took, and its failures."""
+    failures = Counter(r.failure for r in results or () if r.failure is not None)
+    logger.bind(
+        server=server.server_id,
+        service=server.service,
+        pieces=len(batch),
+        requests=sorted({t.chain.job.request_id for t in batch}),
+        took_s=round(took_s, 3),
+        expected_s=round(expected_s, 3),
+        outcome="no_results" if results is None else "done",
+        failures=dict(failures),
+    ).info("stages.batch")
+
+
+__all__ = ("log_admission", "log_batch", "log_done")
--- a/packages/persimmonlink-router/src/persimmonlink_router/stage_outcome.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stage_outcome.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
-from persimmonlink_router.stage_chain import MadeResult
+from persimmonlink_router.stage_job import MadeResult
 
 
 class StageState(StrEnum):
--- a/packages/persimmonlink-router/src/persimmonlink_router/stage_scheduler.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stage_scheduler.py
@@ -24,11 +24,13 @@
 )
 from persimmonlink_router.stage_backlog import StageBacklog
 from persimmonlink_router.stage_calls import StageCalls
-from persimmonlink_router.stage_chain import StageChain, StageResult
+from persimmonlink_router.stage_chain import StageChain
 from persimmonlink_router.stage_dispatcher import StageDispatcher
+from persimmonlink_router.stage_job import StageResult
+from persimmonlink_router.stage_log import log_admission, log_done
 from persimmonlink_router.stage_outcome import StageOutcome, StageState
-from persimmonlink_router.stage_queue import Ticket
 from persimmonlink_router.stage_servers import StageServers
+from persimmonlink_router.stage_tickets import make_tickets
 
 if TYPE_CHECKING:
     from persimmonlink_router.beliefs import Beliefs
@@ -36,8 +38,9 @@
     from persimmonlink_router.connection_pool import ConnectionPool
     from persimmonlink_router.send_limits import RetryBudget
     from persimmonlink_router.server_health import ServerHealth
-    from persimmonlink_router.stage_chain import StageJob
     from persimmonlink_router.stage_dispatcher import BatchOutcome
+    from persimmonlink_router.stage_job import StageJob
+    from persimmonlink_router.stage_queue import Ticket
 
 GIVEN_UP_RETRY_S = 1.0  # When to come back after the stages could not end in time.
 TAKEOVER_S = 3.0  # Time without requests after which a node has not coordinated.
@@ -116,7 +119,7 @@
         if job.made:
             # It was taken before, by a coordinator that has left.
             admission = Admission(Lane.ON_TIME, admission.predicted_s)
-        self._log_admission(job, admission, is_over=is_over)
+        log_admission(job, admission, self.dispatcher.count_waiting(), is_over=is_over)
         if admission.lane is Lane.REFUSED:
             return StageOutcome(
                 StageState.REFUSED,
@@ -274,40 +277,11 @@
         chain = run.chain
         now = boot_time()
         for index in chain.take_ready_stages():
-            need = chain.job.stages[index]
-            domain, crossing = _choose_domain(chain, index)
-            inputs = chain.find_inputs(index)
             chain.times[index].ready_at = now
-            tickets = [
-                Ticket(
-                    chain,
-                    index,
-                    number,
-                    chain.epoch(index),
-                    now,
-                    domain,
-                    crossing,
-                    self._find_inputs_end(chain, index),
-                    float(sum(result.size for result in inputs)),
-                )
-                for number in range(need.pieces)
-                if not chain.has_result(index, number)
-            ]
-            self.dispatcher.put(tickets)
+            self.dispatcher.put(make_tickets(chain, index, self._beliefs, now))
         for service in {need.service for need in chain.job.stages}:
             self.dispatcher.pump(service)
 
-    def _find_inputs_end(self, chain: StageChain, index: int) -> float:
-        """Return when the first of a stage's inputs is no longer kept."""
-        end_at = float("inf")
-        for other in chain.job.stages[index].after:
-            service = self._beliefs.find_service(chain.job.stages[other].service)
-            if service is None or service.batch is None:
-                continue
-            made_at = chain.times[other].first_done_at or boot_time()
-            end_at = min(end_at, made_at + service.batch.result_life_s)
-        return end_at
-
     def _take_outcome(self, outcome: BatchOutcome) -> None:
         """Take in the results of a batch."""
         changed: dict[str, _Run] = {}
@@ -374,7 +348,7 @@
             self._queue_ready(run)
             self._calls.release(chain.take_consumed())
             return
-        _log_done(chain)
+        log_done(chain)
         bytes_by_domain: Counter[str] = Counter()
         for result in chain.list_final():
             bytes_by_domain[result.server.domain] += result.size
@@ -398,55 +372,5 @@
         if outcome.state is not StageState.DONE:
             run.chain.is_over = True
 
-    def _log_admission(
-        self, job: StageJob, admission: Admission, *, is_over: bool
-    ) -> None:
-        logger.bind(
-            request=job.request_id,
-            lane=admission.lane.value,
-            predicted_s=round(admission.predicted_s, 3),
-            objective_left_s=round(job.objective_left_s, 3),
-            waiting=self.dispatcher.count_waiting(),
-            account=job.account,
-            over_share=is_over,
-        ).info("stages.admission")
-
-
-def _log_done(chain: StageChain) -> None:
-    now = boot_time()
-    logger.bind(
-        request=chain.job.request_id,
-        took_s=round(now - chain.arrived_at, 3),
-        objective_left_s=round(chain.objective_at - now, 3),
-        stages=[
-            {
-                "service": need.service,
-                "pieces": need.pieces,
-                "waited_s": round(times.sent_at - times.ready_at, 3),
-                "ran_s": round(times.done_at - times.sent_at, 3),
-            }
-            for need, times in zip(chain.job.stages, chain.times, strict=True)
-            if need.pieces
-        ],
-    ).info("stages.done")
-
-
-def _choose_domain(chain: StageChain, index: int) -> tuple[str, float]:
-    """Return where a stage is run best, and the bytes that cross otherwise.
-
-    Each piece reads all inputs of its stage, and the request itself the results of
-    the last stages.
-    """
-    need = chain.job.stages[index]
-    bytes_by_domain: Counter[str] = Counter()
-    for result in chain.find_inputs(index):
-        bytes_by_domain[result.server.domain] += result.size * need.pieces
-    if chain.is_last(index) and chain.job.answer_domain:
-        bytes_by_domain[chain.job.answer_domain] += need.result_bytes * need.pieces
-    if not bytes_by_domain:
-        return "", 0.0
-    domain = max(bytes_by_domain, key=lambda d: (bytes_by_domain[d], d))
-    return domain, float(bytes_by_domain[domain])
-
 
 __all__ = ("PUMP_INTERVAL_S", "StageScheduler")
--- a/packages/persimmonlink-router/src/persimmonlink_router/stream_relay.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stream_relay.py
@@ -15,7 +15,7 @@
 from persimmonlink_router.plain_relay import check_success
 from persimmonlink_router.request_state import FailedError, RefusedError
 from persimmonlink_router.server_sender import NO_INPUTS, StageInputs
-from persimmonlink_router.stage_chain import StageJob, StageNeed
+from persimmonlink_router.stage_job import StageJob, StageNeed
 from persimmonlink_router.stage_outcome import StageState
 
 if TYPE_CHECKING:
--- a/tests/router/chains.py
+++ b/tests/router/chains.py
@@ -4,12 +4,8 @@
 
 from persimmonlink_router.configuration import BatchSpec
 from persimmonlink_router.servers import Server
-from persimmonlink_router.stage_chain import (
-    StageChain,
-    StageJob,
-    StageNeed,
-    StageResult,
-)
+from persimmonlink_router.stage_chain import StageChain
+from persimmonlink_router.stage_job import StageJob, StageNeed, StageResult
 
 SPEC = BatchSpec(1, 5, 0.24, 0.04, 6e6)
 
