--- a/packages/persimmonlink-router/src/persimmonlink_router/placement.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/placement.py
@@ -26,6 +26,7 @@
 CONNECT_COST_S = 0.002  # Worth of a kept connection, for a plain request.
 FAILURE_COST_S = 1.0  # Worth of avoiding a server that fails all requests.
 PREFILL_TOKENS_PER_S = 60000.0  # Rate at which engines read prompts, by the sheets.
+ENGINE_BASE_S = 0.06  # Time of an engine to its first event beside the prompt.
 QUEUE_COST_S = 0.004  # Delay that a running request adds to the next, on an engine.
 # Delay that is worth avoiding the second reading of a shared token, which takes memory
 # and time of an engine that others wait for.
@@ -192,6 +193,8 @@
 
 
 __all__ = (
+    "ENGINE_BASE_S",
+    "PREFILL_TOKENS_PER_S",
     "EngineChoice",
     "EngineLoadView",
     "PlainChoice",
--- a/packages/persimmonlink-router/src/persimmonlink_router/router.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/router.py
@@ -30,6 +30,7 @@
 )
 from persimmonlink_router.request_service import RequestService
 from persimmonlink_router.send_limits import ColdLimit, RetryBudget
+from persimmonlink_router.server_chooser import ServerChooser
 from persimmonlink_router.server_health import ServerHealth
 from persimmonlink_router.server_sender import ServerSender
 from persimmonlink_router.stage_link import StageLink
@@ -137,14 +138,21 @@
             self.beliefs, self._pool, adapters.wire, self._health, self._piece_budget
         )
         self._stages = StageLink(self.fleet, self._scheduler)
-        self._sender = ServerSender(
+        self._chooser = ServerChooser(
             settings.domain,
             self.beliefs,
             self.fleet,
             self._pool,
-            adapters.wire,
             self._health,
             self._cold,
+        )
+        self._sender = ServerSender(
+            self._chooser,
+            self.beliefs,
+            self.fleet,
+            self._pool,
+            adapters.wire,
+            self._health,
             self._budget,
         )
         self._requests = RequestService(
@@ -267,8 +275,7 @@
         keys = {s.key for s in self.beliefs.servers.server_by_id.values()}
         self._pool.drop_idle(keys)
         self._health.forget_other(keys)
-        self._cold.forget_other(keys)
-        self._sender.cache.forget_other(keys)
+        self._chooser.forget_other(keys)
         self._scheduler.servers.forget_other(keys)
 
     def _on_item(self, item: StoredItem) -> None:
--- a/packages/persimmonlink-router/src/persimmonlink_router/server_sender.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/server_sender.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -17,26 +16,22 @@
     ConnectionLostError,
 )
 from persimmonlink_router.http_messages import HttpHead
-from persimmonlink_router.placement import (
-    EngineChoice,
-    PlainChoice,
-    PromptCache,
-    choose_engine,
-    choose_plain,
-)
 from persimmonlink_router.request_state import FailedError, RefusedError
+from persimmonlink_router.server_chooser import (
+    NO_INPUTS,
+    StageInputs,
+    expect_answer_s,
+)
 from persimmonlink_router.servers import Server
 
 if TYPE_CHECKING:
-    from collections.abc import Hashable
-
     from persimmonlink_router.beliefs import Beliefs
     from persimmonlink_router.calls import Wire
     from persimmonlink_router.connection_pool import ConnectionPool
     from persimmonlink_router.fleet import Fleet
-    from persimmonlink_router.peer_messages import EngineLoad
     from persimmonlink_router.request_state import RequestState
-    from persimmonlink_router.send_limits import ColdLimit, RetryBudget
+    from persimmonlink_router.send_limits import RetryBudget
+    from persimmonlink_router.server_chooser import ServerChooser
     from persimmonlink_router.server_health import ServerHealth
 
 SERVER_WAIT_S = 0.15  # Longest wait for a server that may take the request.
@@ -48,17 +43,6 @@
 UNSAFE_IDLE_S = 2.0  # Idle life of connections for requests that run at most once.
 
 
-@dataclass(frozen=True, slots=True)
-class StageInputs:
-    """Results of a request's stages, for the server that runs it."""
-
-    handles: tuple[str, ...]
-    bytes_by_domain: Mapping[str, float]
-
-
-NO_INPUTS = StageInputs((), {})
-
-
 @dataclass(slots=True)
 class OpenAnswer:
     """An answer whose head has been read and whose body is still to come.
@@ -93,8 +77,8 @@
 
     Parameters
     ----------
-    own_domain : str
-        Failure domain of this node.
+    chooser : ServerChooser
+        Chooses the servers.
     beliefs : Beliefs
         Configuration and servers.
     fleet : Fleet
@@ -105,32 +89,27 @@
         Headers of requests and answers.
     health : ServerHealth
         Speed and failures of the servers.
-    cold : ColdLimit
-        Sends to cold servers.
     budget : RetryBudget
         Second sends.
     """
 
     def __init__(
         self,
-        own_domain: str,
+        chooser: ServerChooser,
         beliefs: Beliefs,
         fleet: Fleet,
         pool: ConnectionPool,
         wire: Wire,
         health: ServerHealth,
-        cold: ColdLimit,
         budget: RetryBudget,
     ) -> None:
-        self._own_domain = own_domain
+        self._chooser = chooser
         self._beliefs = beliefs
         self._fleet = fleet
         self._pool = pool
         self._wire = wire
         self._health = health
-        self._cold = cold
         self._budget = budget
-        self.cache = PromptCache()
 
     async def send(
         self,
@@ -165,7 +144,7 @@
 
     def expect_domain(self, state: RequestState) -> str:
         """Return the failure domain in which a request is likely to run."""
-        server = self._choose(state, NO_INPUTS, set())
+        server = self._chooser.choose(state, NO_INPUTS, set())
         return server.domain if server is not None else ""
 
     def has_retry(self, state: RequestState) -> bool:
@@ -196,7 +175,7 @@
         key = answer.server.key
         took_s = boot_time() - answer.sent_at
         self._health.read_prompt(key, state.call.prompt_tokens)
-        expected_s = self._expected_s(state)
+        expected_s = expect_answer_s(state)
         self._health.note_success(key, min(10.0, took_s / expected_s), boot_time())
 
     async def _wait_for_server(
@@ -204,40 +183,13 @@
     ) -> Server:
         waited_until = boot_time() + min(SERVER_WAIT_S, max(0.0, state.time_left_s))
         while True:
-            server = self._choose(state, inputs, rejected)
+            server = self._chooser.choose(state, inputs, rejected)
             if server is not None:
                 return server
             if boot_time() >= waited_until:
                 raise RefusedError("no server can take the request", RETRY_AFTER_S)
             await asyncio.sleep(POLL_S)
 
-    def _choose(
-        self, state: RequestState, inputs: StageInputs, rejected: set[str]
-    ) -> Server | None:
-        if not self._beliefs.is_fresh():
-            return None
-        now = boot_time()
-        nodes = self._fleet.count_nodes()
-        service = self._beliefs.find_service(state.service)
-        candidates = []
-        for server in self._beliefs.servers.list_usable(state.service):
-            if server.server_id in rejected:
-                continue
-            if self._beliefs.servers.is_cold(server, now) and service is not None:
-                rate = service.cold_rate
-                if not self._cold.may_send(server.key, rate, nodes, now):
-                    continue
-            candidates.append(server)
-        if service is not None and service.engine is not None:
-            choice = EngineChoice(state.call, self._own_domain, inputs.bytes_by_domain)
-            view = _EngineView(self._health, self._fleet, candidates)
-            return choose_engine(candidates, view, self.cache, choice, now)
-        has_connection: dict[Hashable, bool] = {
-            s.key: self._pool.has_idle(s.key) for s in candidates
-        }
-        plain = PlainChoice(self._own_domain, self._expected_s(state), has_connection)
-        return choose_plain(candidates, self._health, plain, now)
-
     async def _send_to(
         self,
         server: Server,
@@ -265,7 +217,7 @@
         state.sends += 1
         state.servers.append(server.server_id)
         self._health.start(server.key, state.call.prompt_tokens, now)
-        self.cache.note(server.key, state.call.prompt_parts)
+        self._chooser.cache.note(server.key, state.call.prompt_parts)
         is_open = False
         try:
             head, info = await self._ask(connection, state, dispatch, answer_limit_s)
@@ -294,7 +246,7 @@
         reason = ""
         if not self._beliefs.may_send(server) or state.time_left_s <= 0:
             reason = "the server may no longer get work"
-        elif not self._take_cold(server, state, boot_time()):
+        elif not self._chooser.take_cold(server, state, boot_time()):
             reason = "the server is cold and has had its share"
         if reason:
             self._pool.release(server.key, connection)
@@ -341,16 +293,6 @@
             return
         self._pool.release(server.key, connection)
 
-    def _take_cold(self, server: Server, state: RequestState, now: float) -> bool:
-        if not self._beliefs.servers.is_cold(server, now):
-            return True
-        service = self._beliefs.find_service(state.service)
-        rate = service.cold_rate if service is not None else 0.0
-        if not self._cold.may_send(server.key, rate, self._fleet.count_nodes(), now):
-            return False
-        self._cold.note_send(server.key, now)
-        return True
-
     async def _read_head(
         self,
         connection: ClientExchange,
@@ -373,34 +315,5 @@
                 await connection.read_body(1 << 20)
                 connection.skip_answer()
 
-    def _expected_s(self, state: RequestState) -> float:
-        if state.call.model:
-            return 0.05 + state.call.prompt_tokens / 60000.0
-        return 0.04
-
-
-class _EngineView:
-    """Health of engines with what the other nodes have there."""
-
-    def __init__(
-        self, health: ServerHealth, fleet: Fleet, servers: list[Server]
-    ) -> None:
-        self._health = health
-        self._load_by_key: dict[Hashable, EngineLoad] = {
-            server.key: fleet.sum_load(server.server_id) for server in servers
-        }
-
-    def slowness(self, key: Hashable, now: float) -> float:
-        return self._health.slowness(key, now)
-
-    def failure_share(self, key: Hashable, now: float) -> float:
-        return self._health.failure_share(key, now)
-
-    def in_flight(self, key: Hashable) -> int:
-        return self._health.in_flight(key) + self._load_by_key[key].in_flight
-
-    def unread_tokens(self, key: Hashable) -> int:
-        return self._health.unread_tokens(key) + self._load_by_key[key].unread_tokens
-
 
-__all__ = ("NO_INPUTS", "OpenAnswer", "ServerSender", "StageInputs")
+__all__ = ("OpenAnswer", "ServerSender")
--- a/packages/persimmonlink-router/src/persimmonlink_router/stage_scheduler.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stage_scheduler.py
@@ -15,9 +15,7 @@
     LATE_PATIENCE,
     AccountShares,
     Admission,
-    ArrivalRates,
     Lane,
-    ServiceLoad,
     compute_cost_s,
     decide,
     list_tails_s,
@@ -25,6 +23,7 @@
 from persimmonlink_router.stage_backlog import StageBacklog
 from persimmonlink_router.stage_calls import StageCalls
 from persimmonlink_router.stage_chain import StageChain
+from persimmonlink_router.stage_demand import StageDemand
 from persimmonlink_router.stage_dispatcher import StageDispatcher
 from persimmonlink_router.stage_job import StageResult
 from persimmonlink_router.stage_log import log_admission, log_done
@@ -97,8 +96,8 @@
         self._run_by_request: dict[str, _Run] = {}
         self._deferred: list[_Run] = []
         self._backlog = StageBacklog()
+        self._demand = StageDemand(beliefs, self.servers, self._backlog)
         self._shares = AccountShares()
-        self._arrivals = ArrivalRates()
         self._active_at = -TAKEOVER_S
 
     async def run(self, job: StageJob) -> StageOutcome:
@@ -109,8 +108,8 @@
         if former is not None:
             self._finish(former, StageOutcome(StageState.FAILED))
             self.release(job.request_id)
-        load_by_service = self._list_loads({n.service for n in job.stages if n.pieces})
-        if any(n.pieces and n.service not in load_by_service for n in job.stages):
+        load_by_service = self._demand.list_loads(job, now)
+        if load_by_service is None:
             return StageOutcome(StageState.UNKNOWN_SERVICE)
         if self.dispatcher.is_stopped:
             return StageOutcome(StageState.MOVED, made=job.made)
@@ -195,7 +194,7 @@
             self._deferred.append(run)
             self._begin_deferred()
         else:
-            self._arrivals.note(job, boot_time())
+            self._demand.note_admitted(job, boot_time())
             self._queue_ready(run)
         try:
             async with asyncio.timeout(job.deadline_left_s):
@@ -227,13 +226,8 @@
         self._deferred.sort(key=lambda r: (r.chain.job.priority, r.chain.arrived_at))
         while self._deferred:
             run = self._deferred[0]
-            pieces: Counter[str] = Counter()
-            for need in run.chain.job.stages:
-                pieces[need.service] += need.pieces
-            load_by_service = self._list_loads(set(pieces))
-            for service, load in load_by_service.items():
-                if not load.has_slack(pieces[service]):
-                    return
+            if not self._demand.has_slack(run.chain.job, boot_time()):
+                return
             del self._deferred[0]
             self._backlog.begin(run.chain)
             self._queue_ready(run)
@@ -254,25 +248,6 @@
             run, StageOutcome(StageState.REFUSED, retry_after_s=GIVEN_UP_RETRY_S)
         )
 
-    def _list_loads(self, services: set[str]) -> dict[str, ServiceLoad]:
-        now = boot_time()
-        load_by_service: dict[str, ServiceLoad] = {}
-        for name in services:
-            service = self._beliefs.find_service(name)
-            if service is None or service.batch is None:
-                continue
-            speed, busy_s = self.servers.measure(name, now)
-            load_by_service[name] = ServiceLoad(
-                service.batch,
-                speed,
-                self._backlog.begun(name),
-                self._backlog.deferred(name),
-                busy_s,
-                self._arrivals.list_rates(name, now),
-                self.servers.fill_share(name),
-            )
-        return load_by_service
-
     def _queue_ready(self, run: _Run) -> None:
         chain = run.chain
         now = boot_time()
--- a/packages/persimmonlink-router/src/persimmonlink_router/stream_relay.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stream_relay.py
@@ -14,7 +14,11 @@
 from persimmonlink_router.http_messages import strip_hop_headers
 from persimmonlink_router.plain_relay import check_success
 from persimmonlink_router.request_state import FailedError, RefusedError
-from persimmonlink_router.server_sender import NO_INPUTS, StageInputs
+from persimmonlink_router.server_chooser import (
+    NO_INPUTS,
+    StageInputs,
+    expect_answer_s,
+)
 from persimmonlink_router.stage_job import StageJob, StageNeed
 from persimmonlink_router.stage_outcome import StageState
 
@@ -23,8 +27,6 @@
     from persimmonlink_router.server_sender import OpenAnswer, ServerSender
     from persimmonlink_router.stage_link import StageLink
 
-ANSWER_BASE_S = 0.06  # Time of an engine to its first event beside the prompt.
-PROMPT_TOKENS_PER_S = 60000.0  # Rate at which engines read prompts, by the sheets.
 MIN_SILENCE_S = 1.2  # Shortest silence after which a resumable stream goes elsewhere.
 SILENCE_FACTOR = 6.0  # Times the expected time that this may take for long prompts.
 MAX_TRIES = 5  # Times that a stream is begun or resumed, refusals counted.
@@ -74,8 +76,7 @@
     """Return how long a server may be silent before a stream goes elsewhere."""
     if not state.route.is_resumable or state.runs + 1 >= state.route.attempts:
         return None
-    expected_s = ANSWER_BASE_S + state.call.prompt_tokens / PROMPT_TOKENS_PER_S
-    return max(MIN_SILENCE_S, SILENCE_FACTOR * expected_s)
+    return max(MIN_SILENCE_S, SILENCE_FACTOR * expect_answer_s(state))
 
 
 async def _prepare(
@@ -91,7 +92,7 @@
         state.stage_priority,
         state.objective_left_s,
         state.event_left_s,
-        ANSWER_BASE_S + call.prompt_tokens / PROMPT_TOKENS_PER_S,
+        expect_answer_s(state),
         sender.expect_domain(state),
         call.piece_key,
         needs,
