Tell returning clients by the usual deadline of a route, not the longest

A single client that names a deadline out of all proportion would have made all others of its route returning ones, served behind everybody. Found on reading; the test failed first. The usual one is the ninth decile of the last 64, and none before 8 are known.

--- a/packages/persimmonlink-router/src/persimmonlink_router/client_returns.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/client_returns.py
@@ -7,9 +7,14 @@
 
 from __future__ import annotations
 
-# Part of a route's longest deadline that a first try has at least left: clients differ
-# by up to 15 %.
+from collections import deque
+
+# Part of a route's usual deadline that a first try has at least left: clients differ by
+# up to 15 %.
 FIRST_TRY_SHARE = 0.84
+KEPT = 64  # Deadlines kept for a route.
+LEAST_KEPT = 8  # Fewer say nothing of what is usual.
+USUAL_QUANTILE = 0.9  # Most requests are first tries, also in a burst.
 # Part of the time that a client has left after which it is asked to return: long enough
 # to be told from a first try, and below the third up to which clients comply.
 RETURN_SHARE = 0.21
@@ -20,24 +25,28 @@
 
 
 class ClientReturns:
-    """The longest deadline that clients of each route have named."""
+    """The deadlines that clients of each route have named lately."""
 
     def __init__(self) -> None:
-        self._longest_by_route: dict[str, float] = {}
+        self._deadlines_by_route: dict[str, deque[float]] = {}
 
     def note(self, route: str, deadline_s: float | None) -> bool:
         """Take in a request; return whether its client has been refused before."""
         if deadline_s is None:
             return False
-        longest_s = max(self._longest_by_route.get(route, 0.0), deadline_s)
-        self._longest_by_route[route] = longest_s
-        return deadline_s < FIRST_TRY_SHARE * longest_s
+        deadlines = self._deadlines_by_route.setdefault(route, deque(maxlen=KEPT))
+        deadlines.append(deadline_s)
+        if len(deadlines) < LEAST_KEPT:
+            return False
+        # Not the longest of all: one client's may be out of all proportion.
+        usual_s = sorted(deadlines)[int(USUAL_QUANTILE * (len(deadlines) - 1))]
+        return deadline_s < FIRST_TRY_SHARE * usual_s
 
     def keep_only(self, routes: frozenset[str]) -> None:
         """Forget routes that are gone."""
-        for route in list(self._longest_by_route):
+        for route in list(self._deadlines_by_route):
             if route not in routes:
-                del self._longest_by_route[route]
+                del self._deadlines_by_route[route]
 
 
 def choose_return_s(room_in_s: float, time_left_s: float) -> float:
@@ -55,6 +64,7 @@
 
 
 __all__ = (
+    "LEAST_KEPT",
     "RETURNED_OBJECTIVE_SHARE",
     "RETURNED_PRIORITY_STEP",
     "ClientReturns",
