Make large results of side stages when the other stages are nearly done

Cause: on routes with a branch of large results beside a chain (0.8 MB pieces beside three stages), the branch ran first and its results filled the servers' memory until the chain had ended, a second later; requests that need only that service waited for room. Ruled out: a slow service (it stood idle with pieces waiting, 3 s of 27 in a burst).

--- a/packages/persimmonlink-router/src/persimmonlink_router/stage_chain.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stage_chain.py
@@ -13,6 +13,9 @@
     from persimmonlink_router.servers import Server
     from persimmonlink_router.stage_job import StageJob
 
+BULKY_BYTES = 1e5  # Results of this size fill a server's memory with a few pieces.
+BULKY_HEAD_START_S = 0.1  # By which such a stage is begun before it must be.
+
 
 @dataclass(slots=True)
 class StageTimes:
@@ -97,10 +100,26 @@
                 continue
             if not all(self.is_stage_done(other) for other in need.after):
                 continue
+            if self._would_only_hold_memory(index):
+                continue
             self._queued.add(index)
             ready.append(index)
         return ready
 
+    def _would_only_hold_memory(self, index: int) -> bool:
+        """Whether a stage's large results would lie there until others are made."""
+        is_bulky = self.job.stages[index].result_bytes >= BULKY_BYTES
+        if not is_bulky or not self.is_last(index):
+            return False
+        others = [
+            self.tail_s(other)
+            for other in range(len(self.job.stages))
+            if other != index
+            and not self.is_stage_done(other)
+            and not self.is_stage_sent(other)
+        ]
+        return max(others, default=0.0) > self.tail_s(index) + BULKY_HEAD_START_S
+
     def is_stage_done(self, index: int) -> bool:
         """Whether all pieces of a stage have results."""
         return all(result is not None for result in self._results[index])
--- a/tests/router/test_stage_chain.py
+++ b/tests/router/test_stage_chain.py
@@ -7,6 +7,7 @@
 from tests.router.chains import make_chain, make_result, make_server
 
 from persimmonlink_router.stage_chain import StageChain
+from persimmonlink_router.stage_job import StageNeed
 
 
 def run_stage(chain, index: int) -> None:
@@ -141,3 +142,20 @@
     assert {r.handle for r in chain.reset_inputs(2)} == {"h1.0"}
     assert chain.take_ready_stages() == [1]
     assert chain.has_inputs(1)
+
+
+def test_large_results_are_made_when_the_other_stages_are_nearly_done():
+    side = StageNeed("stage", (), 800000, 2)
+    first = StageNeed("stage", (), 8000, 1)
+    second = StageNeed("stage", (1,), 60000, 1)
+    job = replace(make_chain().job, stages=(side, first, second))
+    chain = StageChain(job, 0.0, [0.4, 0.9, 0.4])
+    assert chain.take_ready_stages() == [1]
+    chain.note_sent(1, 0.1)
+    run_stage(chain, 1)
+    assert chain.take_ready_stages() == [0, 2]
+
+
+def test_large_results_that_nothing_else_delays_are_made_at_once():
+    job = replace(make_chain().job, stages=(StageNeed("stage", (), 800000, 2),))
+    assert StageChain(job, 0.0, [0.4]).take_ready_stages() == [0]
