Count admissions, pieces without results and returning clients

The metrics address had no counter for what the coordinator decides. Results that a configuration keeps for no time at all no longer divide by zero (found on reading, the test failed first). Test runs side by side begin at different ports: two of mine met, and routers of one were taken for those of the other.

--- a/packages/persimmonlink-router/src/persimmonlink_router/request_service.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/request_service.py
@@ -112,6 +112,8 @@
         except ClientLeftError:
             reason = "left"
         finally:
+            if state.has_returned:
+                self._metrics.count("returned_requests_total", f'status="{status}"')
             self._metrics.record_request(
                 state.route.name, state.account_name, status, boot_time() - arrived_at
             )
--- a/packages/persimmonlink-router/src/persimmonlink_router/router.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/router.py
@@ -135,7 +135,12 @@
             own, settings.seeds, self.beliefs, self._mirror, self._list_loads
         )
         self._scheduler = StageScheduler(
-            self.beliefs, self._pool, adapters.wire, self._health, self._piece_budget
+            self.beliefs,
+            self._pool,
+            adapters.wire,
+            self._health,
+            self._piece_budget,
+            self.metrics,
         )
         self._stages = StageLink(self.fleet, self._scheduler)
         self._chooser = ServerChooser(
--- a/packages/persimmonlink-router/src/persimmonlink_router/stage_scheduler.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stage_scheduler.py
@@ -35,6 +35,7 @@
     from persimmonlink_router.beliefs import Beliefs
     from persimmonlink_router.calls import Wire
     from persimmonlink_router.connection_pool import ConnectionPool
+    from persimmonlink_router.metrics import RouterMetrics
     from persimmonlink_router.send_limits import RetryBudget
     from persimmonlink_router.server_health import ServerHealth
     from persimmonlink_router.stage_dispatcher import BatchOutcome
@@ -76,6 +77,8 @@
         Speed and failures of the servers.
     budget : RetryBudget
         Second sends of pieces.
+    metrics : RouterMetrics
+        Counters.
     """
 
     def __init__(
@@ -85,8 +88,10 @@
         wire: Wire,
         health: ServerHealth,
         budget: RetryBudget,
+        metrics: RouterMetrics,
     ) -> None:
         self._beliefs = beliefs
+        self._metrics = metrics
         self._budget = budget
         self.servers = StageServers(beliefs, health)
         self._calls = StageCalls(beliefs, pool, wire, self.servers)
@@ -119,6 +124,7 @@
             # It was taken before, by a coordinator that has left.
             admission = Admission(Lane.ON_TIME, admission.predicted_s)
         log_admission(job, admission, self.dispatcher.count_waiting(), is_over=is_over)
+        self._metrics.count("stage_admissions_total", f'lane="{admission.lane}"')
         if admission.lane is Lane.REFUSED:
             return StageOutcome(
                 StageState.REFUSED,
@@ -239,6 +245,7 @@
         is_stuck = not chain.has_started and waited_s > limit_s
         if not is_stuck and now + chain.least_left_s() <= chain.deadline_at:
             return
+        self._metrics.count("stage_given_up_total", f'started="{chain.has_started}"')
         logger.bind(
             request=chain.job.request_id,
             waited_s=round(waited_s, 3),
@@ -294,6 +301,9 @@
         self, run: _Run, ticket: Ticket, failure: PieceFailure | None
     ) -> None:
         """Decide what becomes of a piece without a result."""
+        self._metrics.count(
+            "stage_pieces_without_result_total", f'failure="{failure or "call"}"'
+        )
         chain = ticket.chain
         if run.done.done() or not ticket.is_current():
             return
--- a/packages/persimmonlink-router/src/persimmonlink_router/stage_servers.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stage_servers.py
@@ -69,8 +69,10 @@
 
     def _estimate_other_bytes(self, spec: BatchSpec, now: float) -> float:
         """Return the memory that other results take; they end one after the other."""
-        left = 1 - (now - self.other_seen_at) / spec.result_life_s
-        return self.other_bytes * max(0.0, left)
+        age_s = now - self.other_seen_at
+        if age_s >= spec.result_life_s:
+            return 0.0
+        return self.other_bytes * (1 - age_s / spec.result_life_s)
 
 
 class StageServers:
--- a/tests/router/rig.py
+++ b/tests/router/rig.py
@@ -28,7 +28,11 @@
 HOST = "127.0.0.1"
 FIRST_PORT = 12000
 PORTS_A_WORKER = 1000
-_PORT_STEPS = itertools.cycle(range(PORTS_A_WORKER))
+# Two test runs on one machine begin at different ports, so that they rarely meet.
+_FIRST_STEP = os.getpid() * 37 % PORTS_A_WORKER
+_PORT_STEPS = itertools.cycle(
+    (_FIRST_STEP + step) % PORTS_A_WORKER for step in range(PORTS_A_WORKER)
+)
 LIMITS = LimitSettings(0.2, 10.0, 52.0, 1.5, 5.0, 8.0, 5.0)
 STREAM_SERVICE = "engines"
 PLAIN_SERVICE = "desk"
--- a/tests/router/test_stage_servers.py
+++ b/tests/router/test_stage_servers.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import pytest
 from tests.router.chains import SPEC, make_server
 
@@ -56,3 +58,10 @@
     servers, server = make_servers(), make_server()
     servers.note_answered(server, [NO_ROOM, PieceResult("h")], 1.0, 1.0)
     assert servers.state(server).blocked_until <= 1.0
+
+
+def test_results_that_are_not_kept_at_all_take_no_room():
+    spec = replace(SPEC, result_life_s=0.0)
+    state = StageServerState()
+    state.note_lacking(spec, 0.0, 10.0)
+    assert state.room_bytes(spec, 10.0) == spec.result_room_bytes
--- a/tests/router/test_whole_path.py
+++ b/tests/router/test_whole_path.py
@@ -442,9 +442,11 @@
     async def scenario():
         async with make_rig() as rig:
             await rig.ask("/book/1")
+            await rig.ask("/chain/1", **STAGED)
             answer = await send(
                 rig.settings[0].listen.metrics, "GET", "/metrics", {"Host": "x"}
             )
+            assert b'stage_admissions_total{lane="on_time"} 1' in answer.body
             assert b'requests_total{route="book",status="200"} 1' in answer.body
             assert b"account_request_seconds_bucket" in answer.body
 
