Tell a node's former entry from its newer one, in whichever order they are read

The entry of a node's former self stays until its lease ends; a node that listed it after the newer one took the newer one for gone, and in a large fleet no heartbeat set that right. The test failed first in one of the two orders.

--- a/packages/persimmonlink-router/src/persimmonlink_router/fleet.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/fleet.py
@@ -79,6 +79,7 @@
         self._misses_by_id: dict[str, int] = {}
         self._accused_until_by_id: dict[str, float] = {}
         self._registered_by_id: dict[str, RouterMember] = {}
+        self._newest_id_by_address: dict[str, str] = {}
         self._load_by_node: dict[str, tuple[float, dict[str, EngineLoad]]] = {}
         self._started_at = boot_time()
         self._peaks: list[tuple[float, int]] = []
@@ -119,7 +120,7 @@
             return
         now = boot_time()
         if item.value is None:
-            self._registered_by_id.pop(node_id, None)
+            self._unregister(node_id)
             # A lease also ends where a node can't reach the store but is well.
             is_known = self.members.find(node_id) is not None
             if is_known and not self.members.is_neighbour(node_id, now):
@@ -138,10 +139,11 @@
             member = replace(member, seniority=item.revision)
         if self.members.find(node_id) is None:
             logger.bind(member=node_id, peer=member.peer_address).info("belief.member")
-        self._registered_by_id[node_id] = member
+        self._register(member)
         self.members.hear_report(MemberReport(member, 0.0), now)
         self._amend(node_id)
-        self._replace_former(member)
+        if not self._is_former(member):
+            self._replace_former(member)
 
     def list_entries(self) -> list[Member]:
         """Return the live, configured members that are not leaving, by name."""
@@ -345,7 +347,7 @@
         for other in list(self.members.member_by_id.values()):
             is_former = other.peer_address == member.peer_address
             if is_former and other.node_id != member.node_id:
-                self._registered_by_id.pop(other.node_id, None)
+                self._unregister(other.node_id)
                 if self.members.is_live(other.node_id, boot_time()):
                     self.members.note_unanswering(other.node_id, boot_time())
                 self._misses_by_id.pop(other.node_id, None)
@@ -363,12 +365,36 @@
         In a large fleet most members are no neighbours: that one of them was heard
         once, and is not any more, says nothing.
         """
-        if self._is_silent(member):
+        if self._is_silent(member) or self._is_former(member):
             return False
         if self.members.is_live(member.node_id, boot_time()):
             return True
         return member.node_id in self._registered_by_id
 
+    def _register(self, member: RouterMember) -> None:
+        self._registered_by_id[member.node_id] = member
+        newest_id = self._newest_id_by_address.get(member.peer_address)
+        newest = self._registered_by_id.get(newest_id or "")
+        if newest is None or newest.seniority <= member.seniority:
+            self._newest_id_by_address[member.peer_address] = member.node_id
+
+    def _unregister(self, node_id: str) -> None:
+        member = self._registered_by_id.pop(node_id, None)
+        if member is None:
+            return
+        if self._newest_id_by_address.get(member.peer_address) == node_id:
+            del self._newest_id_by_address[member.peer_address]
+
+    def _is_former(self, member: Member) -> bool:
+        """Whether a later entry stands for the same address: the node started again.
+
+        Its former entry stays until its lease ends, and may be read after the newer.
+        """
+        if member.node_id not in self._registered_by_id:
+            return False
+        newest_id = self._newest_id_by_address.get(member.peer_address)
+        return newest_id not in (None, member.node_id)
+
     def _is_silent(self, member: Member) -> bool:
         if self._misses_by_id.get(member.node_id, 0) >= 2:
             return True
--- a/tests/router/test_fleet.py
+++ b/tests/router/test_fleet.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
 
 import msgspec
 import pytest
@@ -193,3 +194,16 @@
     monkeypatch.setattr("persimmonlink_router.fleet.boot_time", lambda: later)
     fleet._forget()
     assert "far" in entries(fleet)
+
+
+@pytest.mark.parametrize("order", [("again", "former"), ("former", "again")])
+def test_a_node_that_started_again_is_known_in_whichever_order_entries_are_read(order):
+    fleet = make_fleet(seniority=90)
+    revision_by_name = {"former": 4, "again": 12}
+    for name in order:
+        member = replace(make_member(name), peer_address="127.0.0.1:7")
+        store_entry(fleet, member, revision_by_name[name])
+    assert entries(fleet) == ["again", "me"]
+    assert fleet.choose_coordinator(set()) == "again"
+    fleet.take_store_item(StoredItem(MEMBER_PREFIX + "former", None, 13))
+    assert entries(fleet) == ["again", "me"]
