--- a/packages/persimmonlink-router/src/persimmonlink_router/fleet.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/fleet.py
@@ -15,6 +15,8 @@
 from persimmonlink_peers.message import Sender
 from persimmonlink_peers.peer_channel import PeerChannel
 from persimmonlink_router.boot_clock import boot_time
+from persimmonlink_router.member_registry import MemberRegistry
+from persimmonlink_router.peer_loads import PeerLoads
 from persimmonlink_router.peer_messages import (
     EngineLoad,
     MirroredItem,
@@ -40,6 +42,7 @@
 PULL_TIMEOUT_S = 1.0  # Longest wait for a peer's knowledge of the store.
 STARTING_S = 10.0  # Time after the start in which peers may not be known yet.
 STARTING_NODES = 6  # Nodes that bounds are split over in that time.
+LOAD_MARGIN_S = 0.5  # On top of two heartbeats, for which reported load is counted.
 PEAK_WINDOW_S = 15.0  # Bounds are split over the most nodes seen in this time.
 
 
@@ -78,9 +81,8 @@
         self._channel_by_address: dict[str, PeerChannel] = {}
         self._misses_by_id: dict[str, int] = {}
         self._accused_until_by_id: dict[str, float] = {}
-        self._registered_by_id: dict[str, RouterMember] = {}
-        self._newest_id_by_address: dict[str, str] = {}
-        self._load_by_node: dict[str, tuple[float, dict[str, EngineLoad]]] = {}
+        self._registry = MemberRegistry()
+        self._loads = PeerLoads(2 * HEARTBEAT_INTERVAL_S + LOAD_MARGIN_S)
         self._started_at = boot_time()
         self._peaks: list[tuple[float, int]] = []
 
@@ -120,7 +122,7 @@
             return
         now = boot_time()
         if item.value is None:
-            self._unregister(node_id)
+            self._registry.remove(node_id)
             # A lease also ends where a node can't reach the store but is well.
             is_known = self.members.find(node_id) is not None
             if is_known and not self.members.is_neighbour(node_id, now):
@@ -139,10 +141,10 @@
             member = replace(member, seniority=item.revision)
         if self.members.find(node_id) is None:
             logger.bind(member=node_id, peer=member.peer_address).info("belief.member")
-        self._register(member)
+        self._registry.put(member)
         self.members.hear_report(MemberReport(member, 0.0), now)
         self._amend(node_id)
-        if not self._is_former(member):
+        if not self._registry.is_former(member):
             self._replace_former(member)
 
     def list_entries(self) -> list[Member]:
@@ -190,16 +192,7 @@
 
     def sum_load(self, server_id: str) -> EngineLoad:
         """Return what the other nodes have at a server, as they last said."""
-        now = boot_time()
-        in_flight = 0
-        unread = 0
-        for heard_at, load_by_server in self._load_by_node.values():
-            load = load_by_server.get(server_id)
-            if load is None or now - heard_at > 2 * HEARTBEAT_INTERVAL_S + 0.5:
-                continue
-            in_flight += load.in_flight
-            unread += load.unread_tokens
-        return EngineLoad(in_flight, unread)
+        return self._loads.sum(server_id, boot_time())
 
     async def handle_heartbeat(self, message: RouterHeartbeat) -> RouterHeartbeat:
         """Take in a peer's heartbeat and answer with this node's."""
@@ -320,7 +313,7 @@
         self._amend(member.node_id)
         self._accused_until_by_id.pop(member.node_id, None)
         self._replace_former(member)
-        self._load_by_node[member.node_id] = (now, heartbeat.load_by_server)
+        self._loads.note(member.node_id, heartbeat.load_by_server, now)
         for node_id in heartbeat.silent_ids:
             if not self.members.is_neighbour(node_id, now):
                 self._accused_until_by_id[node_id] = now + 3 * HEARTBEAT_INTERVAL_S
@@ -331,7 +324,7 @@
         It may have spoken before it was configured and registered, and be no neighbour
         that speaks again.
         """
-        registered = self._registered_by_id.get(node_id)
+        registered = self._registry.find(node_id)
         known = self.members.find(node_id)
         if registered is None or not isinstance(known, RouterMember):
             return
@@ -347,7 +340,7 @@
         for other in list(self.members.member_by_id.values()):
             is_former = other.peer_address == member.peer_address
             if is_former and other.node_id != member.node_id:
-                self._unregister(other.node_id)
+                self._registry.remove(other.node_id)
                 if self.members.is_live(other.node_id, boot_time()):
                     self.members.note_unanswering(other.node_id, boot_time())
                 self._misses_by_id.pop(other.node_id, None)
@@ -365,35 +358,11 @@
         In a large fleet most members are no neighbours: that one of them was heard
         once, and is not any more, says nothing.
         """
-        if self._is_silent(member) or self._is_former(member):
+        if self._is_silent(member) or self._registry.is_former(member):
             return False
         if self.members.is_live(member.node_id, boot_time()):
             return True
-        return member.node_id in self._registered_by_id
-
-    def _register(self, member: RouterMember) -> None:
-        self._registered_by_id[member.node_id] = member
-        newest_id = self._newest_id_by_address.get(member.peer_address)
-        newest = self._registered_by_id.get(newest_id or "")
-        if newest is None or newest.seniority <= member.seniority:
-            self._newest_id_by_address[member.peer_address] = member.node_id
-
-    def _unregister(self, node_id: str) -> None:
-        member = self._registered_by_id.pop(node_id, None)
-        if member is None:
-            return
-        if self._newest_id_by_address.get(member.peer_address) == node_id:
-            del self._newest_id_by_address[member.peer_address]
-
-    def _is_former(self, member: Member) -> bool:
-        """Whether a later entry stands for the same address: the node started again.
-
-        Its former entry stays until its lease ends, and may be read after the newer.
-        """
-        if member.node_id not in self._registered_by_id:
-            return False
-        newest_id = self._newest_id_by_address.get(member.peer_address)
-        return newest_id not in (None, member.node_id)
+        return self._registry.find(member.node_id) is not None
 
     def _is_silent(self, member: Member) -> bool:
         if self._misses_by_id.get(member.node_id, 0) >= 2:
@@ -403,15 +372,13 @@
     def _forget(self) -> None:
         now = boot_time()
         self.members.forget_silent(now)
-        for member in self._registered_by_id.values():
+        for member in self._registry.list_all():
             if self.members.find(member.node_id) is None:
                 self.members.hear_report(MemberReport(member, 0.0), now)
         for node_id in list(self._misses_by_id):
             if self._misses_by_id[node_id] >= 40:
                 del self._misses_by_id[node_id]
-        for node_id, (heard_at, _) in list(self._load_by_node.items()):
-            if now - heard_at > 5.0:
-                del self._load_by_node[node_id]
+        self._loads.forget_old(now)
 
 
 __all__ = ("MEMBER_PREFIX", "Fleet")
--- /dev/null
+++ b/packages/persimmonlink-router/src/persimmonlink_router/member_registry.py
@@ -0,0 +1,55 @@
+"""The members' entries in the store, and which of them are of former starts."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from persimmonlink_model.membership import Member
+    from persimmonlink_router.peer_messages import RouterMember
+
+
+class MemberRegistry:
+    """Entries by member, and the newest of each address.
+
+    A node that starts again makes a new entry; its former one stays until its lease
+    ends, and may be read after the newer.
+    """
+
+    def __init__(self) -> None:
+        self._member_by_id: dict[str, RouterMember] = {}
+        self._newest_id_by_address: dict[str, str] = {}
+
+    def put(self, member: RouterMember) -> None:
+        """Take in an entry."""
+        self._member_by_id[member.node_id] = member
+        newest_id = self._newest_id_by_address.get(member.peer_address)
+        newest = self._member_by_id.get(newest_id or "")
+        if newest is None or newest.seniority <= member.seniority:
+            self._newest_id_by_address[member.peer_address] = member.node_id
+
+    def remove(self, node_id: str) -> None:
+        """Forget an entry."""
+        member = self._member_by_id.pop(node_id, None)
+        if member is None:
+            return
+        if self._newest_id_by_address.get(member.peer_address) == node_id:
+            del self._newest_id_by_address[member.peer_address]
+
+    def find(self, node_id: str) -> RouterMember | None:
+        """Return a member's entry, or None."""
+        return self._member_by_id.get(node_id)
+
+    def list_all(self) -> list[RouterMember]:
+        """Return all entries."""
+        return list(self._member_by_id.values())
+
+    def is_former(self, member: Member) -> bool:
+        """Whether a later entry stands for the same address."""
+        if member.node_id not in self._member_by_id:
+            return False
+        newest_id = self._newest_id_by_address.get(member.peer_address)
+        return newest_id not in (None, member.node_id)
+
+
+__all__ = ("MemberRegistry",)
