Forget routes once a second, look at the waiting results once a pump

What is learned of routes that are gone was looked through at each heartbeat of a server (3,700 a second at the far size); it belongs beside the other forgetting, once a second. The smallest waiting result was looked for anew for each server, since the last change of that line, by going through the queue; once will do. One method of five that forget was named apart, and a field was set after the fact.

--- a/packages/persimmonlink-router/src/persimmonlink_router/client_returns.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/client_returns.py
@@ -8,6 +8,10 @@
 from __future__ import annotations
 
 from collections import deque
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
 
 # Part of a route's usual deadline that a first try has at least left: clients differ by
 # up to 15 %.
@@ -42,7 +46,7 @@
         usual_s = sorted(deadlines)[int(USUAL_QUANTILE * (len(deadlines) - 1))]
         return deadline_s < FIRST_TRY_SHARE * usual_s
 
-    def keep_only(self, routes: frozenset[str]) -> None:
+    def forget_other(self, routes: Collection[str]) -> None:
         """Forget routes that are gone."""
         for route in list(self._deadlines_by_route):
             if route not in routes:
--- a/packages/persimmonlink-router/src/persimmonlink_router/request_service.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/request_service.py
@@ -24,6 +24,7 @@
 
 if TYPE_CHECKING:
     import random
+    from collections.abc import Collection
 
     from persimmonlink_router.beliefs import Beliefs
     from persimmonlink_router.calls import Wire
@@ -92,9 +93,9 @@
         self._rng = rng
         self._returns = ClientReturns()
 
-    def forget_other_routes(self, names: frozenset[str]) -> None:
+    def forget_other_routes(self, names: Collection[str]) -> None:
         """Forget what was learned of routes that are gone."""
-        self._returns.keep_only(names)
+        self._returns.forget_other(names)
 
     async def handle(self, exchange: Exchange) -> None:
         """Answer one request."""
@@ -162,9 +163,15 @@
             if account is None:
                 return OwnAnswer(401, "unknown key")
         service = self._choose_service(route)
-        state = RequestState(exchange, call, route, service, account, arrived_at)
-        state.has_returned = self._returns.note(route.name, call.deadline_s)
-        return state
+        return RequestState(
+            exchange,
+            call,
+            route,
+            service,
+            account,
+            arrived_at,
+            has_returned=self._returns.note(route.name, call.deadline_s),
+        )
 
     def _choose_service(self, route: Route) -> str:
         if len(route.targets) == 1:
--- a/packages/persimmonlink-router/src/persimmonlink_router/router.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/router.py
@@ -282,6 +282,10 @@
         self._health.forget_other(keys)
         self._chooser.forget_other(keys)
         self._scheduler.servers.forget_other(keys)
+        configuration = self.beliefs.configuration
+        if configuration is not None:
+            names = {route.name for route in configuration.routes}
+            self._requests.forget_other_routes(names)
 
     def _on_item(self, item: StoredItem) -> None:
         if item.key.startswith(MEMBER_PREFIX):
@@ -298,8 +302,6 @@
         self._limits.body_bytes = limits.body_bytes
         self._limits.header_timeout_s = limits.header_timeout_s
         self._limits.idle_timeout_s = limits.idle_timeout_s
-        names = frozenset(route.name for route in configuration.routes)
-        self._requests.forget_other_routes(names)
         self._scheduler.dispatcher.pump_all()
 
     def _list_loads(self) -> dict[str, EngineLoad]:
--- a/packages/persimmonlink-router/src/persimmonlink_router/stage_servers.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stage_servers.py
@@ -118,6 +118,7 @@
         idle: list[tuple[float, str, Server]] = []
         soonest = float("inf")
         call_s = estimate_call_s(spec, min(len(queue), spec.size))
+        least_bytes = queue.least_bytes()
         for server in self._beliefs.servers.list_usable(service.name):
             state = self.state(server)
             slowness = self.slowness(server, now)
@@ -127,7 +128,7 @@
                 left_s = max(0.0, state.busy_until - now)
                 soonest = min(soonest, left_s + call_s * slowness)
                 continue
-            if state.room_bytes(spec, now) < queue.least_bytes():
+            if state.room_bytes(spec, now) < least_bytes:
                 continue
             idle.append((round(slowness, 1), server.server_id, server))
         idle.sort(key=lambda entry: entry[:2])
--- a/tests/router/test_client_returns.py
+++ b/tests/router/test_client_returns.py
@@ -49,7 +49,7 @@
 
 def test_routes_that_are_gone_are_forgotten():
     returns = make_returns()
-    returns.keep_only(frozenset())
+    returns.forget_other(())
     assert not returns.note("r", 1.0)
 
 
