Log how the last server response of a request ended

Callers got broken-off streams as complete, and request.completed called them "answered".

request.completed has framing, connection and partial_event_bytes now, and a counter last_responses_total is kept by framing and end. No decision changes.

The stand-in's "reset" was an orderly close, since asyncio's abort sends a FIN when nothing is unread; the new test saw "closed" where it asked for ConnectionResetError.

--- a/packages/persimmonlink-router/src/persimmonlink_router/event_stream.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/event_stream.py
@@ -21,6 +21,11 @@
         self._update_last_id(events)
         return events
 
+    @property
+    def partial_bytes(self) -> int:
+        """Number of bytes after the last complete event."""
+        return len(self._partial)
+
     def pop_partial(self) -> bytes:
         """Return and clear the bytes after the last complete event."""
         partial, self._partial = self._partial, b""
--- a/packages/persimmonlink-router/src/persimmonlink_router/http_client.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/http_client.py
@@ -104,6 +104,13 @@
         self._transport = None
         self._wake.set()
 
+    @property
+    def state_text(self) -> str:
+        """State for the log: open, closed in order, or the error that closed it."""
+        if self._error is not None:
+            return type(self._error).__name__
+        return "open" if self._is_open else "closed"
+
     @property
     def is_reusable(self) -> bool:
         """Whether another request may be sent on this connection."""
--- a/packages/persimmonlink-router/src/persimmonlink_router/http_messages.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/http_messages.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from enum import StrEnum
 
 Headers = tuple[tuple[bytes, bytes], ...]
 
@@ -58,6 +59,14 @@
         return value.rsplit(":", 1)[0] if value.rpartition(":")[2].isdigit() else value
 
 
+class ResponseFraming(StrEnum):
+    """What delimits the body of a response; the values appear in logs and metrics."""
+
+    LENGTH = "length"
+    CHUNKED = "chunked"
+    CONNECTION_CLOSE = "connection_close"
+
+
 @dataclass(frozen=True, slots=True)
 class HttpResponseHead:
     """Status and headers of a response."""
@@ -65,6 +74,15 @@
     status: int
     headers: Headers
 
+    @property
+    def framing(self) -> ResponseFraming:
+        """What delimits the body."""
+        if find_header(self.headers, b"transfer-encoding"):
+            return ResponseFraming.CHUNKED
+        if find_header(self.headers, b"content-length"):
+            return ResponseFraming.LENGTH
+        return ResponseFraming.CONNECTION_CLOSE
+
 
 def find_header(headers: Headers, name: bytes) -> bytes:
     """Return the first value of a header, or empty bytes."""
@@ -88,6 +106,7 @@
     "Headers",
     "HttpRequest",
     "HttpResponseHead",
+    "ResponseFraming",
     "find_header",
     "strip_hop_by_hop_headers",
 )
--- a/packages/persimmonlink-router/src/persimmonlink_router/request_service.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/request_service.py
@@ -230,6 +230,11 @@
                 version=version,
             ).info("request.refused")
             return
+        end = state.response_end
+        if end is not None:
+            ended = "complete" if end.is_complete else "interrupted"
+            labels = f'framing="{end.framing}",ended="{ended}"'
+            self._metrics.count("last_responses_total", labels)
         first = state.first_event_s
         prediction = state.predicted_first_event_s
         logger.bind(
@@ -246,6 +251,9 @@
             sends=state.sends,
             servers=state.servers,
             may_have_run=state.may_have_run,
+            framing=None if end is None else end.framing,
+            connection=None if end is None else end.connection,
+            partial_event_bytes=state.partial_event_bytes,
             version=version,
             store_age_s=round(boot_time() - self._cluster_view.last_contact_at, 2),
         ).info("request.completed")
--- a/packages/persimmonlink-router/src/persimmonlink_router/request_state.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/request_state.py
@@ -6,6 +6,7 @@
 
 from persimmonlink_router.boot_clock import boot_time
 from persimmonlink_router.configuration import Account, Route
+from persimmonlink_router.http_messages import ResponseFraming
 from persimmonlink_router.http_server import Exchange
 from persimmonlink_router.retry_detector import (
     CLIENT_RETRY_OBJECTIVE_SHARE,
@@ -51,6 +52,25 @@
         self.status = status
 
 
+@dataclass(frozen=True, slots=True)
+class ResponseEnd:
+    """How a server's response ended.
+
+    Parameters
+    ----------
+    framing : ResponseFraming
+        What delimited its body.
+    connection : str
+        State of its connection then: open, closed in order, or an error.
+    is_complete : bool
+        Whether it was taken as complete.
+    """
+
+    framing: ResponseFraming
+    connection: str
+    is_complete: bool
+
+
 @dataclass(slots=True)
 class RequestState:
     """A client request, and the sends and progress made for it.
@@ -85,6 +105,10 @@
         Boot time of the last event sent to the client, or of the arrival, in seconds.
     is_client_retry : bool
         Whether the client appears to retry after a refusal.
+    response_end : ResponseEnd or None
+        How the last response of a server ended.
+    partial_event_bytes : int
+        Bytes of that response after its last complete event.
     """
 
     exchange: Exchange
@@ -101,6 +125,8 @@
     predicted_first_event_s: float | None = None
     silent_since: float = 0.0
     is_client_retry: bool = False
+    response_end: ResponseEnd | None = None
+    partial_event_bytes: int = 0
 
     def __post_init__(self) -> None:
         self.silent_since = self.arrived_at
@@ -163,4 +189,4 @@
         return self.account.name if self.account is not None else ""
 
 
-__all__ = ("RequestFailedError", "RequestRefusedError", "RequestState")
+__all__ = ("RequestFailedError", "RequestRefusedError", "RequestState", "ResponseEnd")
--- a/packages/persimmonlink-router/src/persimmonlink_router/server_sender.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/server_sender.py
@@ -15,7 +15,11 @@
     HttpClientConnection,
 )
 from persimmonlink_router.http_messages import HttpResponseHead
-from persimmonlink_router.request_state import RequestFailedError, RequestRefusedError
+from persimmonlink_router.request_state import (
+    RequestFailedError,
+    RequestRefusedError,
+    ResponseEnd,
+)
 from persimmonlink_router.server_chooser import (
     NO_INPUTS,
     StageInputs,
@@ -182,6 +186,9 @@
     ) -> None:
         """End a response; keep its connection only if the body was read completely."""
         key = response.server.key
+        state.response_end = ResponseEnd(
+            response.head.framing, response.connection.state_text, is_complete
+        )
         self._health.record_ended(key)
         if is_complete:
             self._pool.release(key, response.connection)
--- a/packages/persimmonlink-router/src/persimmonlink_router/stream_relay.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stream_relay.py
@@ -170,6 +170,7 @@
         is_complete = True
         return True
     except ConnectionLostError as error:
+        state.partial_event_bytes = splitter.partial_bytes
         sender.record_failure(response.server)
         raise StreamInterruptedError(str(error)) from error
     except TimeoutError as error:
@@ -209,6 +210,7 @@
                 )
             await exchange.send(events)
             state.silent_since = boot_time()
+        state.partial_event_bytes = splitter.partial_bytes
         partial = splitter.pop_partial()
         if not exchange.has_started:
             exchange.start_stream(
--- a/stand_ins/src/persimmonlink_stand_ins/raw_server.py
+++ b/stand_ins/src/persimmonlink_stand_ins/raw_server.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+import struct
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
@@ -122,4 +124,12 @@
     return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
 
 
-__all__ = ("HOST", "RawRequest", "RawServer", "encode_response")
+def reset_connection(writer: asyncio.StreamWriter) -> None:
+    """Close a connection with a reset; `abort` alone closes it in order."""
+    sock = writer.get_extra_info("socket")
+    linger_and_seconds = struct.pack("ii", 1, 0)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger_and_seconds)
+    writer.transport.abort()
+
+
+__all__ = ("HOST", "RawRequest", "RawServer", "encode_response", "reset_connection")
--- a/stand_ins/src/persimmonlink_stand_ins/routed_server.py
+++ b/stand_ins/src/persimmonlink_stand_ins/routed_server.py
@@ -8,7 +8,11 @@
 
 import msgspec
 
-from persimmonlink_stand_ins.raw_server import RawServer, encode_response
+from persimmonlink_stand_ins.raw_server import (
+    RawServer,
+    encode_response,
+    reset_connection,
+)
 
 if TYPE_CHECKING:
     from persimmonlink_stand_ins.raw_server import RawRequest
@@ -35,9 +39,14 @@
     duplicates_responses : bool
         Sends each response twice.
     omits_length : bool
-        Omits Content-Length; the end of the connection delimits the response.
+        Sends neither a length nor chunks; the end of the connection delimits the
+        response.
     cuts_streams_after : int
         Events after which streams are cut in the middle of the next one; 0 cuts none.
+    cut_event_bytes : int
+        Bytes of that event that are still sent.
+    closes_cut_streams_in_order : bool
+        Closes the connection of a cut stream in order instead of resetting it.
     """
 
     rejects_requests: bool = False
@@ -48,6 +57,8 @@
     duplicates_responses: bool = False
     omits_length: bool = False
     cuts_streams_after: int = 0
+    cut_event_bytes: int = 8
+    closes_cut_streams_in_order: bool = False
 
 
 @dataclass(frozen=True)
@@ -144,7 +155,7 @@
             )
         )
         if self.faults.resets_connections:
-            writer.transport.abort()
+            reset_connection(writer)
             return False
         if self.faults.withholds_responses:
             try:
@@ -175,7 +186,9 @@
     ) -> bool:
         lines = ["HTTP/1.1 200 OK", "Content-Type: text/event-stream"]
         lines += [f"{name}: {value}" for name, value in headers.items()]
-        lines.append("Transfer-Encoding: chunked")
+        if not self.faults.omits_length:
+            lines.append("Transfer-Encoding: chunked")
+        frame = bytes if self.faults.omits_length else _chunk
         writer.write("\r\n".join(lines).encode() + b"\r\n\r\n")
         first_id = int(request.headers.get("last-event-id", "0")) + 1
         for event_id in range(first_id, self.event_count + 1):
@@ -184,15 +197,17 @@
                 self.faults.cuts_streams_after
                 and event_id > self.faults.cuts_streams_after
             ):
-                writer.write(_chunk(event[:8]))
+                writer.write(frame(event[: self.faults.cut_event_bytes]))
                 await writer.drain()
-                writer.transport.abort()
+                await asyncio.sleep(EVENT_INTERVAL_S)
+                if not self.faults.closes_cut_streams_in_order:
+                    reset_connection(writer)
                 return False
-            writer.write(_chunk(event))
+            writer.write(frame(event))
             await writer.drain()
             await asyncio.sleep(EVENT_INTERVAL_S)
-        writer.write(b"0\r\n\r\n")
-        return True
+        writer.write(frame(b""))
+        return not self.faults.omits_length
 
     async def _run_pieces(
         self, request: RawRequest, writer: asyncio.StreamWriter
@@ -201,7 +216,7 @@
         self.batch_sizes.append(len(items))
         await asyncio.sleep(0.02)
         if self.faults.resets_connections:
-            writer.transport.abort()
+            reset_connection(writer)
             return False
         results = []
         for item in items:
