--- a/tests/router/test_interrupted_streams.py
+++ b/tests/router/test_interrupted_streams.py
@@ -51,3 +51,77 @@
     assert lines[0]["framing"] == "chunked"
     assert lines[0]["connection"] == "ConnectionResetError"
     assert lines[0]["partial_event_bytes"] == 8
+
+
+def cut_inside_an_event(server) -> None:
+    server.faults.omits_length = True
+    server.faults.cuts_streams_after = 2
+    server.faults.closes_cut_streams_in_order = True
+
+
+def test_a_stream_closed_inside_an_event_does_not_reach_the_client_as_complete():
+    async def scenario():
+        async with make_rig() as rig:
+            for server in list_engines(rig):
+                cut_inside_an_event(server)
+            response = await rig.send_request("/claim/1", request_id="c1", **STREAM)
+            assert not response.is_complete
+            assert list_event_ids(response.body) == [1, 2]
+            assert response.body.endswith(b"\n\n")
+            assert rig.count_runs("c1") == 1
+
+    run(scenario())
+
+
+def test_a_stream_closed_inside_its_first_event_fails_instead_of_ending_empty():
+    async def scenario():
+        async with make_rig() as rig:
+            for server in list_engines(rig):
+                cut_inside_an_event(server)
+                server.faults.cuts_streams_after = -1
+            response = await rig.send_request("/claim/1", **STREAM)
+            assert response.status == 502
+
+    run(scenario())
+
+
+def test_a_resumable_stream_closed_inside_an_event_resumes_at_another_server():
+    async def scenario():
+        async with make_rig() as rig:
+            engines = list_engines(rig)
+            for server in engines:
+                cut_inside_an_event(server)
+            task = asyncio.ensure_future(rig.send_request("/list/1", **STREAM))
+            await wait_until(lambda: rig.count_runs("id-0") == 1)
+            for server in engines:
+                if not server.runs:
+                    server.faults.cuts_streams_after = 0
+            response = await task
+            assert response.is_complete
+            assert list_event_ids(response.body) == [1, 2, 3, 4, 5]
+
+    run(scenario())
+
+
+def test_an_unframed_stream_closed_after_a_whole_event_is_forwarded_as_complete():
+    async def scenario():
+        async with make_rig() as rig:
+            for server in list_engines(rig):
+                server.faults.omits_length = True
+            response = await rig.send_request("/claim/1", **STREAM)
+            assert response.is_complete
+            assert list_event_ids(response.body) == [1, 2, 3, 4, 5]
+
+    run(scenario())
+
+
+def test_an_unframed_stream_that_is_reset_does_not_look_complete():
+    async def scenario():
+        async with make_rig() as rig:
+            for server in list_engines(rig):
+                cut_inside_an_event(server)
+                server.faults.closes_cut_streams_in_order = False
+            response = await rig.send_request("/claim/1", **STREAM)
+            assert not response.is_complete
+
+    run(scenario())
