Break off a stream whose server ended it inside an event

Cause: a response without length or chunks ends with its connection, so the parser reports an ordinary end. The relay took that for the end of the stream, forwarded the rest of the event it was in, and completed the client's response. Class of fault: the end of the transport taken for the end of the message.

Why it works: only a blank line ends an event. A stream that ends inside one counts as a lost connection of that server, whatever its framing: its health is charged, a resumable stream goes on elsewhere after the last whole event, any other is aborted, or answered 502 where the client has nothing yet. Half events are never sent. Events may end with any of the three line ends of the format, since a stream that is never seen to complete an event would be broken off now.

The assertions on pop_partial moved to is_inside_event and partial_bytes, which replace it.

--- a/packages/persimmonlink-router/src/persimmonlink_router/event_stream.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/event_stream.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+# What ends an event, for each of the line ends that server-sent events may use.
+BLANK_LINES = (b"\n\n", b"\r\n\r\n", b"\r\r")
+
 
 class EventSplitter:
     """Buffers bytes of a stream until events are complete; tracks the last event id."""
@@ -13,10 +16,7 @@
     def feed(self, data: bytes) -> bytes:
         """Buffer bytes; return the events that are complete now."""
         buffer = self._partial + data
-        end = buffer.rfind(b"\n\n") + 2
-        if end < 2:
-            self._partial = buffer
-            return b""
+        end = _find_end_of_last_event(buffer)
         events, self._partial = buffer[:end], buffer[end:]
         self._update_last_id(events)
         return events
@@ -26,16 +26,30 @@
         """Number of bytes after the last complete event."""
         return len(self._partial)
 
-    def pop_partial(self) -> bytes:
-        """Return and clear the bytes after the last complete event."""
-        partial, self._partial = self._partial, b""
-        return partial
+    @property
+    def is_inside_event(self) -> bool:
+        """Whether an event has begun and not ended."""
+        return bool(self._partial.strip())
+
+    def discard_partial(self) -> None:
+        """Discard the bytes after the last complete event."""
+        self._partial = b""
 
     def _update_last_id(self, events: bytes) -> None:
-        for line in reversed(events.split(b"\n")):
+        for line in reversed(events.splitlines()):
             if line.startswith(b"id:"):
                 self.last_id = line[3:].strip()
                 return
 
 
+def _find_end_of_last_event(data: bytes) -> int:
+    """Return the offset behind the last blank line, or 0 if there is none."""
+    end = 0
+    for blank_line in BLANK_LINES:
+        start = data.rfind(blank_line)
+        if start >= 0:
+            end = max(end, start + len(blank_line))
+    return end
+
+
 __all__ = ("EventSplitter",)
--- a/packages/persimmonlink-router/src/persimmonlink_router/stream_relay.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stream_relay.py
@@ -83,7 +83,7 @@
                 last_event=splitter.last_id.decode("latin-1"),
                 reason=str(error),
             ).info("request.resumed")
-            splitter.pop_partial()
+            splitter.discard_partial()
 
 
 def _first_event_timeout_s(state: RequestState) -> float | None:
@@ -210,14 +210,12 @@
                 )
             await exchange.send(events)
             state.silent_since = boot_time()
-        state.partial_event_bytes = splitter.partial_bytes
-        partial = splitter.pop_partial()
+        if splitter.is_inside_event:
+            raise ConnectionLostError("the stream ended inside an event")
         if not exchange.has_started:
             exchange.start_stream(
                 response.head.status, strip_hop_by_hop_headers(response.head.headers)
             )
-        if partial:
-            await exchange.send(partial)
         await exchange.end()
 
 
--- a/stand_ins/src/persimmonlink_stand_ins/routed_server.py
+++ b/stand_ins/src/persimmonlink_stand_ins/routed_server.py
@@ -42,8 +42,8 @@
         Sends neither a length nor chunks; the end of the connection delimits the
         response.
     cuts_streams_after : int
-        Events after which streams are cut in the middle of the next one; 0 cuts none, -1
-        cuts in the first.
+        Events after which streams are cut in the middle of the next one; 0 cuts none,
+        -1 cuts in the first.
     cut_event_bytes : int
         Bytes of that event that are still sent.
     closes_cut_streams_in_order : bool
--- a/tests/router/test_event_stream.py
+++ b/tests/router/test_event_stream.py
@@ -27,4 +27,23 @@
     splitter = EventSplitter()
     assert splitter.feed(b"id: 1\ndata: x\n\nid: 2\nda") == b"id: 1\ndata: x\n\n"
     assert splitter.last_id == b"1"
-    assert splitter.pop_partial() == b"id: 2\nda"
+    assert splitter.is_inside_event
+    assert splitter.partial_bytes == len(b"id: 2\nda")
+    splitter.discard_partial()
+    assert not splitter.is_inside_event
+    assert splitter.feed(b"id: 2\n\n") == b"id: 2\n\n"
+
+
+def test_line_ends_after_the_last_event_begin_no_event():
+    splitter = EventSplitter()
+    assert splitter.feed(b"id: 1\ndata: x\n\n") == b"id: 1\ndata: x\n\n"
+    assert splitter.feed(b"\n") == b""
+    assert not splitter.is_inside_event
+
+
+def test_events_with_carriage_returns_are_forwarded_one_by_one():
+    for line_end in (b"\r\n", b"\r"):
+        splitter = EventSplitter()
+        event = b"id: 7" + line_end + b"data: x" + line_end * 2
+        assert splitter.feed(event + b"id: 8") == event
+        assert splitter.last_id == b"7"
