Reset a broken-off response to a client without chunked encoding

Callers that speak HTTP/1.0 got a broken-off stream as complete: their responses end with the connection, and the router closed it in order.

Evidence: test_a_broken_stream_to_an_http_1_0_client_ends_with_a_reset failed before (an orderly end after two of five events) and passes now. Clients with chunked encoding were not affected: the missing last chunk tells them.

Why it works: every close of a connection passes HttpServerConnection.close, which resets it if a response is under way that only the end of the connection delimits.

--- a/packages/persimmonlink-router/src/persimmonlink_router/http_server.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/http_server.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+import struct
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from typing import Any
@@ -15,6 +17,8 @@
 READ_PAUSE_BYTES = 262144  # Unread bytes at which reading is paused.
 LISTEN_BACKLOG = 512  # Connections that wait to be accepted.
 NEED_DATA: Any = h11.NEED_DATA
+HTTP_1_0 = b"1.0"  # Version without chunked encoding.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER: on, for 0 seconds.
 
 
 class ClientDisconnectedError(Exception):
@@ -174,9 +178,20 @@
         return self._server.is_stopping
 
     def close(self) -> None:
-        """Close the connection once the written bytes are sent."""
-        if self._transport is not None:
-            self._transport.close()
+        """Close the connection once the written bytes are sent.
+
+        A response that only the end of the connection delimits is reset if it is
+        incomplete, since an orderly end would complete it.
+        """
+        if self._transport is None:
+            return
+        is_incomplete = self._h11.our_state is h11.SEND_BODY
+        if is_incomplete and self._h11.their_http_version == HTTP_1_0:
+            sock = self._transport.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+            self._transport.abort()
+            return
+        self._transport.close()
 
     async def _run(self) -> None:
         try:
--- a/tests/router/test_interrupted_streams.py
+++ b/tests/router/test_interrupted_streams.py
@@ -4,8 +4,9 @@
 
 import asyncio
 
+import pytest
 from loguru import logger
-from tests.router.rig import STREAM_SERVICE, make_rig, wait_until
+from tests.router.rig import KEY, STREAM_SERVICE, make_rig, wait_until
 
 STREAM = {
     "Persimmonlink_Model": "m",
@@ -125,3 +126,23 @@
             assert not response.is_complete
 
     run(scenario())
+
+
+def test_a_broken_stream_to_an_http_1_0_client_ends_with_a_reset():
+    async def scenario():
+        async with make_rig() as rig:
+            for server in list_engines(rig):
+                server.faults.cuts_streams_after = 2
+            host, _, port = rig.settings[0].listen.clients.rpartition(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(
+                b"POST /claim/1 HTTP/1.0\r\nHost: shop.example\r\n"
+                b"Persimmonlink-Request-Id: o1\r\nPersimmonlink-Model: m\r\n"
+                b"Persimmonlink-Token-Count: 100,50\r\nContent-Length: 0\r\n"
+                b"Authorization: Bearer " + KEY.encode() + b"\r\n\r\n"
+            )
+            with pytest.raises(ConnectionResetError):
+                await reader.read()
+            writer.close()
+
+    run(scenario())
