Take an engine's event only once a blank line has ended it

persimmonlinkd took the last chunk of a generation from an event that the engine had not ended when its connection closed.

Other ends were safe there: a stream without its last chunk is BROKEN, a cut JSON body of a plain service is INVALID_RESPONSE, a streamed answer to a caller carries a last line that says whether it is complete, and messages between nodes are whole gRPC messages.

Why it works: the data of an event is yielded with the blank line, not with its own line end.

--- a/packages/persimmonlink-interfaces/src/persimmonlink_interfaces/engine_client.py
+++ b/packages/persimmonlink-interfaces/src/persimmonlink_interfaces/engine_client.py
@@ -253,12 +253,17 @@
 
 
 def _iterate_events(response: Any) -> Iterator[bytes]:
+    """Yield the data of each event that a blank line has ended."""
     pending = b""
+    data = b""
     for piece in response.stream(65536):
         *lines, pending = (pending + piece).split(b"\n")
         for line in lines:
             if line.startswith(_DATA_PREFIX):
-                yield line[len(_DATA_PREFIX) :].strip()
+                data = line[len(_DATA_PREFIX) :].strip()
+            elif data and not line.strip():
+                yield data
+                data = b""
 
 
 def _encode_call(call: StageCall, offset: int) -> bytes:
