Log the software version of servers, and which stream a client takes up

The adapter reads the version of a server's entry and the client's header that names the attempt which brought the first event.

test_unused_fields_do_not_change_a_server varied "version", which is used now; it varies another unused field, and a test of its own asks for the version. tests/adapter and tests/router: 252 passed, 2 xpassed.

--- a/packages/persimmonlink-router/src/persimmonlink_router/cluster_view.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/cluster_view.py
@@ -184,6 +184,7 @@
             logger.bind(
                 server=entry.server_id,
                 service=entry.server.service,
+                server_version=entry.server.software_version,
                 draining=entry.server.is_draining,
                 cold_left_s=entry.server.cold_left_s,
                 revision=revision,
--- a/packages/persimmonlink-router/src/persimmonlink_router/request_state.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/request_state.py
@@ -97,6 +97,8 @@
         Whether any server may have run the request.
     servers : list of str
         Ids of the servers it was sent to, in order.
+    server_versions : list of str
+        Software versions of these servers, in the same order.
     first_event_s : float or None
         Time from arrival to the first event of a stream, in seconds.
     predicted_first_event_s : float or None
@@ -121,6 +123,7 @@
     runs: int = 0
     may_have_run: bool = False
     servers: list[str] = field(default_factory=list)
+    server_versions: list[str] = field(default_factory=list)
     first_event_s: float | None = None
     predicted_first_event_s: float | None = None
     silent_since: float = 0.0
--- a/packages/persimmonlink-router/src/persimmonlink_router/server_sender.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/server_sender.py
@@ -251,6 +251,7 @@
             self._budget.record_request(state.service, now)
         state.sends += 1
         state.servers.append(server.server_id)
+        state.server_versions.append(server.software_version)
         self._health.record_sent(server.key, state.metadata.prompt_tokens, now)
         self._chooser.prompt_cache.record_prompt(
             server.key, state.metadata.prompt_parts
--- a/packages/persimmonlink-router/src/persimmonlink_router/servers.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/servers.py
@@ -32,6 +32,8 @@
         Whether it is shutting down and accepts no new work.
     cold_left_s : float
         Time for which it stays cold after writing its entry, in seconds.
+    software_version : str
+        Version of the software that it runs, empty if unknown.
     """
 
     server_id: str
@@ -42,6 +44,7 @@
     slots: int
     is_draining: bool
     cold_left_s: float
+    software_version: str = ""
 
     @property
     def key(self) -> tuple[str, int, str]:
--- a/packages/persimmonlink-router/src/persimmonlink_router/wire_messages.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/wire_messages.py
@@ -49,6 +49,9 @@
         Key of the data from which the first stages compute their pieces.
     last_event_id : bytes
         Id of the last event that the client received; empty for a new stream.
+    resumed_request_id : str
+        Id of the client's attempt that brought the first event of the stream that
+        this request resumes; empty if not stated.
     """
 
     request_id: str
@@ -61,6 +64,7 @@
     piece_counts: tuple[int, ...] = ()
     piece_key: str = ""
     last_event_id: bytes = b""
+    resumed_request_id: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/adapter/test_entries.py
+++ b/tests/adapter/test_entries.py
@@ -67,7 +67,13 @@
 
 def test_unused_fields_do_not_change_a_server():
     first = read("servers/i-1", SERVER)
-    assert read("servers/i-1", {**SERVER, "seq": 5, "version": "v2"}) == first
+    assert read("servers/i-1", {**SERVER, "seq": 5, "load": 3}) == first
+
+
+def test_the_software_version_of_a_server_is_read():
+    assert read("servers/i-1", SERVER).server.software_version == "v1"
+    other = read("servers/i-1", {**SERVER, "version": "v2"}).server
+    assert other.software_version == "v2"
 
 
 @pytest.mark.parametrize(
@@ -77,6 +83,7 @@
         {"addr": "nowhere"},
         {"addr": 5},
         {"slots": "many"},
+        {"version": 2},
         {"zone": None},
         {"service": None},
     ],
--- a/tests/adapter/test_http_wire.py
+++ b/tests/adapter/test_http_wire.py
@@ -51,6 +51,12 @@
     assert next((p.part_id, p.tokens) for p in metadata.prompt_parts) == ("5c1e", 800)
     assert metadata.piece_counts == (2, 0, 4)
     assert metadata.last_event_id == b"12"
+    assert metadata.resumed_request_id == ""
+
+
+def test_the_attempt_that_began_a_resumed_stream_is_read():
+    metadata = WIRE.parse_request(make_request((b"resumes", b"8b30")))
+    assert metadata.resumed_request_id == "8b30"
 
 
 @pytest.mark.parametrize(
