Resume a stream only at the software version that began it

Cause: a server was chosen by load and health alone, both when a node resumed a stream within one response and when a client took its stream up at any node. Nothing kept the version, and the node that knew the server was often the one that had died. Class of fault: work is continued without the state that it depends on.

The fix: the first event binds a request to its server's version, and a choice counts only servers of that version. A node that sends a resumable stream records the version by the id of the client's attempt, at itself and, while the server reads the prompt, at one member of each failure domain chosen by rendezvous hashing, so that a record outlives its node and a domain; records for one peer share a message. A node at which a client takes a stream up asks these members first and two more of each domain after them. A stream that nobody knows goes on only if all that were asked have seen one version in the last minute. What can't go on is refused before its stages run, as not run, with Retry-After.

Weighed: a record in the store for each stream (a write a stream, over the store's rate at size), a version computed from the request id (weights change while streams run), and records only while two versions serve (a node can't tell what others saw before it).

--- a/packages/persimmonlink-router/src/persimmonlink_router/cluster_membership.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/cluster_membership.py
@@ -155,10 +155,18 @@
 
     def list_serving_members(self) -> list[Member]:
         """Return the live, configured members that are not leaving, sorted by id."""
+        return [
+            member
+            for member in self.list_live_members()
+            if member.revision and not member.leaving
+        ]
+
+    def list_live_members(self) -> list[Member]:
+        """Return all live members, also those that are leaving, sorted by id."""
         return [
             member
             for _, member in sorted(self.members.member_by_id.items())
-            if member.revision and not member.leaving and self._is_alive(member)
+            if self._is_alive(member)
         ]
 
     def choose_coordinator(self, excluded: set[str]) -> str:
--- a/packages/persimmonlink-router/src/persimmonlink_router/cluster_view.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/cluster_view.py
@@ -201,7 +201,7 @@
             ) + OUTAGE_EXPIRY_GRACE_S
             self.servers.schedule_removal(entry.server_id, until)
             return
-        self.servers.remove(entry.server_id)
+        self.servers.remove(entry.server_id, now)
         logger.bind(server=entry.server_id, revision=revision, cause="removed").info(
             "server.removed"
         )
--- a/packages/persimmonlink-router/src/persimmonlink_router/peer_messages.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/peer_messages.py
@@ -114,6 +114,39 @@
     request_ids: tuple[str, ...]
 
 
+@dataclass(frozen=True)
+class RecordStreamVersions:
+    """Asks a peer to keep the server software versions at which streams began."""
+
+    sender: Sender
+    version_by_request_id: dict[str, str]
+
+
+@dataclass(frozen=True)
+class FindStreamVersion:
+    """Asks a peer at which software version of a service a stream began."""
+
+    sender: Sender
+    request_id: str
+    service: str
+
+
+@dataclass(frozen=True)
+class FoundStreamVersion:
+    """Reply to `FindStreamVersion`.
+
+    Parameters
+    ----------
+    version : str or None
+        Version at which the stream began; None if the peer has no record of it.
+    recent_versions : tuple of str
+        Versions of the service's servers that the peer has seen lately.
+    """
+
+    version: str | None
+    recent_versions: tuple[str, ...] = ()
+
+
 @dataclass(frozen=True)
 class Acknowledgement:
     """Empty reply to a message that needs no result."""
@@ -122,10 +155,13 @@
 __all__ = (
     "Acknowledgement",
     "EngineLoad",
+    "FindStreamVersion",
+    "FoundStreamVersion",
     "MirrorPull",
     "MirrorUpdate",
     "MirroredItem",
     "PrepareStages",
+    "RecordStreamVersions",
     "ReleaseResults",
     "RouterHeartbeat",
     "RouterMember",
--- a/packages/persimmonlink-router/src/persimmonlink_router/request_state.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/request_state.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
 
 from persimmonlink_router.boot_clock import boot_time
 from persimmonlink_router.configuration import Account, Route
@@ -14,6 +15,9 @@
 )
 from persimmonlink_router.wire_messages import RequestMetadata
 
+if TYPE_CHECKING:
+    from persimmonlink_router.servers import Server
+
 DEFAULT_DEADLINE_S = 30.0  # Deadline of requests that state none.
 
 
@@ -107,6 +111,9 @@
         Boot time of the last event sent to the client, or of the arrival, in seconds.
     is_client_retry : bool
         Whether the client appears to retry after a refusal.
+    stream_version : str or None
+        Software version of the servers at which a stream has to go on; None while it
+        may begin at any.
     response_end : ResponseEnd or None
         How the last response of a server ended.
     partial_event_bytes : int
@@ -128,12 +135,24 @@
     predicted_first_event_s: float | None = None
     silent_since: float = 0.0
     is_client_retry: bool = False
+    stream_version: str | None = None
     response_end: ResponseEnd | None = None
     partial_event_bytes: int = 0
 
     def __post_init__(self) -> None:
         self.silent_since = self.arrived_at
 
+    @property
+    def may_begin_stream(self) -> bool:
+        """Whether it begins a stream that its client may take up again."""
+        return self.route.is_resumable and not self.metadata.last_event_id
+
+    def allows_server(self, server: Server) -> bool:
+        """Whether a stream that has begun may go on at a server."""
+        if self.stream_version is None:
+            return True
+        return server.software_version == self.stream_version
+
     @property
     def deadline_at(self) -> float:
         """Boot time of the client's deadline, in seconds."""
--- a/packages/persimmonlink-router/src/persimmonlink_router/router.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/router.py
@@ -20,9 +20,12 @@
 from persimmonlink_router.peer_messages import (
     Acknowledgement,
     EngineLoad,
+    FindStreamVersion,
+    FoundStreamVersion,
     MirrorPull,
     MirrorUpdate,
     PrepareStages,
+    RecordStreamVersions,
     ReleaseResults,
     RouterHeartbeat,
     RouterMember,
@@ -38,6 +41,8 @@
 from persimmonlink_router.store import MetadataStore
 from persimmonlink_router.store_follower import MemberRegistration, StoreFollower
 from persimmonlink_router.store_mirror import StoreMirror
+from persimmonlink_router.stream_version_exchange import StreamVersionExchange
+from persimmonlink_router.stream_versions import StreamVersions
 from persimmonlink_router.timers import LoopTimerService
 from persimmonlink_router.wire_messages import Wire
 
@@ -159,6 +164,10 @@
             self._health,
             self._cold_limit,
         )
+        self._stream_versions = StreamVersions()
+        self._version_exchange = StreamVersionExchange(
+            self.membership, self.cluster_view, self._stream_versions
+        )
         self._sender = ServerSender(
             self._chooser,
             self.cluster_view,
@@ -167,6 +176,7 @@
             adapters.wire,
             self._health,
             self._retry_budget,
+            self._version_exchange,
         )
         self._request_service = RequestService(
             self.cluster_view,
@@ -278,6 +288,9 @@
         peers.register(MirrorPull, MirrorUpdate, membership.handle_pull)
         peers.register(PrepareStages, StageOutcome, stages.handle_prepare)
         peers.register(ReleaseResults, Acknowledgement, stages.handle_release)
+        versions = self._version_exchange
+        peers.register(RecordStreamVersions, Acknowledgement, versions.handle_record)
+        peers.register(FindStreamVersion, FoundStreamVersion, versions.handle_find)
         host, _, port = self._settings.listen.peers.rpartition(":")
         await peers.start(host, int(port))
 
@@ -306,6 +319,7 @@
         self._health.retain_servers(keys)
         self._chooser.retain_servers(keys)
         self._scheduler.servers.discard_absent(keys)
+        self._stream_versions.discard_expired(boot_time())
         configuration = self.cluster_view.configuration
         if configuration is not None:
             names = {route.name for route in configuration.routes}
--- a/packages/persimmonlink-router/src/persimmonlink_router/server_chooser.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/server_chooser.py
@@ -98,7 +98,7 @@
         service = self._cluster_view.find_service(state.service)
         candidates = []
         for server in self._cluster_view.servers.list_usable(state.service):
-            if server.server_id in excluded_ids:
+            if server.server_id in excluded_ids or not state.allows_server(server):
                 continue
             if self._cluster_view.servers.is_cold(server, now) and service is not None:
                 rate = service.cold_rate
--- a/packages/persimmonlink-router/src/persimmonlink_router/server_sender.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/server_sender.py
@@ -36,11 +36,14 @@
     from persimmonlink_router.send_limits import RetryBudget
     from persimmonlink_router.server_chooser import ServerChooser
     from persimmonlink_router.server_health import ServerHealth
+    from persimmonlink_router.stream_version_exchange import StreamVersionExchange
     from persimmonlink_router.wire_messages import Wire
 
 MAX_SERVER_WAIT_S = 0.15  # Longest wait for a server that may receive the request.
 SERVER_POLL_INTERVAL_S = 0.02  # Interval of looking for such a server.
 NO_SERVER_RETRY_AFTER_S = 0.3  # Retry-After if no server accepts a request.
+# Retry-After if no server may continue a stream, or no node knows which ones may.
+NO_VERSION_RETRY_AFTER_S = 0.5
 MAX_REJECTIONS = 4  # A request that more servers than this reject is refused.
 REJECTION_BODY_TIMEOUT_S = 0.2  # Longest wait for the body of a rejection.
 MAX_REJECTION_BODY_BYTES = 65536  # Largest body of a rejection that is read.
@@ -96,6 +99,8 @@
         Records latency, failures and load of the servers.
     budget : RetryBudget
         Limits retries.
+    stream_versions : StreamVersionExchange
+        Records and finds the software versions at which streams began.
     """
 
     def __init__(
@@ -107,6 +112,7 @@
         wire: Wire,
         health: ServerHealth,
         budget: RetryBudget,
+        stream_versions: StreamVersionExchange,
     ) -> None:
         self._chooser = chooser
         self._cluster_view = cluster_view
@@ -115,6 +121,7 @@
         self._wire = wire
         self._health = health
         self._budget = budget
+        self._stream_versions = stream_versions
 
     async def send(
         self,
@@ -166,6 +173,35 @@
                         NO_SERVER_RETRY_AFTER_S,
                     ) from error
 
+    async def pin_resumed_stream(self, state: RequestState) -> None:
+        """Bind a stream that a client takes up to the version at which it began.
+
+        Raises `RequestRefusedError` if no node knows that version.
+        """
+        metadata = state.metadata
+        if not metadata.last_event_id or state.stream_version is not None:
+            return
+        state.stream_version = await self._stream_versions.find(
+            metadata.resumed_request_id, state.service
+        )
+        if state.stream_version is None:
+            raise RequestRefusedError(
+                "the software version that began the stream is unknown",
+                NO_VERSION_RETRY_AFTER_S,
+            )
+
+    def require_stream_version(self, state: RequestState) -> None:
+        """Raise `RequestRefusedError` if no server can continue a stream."""
+        if state.stream_version is None:
+            return
+        for server in self._cluster_view.servers.list_usable(state.service):
+            if state.allows_server(server):
+                return
+        raise RequestRefusedError(
+            f"no server of software version {state.stream_version} serves the stream",
+            NO_VERSION_RETRY_AFTER_S,
+        )
+
     def predict_domain(self, state: RequestState) -> str:
         """Return the domain where a request is likely to run, or an empty string."""
         server = self._chooser.choose(state, NO_INPUTS, set())
@@ -247,6 +283,10 @@
             inputs.handles,
             last_event_id or state.metadata.last_event_id,
         )
+        if state.may_begin_stream and state.stream_version is None:
+            self._stream_versions.record(
+                state.metadata.request_id, server.software_version
+            )
         if state.sends == 0:
             self._budget.record_request(state.service, now)
         state.sends += 1
--- a/packages/persimmonlink-router/src/persimmonlink_router/servers.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/servers.py
@@ -8,6 +8,8 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+VERSION_MEMORY_S = 60.0  # Longer than a stream lasts, with all attempts of its client.
+
 
 @dataclass(frozen=True, slots=True)
 class Server:
@@ -63,6 +65,7 @@
         self.drained_domains: frozenset[str] = frozenset()
         self._cold_until_by_key: dict[tuple[str, int, str], float] = {}
         self._removal_at_by_id: dict[str, float] = {}
+        self._left_at_by_version: dict[tuple[str, str], float] = {}
 
     def update(self, server: Server, now: float) -> bool:
         """Apply a server's entry; return whether it differs from the known one.
@@ -74,17 +77,22 @@
         if current == server:
             return False
         self.server_by_id[server.server_id] = server
+        if current is not None and (
+            current.software_version != server.software_version
+        ):
+            self._record_left(current, now)
         if current is not None and current.key != server.key:
             self._cold_until_by_key.pop(current.key, None)
         if server.cold_left_s > 0:
             self.mark_cold(server, now + server.cold_left_s)
         return current is None or current.key != server.key or current != server
 
-    def remove(self, server_id: str) -> Server | None:
+    def remove(self, server_id: str, now: float) -> Server | None:
         """Remove a server at once and return it, or None if it is unknown."""
         self._removal_at_by_id.pop(server_id, None)
         server = self.server_by_id.pop(server_id, None)
         if server is not None:
+            self._record_left(server, now)
             self._cold_until_by_key.pop(server.key, None)
         return server
 
@@ -104,9 +112,34 @@
             if removal_at <= now
         ]
         for server_id in expired:
-            self.remove(server_id)
+            self.remove(server_id, now)
         return expired
 
+    def list_recent_versions(self, service: str, now: float) -> list[str]:
+        """Return the software versions of a service that may have begun live streams.
+
+        These are the versions of its servers now, also of those that are draining, and
+        of those that left in the last `VERSION_MEMORY_S`.
+        """
+        versions = {
+            server.software_version
+            for server in self.server_by_id.values()
+            if server.service == service
+        }
+        for (left_service, version), left_at in self._left_at_by_version.items():
+            if left_service == service and now - left_at < VERSION_MEMORY_S:
+                versions.add(version)
+        return sorted(versions)
+
+    def _record_left(self, server: Server, now: float) -> None:
+        """Record that a server of its version left, and forget older records."""
+        self._left_at_by_version = {
+            key: left_at
+            for key, left_at in self._left_at_by_version.items()
+            if now - left_at < VERSION_MEMORY_S
+        }
+        self._left_at_by_version[server.service, server.software_version] = now
+
     def set_drained_domains(
         self, domains: Iterable[str], now: float, cold_s_by_service: dict[str, float]
     ) -> None:
--- a/packages/persimmonlink-router/src/persimmonlink_router/stream_relay.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stream_relay.py
@@ -56,6 +56,8 @@
     while True:
         attempt_count += 1
         try:
+            await sender.pin_resumed_stream(state)
+            sender.require_stream_version(state)
             inputs = await _run_stages(state, sender, stages)
             try:
                 timeout_s = _first_event_timeout_s(state)
@@ -199,6 +201,7 @@
                 continue
             if is_first:
                 is_first = False
+                state.stream_version = response.server.software_version
                 sender.record_response_start(state, response)
                 stages.release(state.metadata.request_id)
                 if state.first_event_s is None:
--- /dev/null
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stream_version_exchange.py
@@ -0,0 +1,176 @@
+"""Exchange of stream versions between nodes, so that any node can resume a stream."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from loguru import logger
+from returns.result import Failure as Err
+
+from persimmonlink_model.rendezvous import rank_members
+from persimmonlink_router.boot_clock import boot_time
+from persimmonlink_router.peer_messages import (
+    Acknowledgement,
+    FindStreamVersion,
+    FoundStreamVersion,
+    RecordStreamVersions,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from persimmonlink_model.membership import Member
+    from persimmonlink_router.cluster_membership import ClusterMembership
+    from persimmonlink_router.cluster_view import ClusterView
+    from persimmonlink_router.stream_versions import StreamVersions
+
+RECORD_TIMEOUT_S = 0.5  # Timeout of a message that records versions at a peer.
+FIND_TIMEOUT_S = 0.25  # Timeout of a message that asks a peer for a version.
+# Members of each failure domain that are asked if the first ones don't know a version:
+# the first one may have changed since the stream began.
+MAX_ASKED_PER_DOMAIN = 3
+
+
+class StreamVersionExchange:
+    """Records the version of each stream at several nodes, and finds it again.
+
+    One member of each failure domain, chosen by the request id, keeps a copy of each
+    record, so that it outlives the node that served the stream and a failure domain.
+
+    Parameters
+    ----------
+    membership : ClusterMembership
+        Membership and channels to the peers.
+    cluster_view : ClusterView
+        Known servers and their versions.
+    versions : StreamVersions
+        Records that this node keeps.
+    """
+
+    def __init__(
+        self,
+        membership: ClusterMembership,
+        cluster_view: ClusterView,
+        versions: StreamVersions,
+    ) -> None:
+        self._membership = membership
+        self._cluster_view = cluster_view
+        self._versions = versions
+        self._unsent_by_node_id: dict[str, dict[str, str]] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def record(self, request_id: str, version: str) -> None:
+        """Record the version to which a request is sent, here and at the keepers."""
+        self._versions.record(request_id, version, boot_time())
+        keepers = self._membership.list_serving_members()
+        for member in _choose_by_domain(keepers, request_id, 1):
+            if member.node_id == self._membership.own_member.node_id:
+                continue
+            if member.node_id in self._unsent_by_node_id:
+                self._unsent_by_node_id[member.node_id][request_id] = version
+                continue
+            self._unsent_by_node_id[member.node_id] = {request_id: version}
+            task = asyncio.get_running_loop().create_task(self._send_records(member))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def find(self, request_id: str, service: str) -> str | None:
+        """Return the version at which a stream has to go on, or None if unknown.
+
+        A stream that no node knows goes on if only one version has served lately.
+
+        Parameters
+        ----------
+        request_id : str
+            Id of the client's attempt that began the stream, empty if not stated.
+        service : str
+            Service that runs the stream.
+        """
+        known = self._versions.find(request_id)
+        if known is not None:
+            return known
+        servers = self._cluster_view.servers
+        recent = set(servers.list_recent_versions(service, boot_time()))
+        live = self._membership.list_live_members()
+        first = _choose_by_domain(live, request_id, 1)
+        asked = _choose_by_domain(live, request_id, MAX_ASKED_PER_DOMAIN)
+        for members in (first, [member for member in asked if member not in first]):
+            for reply in await self._ask(members, request_id, service):
+                if reply.version is not None:
+                    return reply.version
+                recent.update(reply.recent_versions)
+        version = recent.pop() if len(recent) == 1 else None
+        logger.bind(resumes=request_id, service=service, version=version).info(
+            "stream.origin_unknown"
+        )
+        return version
+
+    async def handle_record(self, message: RecordStreamVersions) -> Acknowledgement:
+        """Keep the versions that a peer sends."""
+        now = boot_time()
+        for request_id, version in message.version_by_request_id.items():
+            self._versions.record(request_id, version, now)
+        return Acknowledgement()
+
+    async def handle_find(self, message: FindStreamVersion) -> FoundStreamVersion:
+        """Tell a peer what this node knows of a stream and of the versions."""
+        servers = self._cluster_view.servers
+        return FoundStreamVersion(
+            self._versions.find(message.request_id),
+            tuple(servers.list_recent_versions(message.service, boot_time())),
+        )
+
+    async def _ask(
+        self, members: Sequence[Member], request_id: str, service: str
+    ) -> list[FoundStreamVersion]:
+        """Return the replies of the members, until one of them knows the version."""
+        message = FindStreamVersion(self._membership.sender, request_id, service)
+        calls = [
+            self._membership.channel(member.peer_address).call(
+                message, FoundStreamVersion, FIND_TIMEOUT_S
+            )
+            for member in members
+            if member.node_id != self._membership.own_member.node_id
+        ]
+        found = []
+        for call in asyncio.as_completed(calls):
+            reply = await call
+            if isinstance(reply, Err):
+                continue
+            found.append(reply.unwrap())
+            if found[-1].version is not None:
+                break
+        return found
+
+    async def _send_records(self, member: Member) -> None:
+        """Send the records of a member, those of the meantime in one message each."""
+        while records := self._unsent_by_node_id[member.node_id]:
+            self._unsent_by_node_id[member.node_id] = {}
+            message = RecordStreamVersions(self._membership.sender, records)
+            channel = self._membership.channel(member.peer_address)
+            reply = await channel.call(message, Acknowledgement, RECORD_TIMEOUT_S)
+            if isinstance(reply, Err):
+                # The node itself and the keepers of other domains have the records.
+                logger.bind(member=member.node_id, requests=len(records)).info(
+                    "stream.record_failed"
+                )
+        del self._unsent_by_node_id[member.node_id]
+
+
+def _choose_by_domain(
+    members: Sequence[Member], request_id: str, per_domain: int
+) -> list[Member]:
+    """Return the first members of each failure domain in the order of a request id."""
+    chosen: list[Member] = []
+    count_by_domain: dict[str, int] = {}
+    for member in rank_members(members, request_id):
+        count = count_by_domain.get(member.domain, 0)
+        if count >= per_domain:
+            continue
+        count_by_domain[member.domain] = count + 1
+        chosen.append(member)
+    return chosen
+
+
+__all__ = ("StreamVersionExchange",)
--- a/tests/router/test_servers.py
+++ b/tests/router/test_servers.py
@@ -4,7 +4,7 @@
 
 from tests.router.chains import make_server
 
-from persimmonlink_router.servers import ServerDirectory
+from persimmonlink_router.servers import VERSION_MEMORY_S, ServerDirectory
 
 
 def test_draining_servers_and_drained_domains_are_not_usable():
@@ -54,3 +54,22 @@
     directory.schedule_removal("s1", 2.0)
     directory.update(make_server(), 1.0)
     assert directory.remove_expired(5.0) == []
+
+
+def test_the_version_of_a_server_that_left_stays_recent_for_a_time():
+    directory = ServerDirectory()
+    directory.update(make_server(server_id="i-1", software_version="v1"), 0.0)
+    directory.update(make_server(server_id="i-2", software_version="v2"), 0.0)
+    service = make_server().service
+    directory.remove("i-1", 10.0)
+    assert directory.list_recent_versions(service, 11.0) == ["v1", "v2"]
+    later = 10.0 + VERSION_MEMORY_S
+    assert directory.list_recent_versions(service, later) == ["v2"]
+    assert directory.list_recent_versions("other", 11.0) == []
+
+
+def test_a_version_stays_recent_when_its_server_starts_again_with_another():
+    directory = ServerDirectory()
+    directory.update(make_server(software_version="v1"), 0.0)
+    directory.update(make_server(software_version="v2", started_at_ms=2), 5.0)
+    assert directory.list_recent_versions(make_server().service, 6.0) == ["v1", "v2"]
