Don't go on with a generation at another incarnation of its engine

persimmonlinkd resumes a broken generation at the address where it began, and took the rest from whatever engine answered there, also one that had started again, perhaps with other software.

Evidence: test_a_stream_does_not_go_on_at_another_incarnation_of_its_engine failed before (the output was a success made of both incarnations); the caller gets a failure now.

Why it works: a resume is taken only from the incarnation that the first response named.

--- a/packages/persimmonlink-interfaces/src/persimmonlink_interfaces/engine_client.py
+++ b/packages/persimmonlink-interfaces/src/persimmonlink_interfaces/engine_client.py
@@ -159,7 +159,14 @@
                     if generation.texts
                     else status_failure
                 )
-            generation.incarnation = response.headers.get(INCARNATION_HEADER, "")
+            incarnation = response.headers.get(INCARNATION_HEADER, "")
+            if generation.texts and incarnation != generation.incarnation:
+                return CallFailure(
+                    CallFault.INVALID_RESPONSE,
+                    f"incarnation {incarnation!r} of the engine resumed a generation "
+                    f"of {generation.incarnation!r}",
+                )
+            generation.incarnation = incarnation
             if not generation.texts:
                 generation.first_byte_s = time.monotonic() - started_at
             return _read_chunks(
--- a/tests/interfaces/test_engine_client.py
+++ b/tests/interfaces/test_engine_client.py
@@ -9,10 +9,11 @@
 
 from persimmonlink_interfaces.cancellation import Cancellation
 from persimmonlink_interfaces.engine_client import EngineClient
-from persimmonlink_interfaces.stage_client import StageCall
+from persimmonlink_interfaces.stage_client import CallFault, StageCall
 from persimmonlink_model.deadline import Deadline
 
 HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
+CALL = StageCall("call-1", "m", "acme", "in", 8, 0, True, 2.0, 2.0)
 
 
 def encode_event(index: int, finish_reason: str | None = None) -> bytes:
@@ -48,9 +49,20 @@
         [HEAD + first + last.removesuffix(b"\n"), HEAD + last + b"data: [DONE]\n\n"]
     )
     texts: list[str] = []
-    call = StageCall("call-1", "m", "acme", "in", 8, 0, True, 2.0, 2.0)
     deadline = Deadline(time.monotonic() + 5.0)
-    output = EngineClient().run(address, call, deadline, Cancellation(), texts.append)
+    output = EngineClient().run(address, CALL, deadline, Cancellation(), texts.append)
     assert output.unwrap().text == "t0 t1 "
     assert texts == ["t0 ", "t1 "]
     assert [body["stream_offset"] for body in bodies] == [0, 1]
+
+
+def test_a_stream_does_not_go_on_at_another_incarnation_of_its_engine():
+    heads = [HEAD[:-2] + b"X-Server-Incarnation: %s\r\n\r\n" % i for i in (b"a", b"b")]
+    done = encode_event(1, "stop") + b"data: [DONE]\n\n"
+    address, bodies = serve_once_each([heads[0] + encode_event(0), heads[1] + done])
+    texts: list[str] = []
+    deadline = Deadline(time.monotonic() + 5.0)
+    output = EngineClient().run(address, CALL, deadline, Cancellation(), texts.append)
+    assert output.failure().fault is CallFault.INVALID_RESPONSE
+    assert texts == ["t0 "]
+    assert [body["stream_offset"] for body in bodies] == [0, 1]
