Heed a server that says it is leaving, or that it wants nothing for a time

A server that leaves may say so in its responses only, and one that rejects a request may say for how long it wants none. Nodes read neither: callers' requests went on reaching both, and were turned away or cut off.

Now a response binds the node that reads it, whatever it answers: a request, a batch of pieces or a release. A leaving incarnation gets no new work from then on, also if the store lists it as ready; one that stated Retry-After with 503 gets nothing until the time is over, releases included. If all servers of a service want none for longer than a node waits for a server, a request is refused at once, to come back when the first of them does.

--- a/packages/persimmonlink-router/src/persimmonlink_router/cluster_view.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/cluster_view.py
@@ -16,6 +16,7 @@
 
     from persimmonlink_router.configuration import Configuration, Service
     from persimmonlink_router.store import StoredItem
+    from persimmonlink_router.wire_messages import ResponseInfo
 
 SUSPENSION_GAP_S = 0.8  # Gap between ticks that reveals a suspended VM.
 # Longest wait for a refresh after a suspension; peers expect the node back in 3 s.
@@ -152,8 +153,25 @@
 
     def may_send(self, server: Server) -> bool:
         """Whether a server may get new requests at this moment."""
+        if self.servers.pause_left_s(server, boot_time()) > 0:
+            return False
         return self.is_fresh() and self.servers.is_usable(server)
 
+    def apply_response(self, server: Server, info: ResponseInfo) -> None:
+        """Apply what a server says of itself in a response."""
+        if info.is_other_server:
+            return
+        now = boot_time()
+        if info.is_server_leaving and self.servers.mark_leaving(server, now):
+            logger.bind(server=server.server_id, service=server.service).info(
+                "server.leaving"
+            )
+        if info.pause_s > 0:
+            self.servers.pause(server, now + info.pause_s)
+            logger.bind(server=server.server_id, pause_s=info.pause_s).info(
+                "server.paused"
+            )
+
     def find_service(self, name: str) -> Service | None:
         """Return a service of the configuration in force, or None."""
         if self.configuration is None:
--- a/packages/persimmonlink-router/src/persimmonlink_router/server_chooser.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/server_chooser.py
@@ -100,6 +100,8 @@
         for server in self._cluster_view.servers.list_usable(state.service):
             if server.server_id in excluded_ids or not state.allows_server(server):
                 continue
+            if self._cluster_view.servers.pause_left_s(server, now) > 0:
+                continue
             if self._cluster_view.servers.is_cold(server, now) and service is not None:
                 rate = service.cold_rate
                 if not self._cold_limit.may_send(server.key, rate, nodes, now):
--- a/packages/persimmonlink-router/src/persimmonlink_router/server_sender.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/server_sender.py
@@ -250,6 +250,7 @@
     ) -> Server:
         wait_ends_at = boot_time() + min(MAX_SERVER_WAIT_S, max(0.0, state.time_left_s))
         while True:
+            self._refuse_if_paused(state)
             server = self._chooser.choose(state, inputs, excluded_ids)
             if server is not None:
                 return server
@@ -259,6 +260,20 @@
                 )
             await asyncio.sleep(SERVER_POLL_INTERVAL_S)
 
+    def _refuse_if_paused(self, state: RequestState) -> None:
+        """Raise `RequestRefusedError` if all servers want no requests for a time."""
+        servers = self._cluster_view.servers
+        now = boot_time()
+        pauses_s = [
+            servers.pause_left_s(server, now)
+            for server in servers.list_usable(state.service)
+            if state.allows_server(server)
+        ]
+        if pauses_s and min(pauses_s) > MAX_SERVER_WAIT_S:
+            raise RequestRefusedError(
+                "all servers want no requests for now", min(pauses_s)
+            )
+
     async def _send_to(
         self,
         server: Server,
@@ -358,7 +373,9 @@
         headers = self._wire.build_request_headers(request, dispatch)
         try:
             connection.send(request.method, request.target, headers, request.body)
-            head, info = await self._read_head(connection, state, head_timeout_s)
+            head, info = await self._read_head(
+                server, connection, state, head_timeout_s
+            )
         except (ConnectionLostError, TimeoutError) as error:
             state.runs += 1
             state.may_have_run = True
@@ -387,6 +404,7 @@
 
     async def _read_head(
         self,
+        server: Server,
         connection: HttpClientConnection,
         state: RequestState,
         head_timeout_s: float | None,
@@ -398,6 +416,7 @@
             while True:
                 head = await connection.read_head()
                 info = self._wire.parse_response_head(head)
+                self._cluster_view.apply_response(server, info)
                 is_unexpected = info.request_id not in ("", state.metadata.request_id)
                 if not is_unexpected:
                     return head, info
--- a/packages/persimmonlink-router/src/persimmonlink_router/servers.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/servers.py
@@ -8,6 +8,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+ServerKey = tuple[str, int, str]  # Id, start time and address of an incarnation.
 VERSION_MEMORY_S = 60.0  # Longer than a stream lasts, with all attempts of its client.
 
 
@@ -49,7 +50,7 @@
     software_version: str = ""
 
     @property
-    def key(self) -> tuple[str, int, str]:
+    def key(self) -> ServerKey:
         """Identity of this incarnation: id, start time and address."""
         return self.server_id, self.started_at_ms, self.address
 
@@ -63,8 +64,10 @@
     def __init__(self) -> None:
         self.server_by_id: dict[str, Server] = {}
         self.drained_domains: frozenset[str] = frozenset()
-        self._cold_until_by_key: dict[tuple[str, int, str], float] = {}
+        self._cold_until_by_key: dict[ServerKey, float] = {}
         self._removal_at_by_id: dict[str, float] = {}
+        self._leaving_since_by_key: dict[ServerKey, float] = {}
+        self._paused_until_by_key: dict[ServerKey, float] = {}
         self._left_at_by_version: dict[tuple[str, str], float] = {}
 
     def update(self, server: Server, now: float) -> bool:
@@ -139,6 +142,15 @@
             if now - left_at < VERSION_MEMORY_S
         }
         self._left_at_by_version[server.service, server.software_version] = now
+        self._discard_absent_state(now)
+
+    def _discard_absent_state(self, now: float) -> None:
+        """Forget what servers said that are gone for longer than a request lasts."""
+        present = {server.key for server in self.server_by_id.values()}
+        for state in (self._leaving_since_by_key, self._paused_until_by_key):
+            for key, since in list(state.items()):
+                if key not in present and now - since > VERSION_MEMORY_S:
+                    del state[key]
 
     def set_drained_domains(
         self, domains: Iterable[str], now: float, cold_s_by_service: dict[str, float]
@@ -167,25 +179,48 @@
         """Whether a server is treated as cold."""
         return self._cold_until_by_key.get(server.key, 0.0) > now
 
+    def mark_leaving(self, server: Server, now: float) -> bool:
+        """Record that an incarnation said that it leaves; return whether it is news."""
+        if server.key in self._leaving_since_by_key:
+            return False
+        self._leaving_since_by_key[server.key] = now
+        return True
+
+    def pause(self, server: Server, until: float) -> None:
+        """Send an incarnation nothing until a boot time, in seconds; never shortens."""
+        current = self._paused_until_by_key.get(server.key, 0.0)
+        self._paused_until_by_key[server.key] = max(current, until)
+
+    def pause_left_s(self, server: Server, now: float) -> float:
+        """Return the time in which a server wants no requests, in seconds."""
+        return max(0.0, self._paused_until_by_key.get(server.key, 0.0) - now)
+
     def is_usable(self, server: Server) -> bool:
-        """Whether this incarnation may receive new work now."""
+        """Whether this incarnation may receive new work now, unless it is paused."""
         current = self.server_by_id.get(server.server_id)
         return (
             current is not None
             and current.key == server.key
-            and not current.is_draining
-            and current.domain not in self.drained_domains
+            and self._accepts_work(current)
         )
 
     def list_usable(self, service: str) -> list[Server]:
-        """Return the servers of a service that may receive new work, sorted by id."""
+        """Return the servers of a service that may receive new work, sorted by id.
+
+        Servers that are paused are among them.
+        """
         return [
             server
             for _, server in sorted(self.server_by_id.items())
-            if server.service == service
-            and not server.is_draining
-            and server.domain not in self.drained_domains
+            if server.service == service and self._accepts_work(server)
         ]
 
+    def _accepts_work(self, server: Server) -> bool:
+        return (
+            not server.is_draining
+            and server.key not in self._leaving_since_by_key
+            and server.domain not in self.drained_domains
+        )
+
 
 __all__ = ("Server", "ServerDirectory")
--- a/packages/persimmonlink-router/src/persimmonlink_router/stage_calls.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stage_calls.py
@@ -7,6 +7,7 @@
 
 from loguru import logger
 
+from persimmonlink_router.boot_clock import boot_time
 from persimmonlink_router.http_client import ConnectError, ConnectionLostError
 
 if TYPE_CHECKING:
@@ -76,6 +77,7 @@
                 server.key, server.address, call, MAX_BODY_BYTES
             )
         info = self._wire.parse_response_head(head)
+        self._cluster_view.apply_response(server, info)
         if info.was_not_run or info.is_other_server:
             return None
         if head.status != 200:
@@ -92,14 +94,17 @@
             self._pending_releases_by_key[key].append(result)
 
     async def _send_release(self, server: Server) -> None:
-        await asyncio.sleep(RELEASE_DELAY_S)
+        pause_s = self._cluster_view.servers.pause_left_s(server, boot_time())
+        await asyncio.sleep(max(RELEASE_DELAY_S, pause_s))
         results = self._pending_releases_by_key.pop(server.key)
         call = self._wire.build_release_request(server, [r.handle for r in results])
         try:
             async with asyncio.timeout(RELEASE_TIMEOUT_S):
-                await self._pool.exchange(
+                head, _ = await self._pool.exchange(
                     server.key, server.address, call, MAX_BODY_BYTES
                 )
+            info = self._wire.parse_response_head(head)
+            self._cluster_view.apply_response(server, info)
         except (ConnectError, ConnectionLostError, TimeoutError) as error:
             # The server discards unreleased results by itself when they expire.
             logger.bind(server=server.server_id, error=repr(error)).info(
--- a/packages/persimmonlink-router/src/persimmonlink_router/stage_servers.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stage_servers.py
@@ -154,7 +154,7 @@
         for server in self._cluster_view.servers.list_usable(service.name):
             state = self.state(server)
             slowness = self.slowness(server, now)
-            if state.blocked_until > now:
+            if self._is_blocked(server, now):
                 continue
             if state.calls_in_flight >= spec.max_concurrent_calls:
                 remaining_s = max(0.0, state.busy_until - now)
@@ -185,10 +185,11 @@
         for server in self._cluster_view.servers.list_usable(service):
             if self._health.failure_share(server.key, now) > MAX_FAILURE_SHARE:
                 continue
+            pause_s = self._cluster_view.servers.pause_left_s(server, now)
             effective_servers += 1 / max(
                 1.0, self._health.latency_ratio(server.key, now)
             )
-            until_free_s.append(max(0.0, self.state(server).busy_until - now))
+            until_free_s.append(max(pause_s, self.state(server).busy_until - now))
         return effective_servers, min(until_free_s, default=0.0)
 
     def record_fill(self, service: str, fraction: float) -> None:
@@ -288,8 +289,13 @@
             if key not in keys and state.calls_in_flight == 0:
                 del self._state_by_key[key]
 
+    def _is_blocked(self, server: Server, now: float) -> bool:
+        if self._cluster_view.servers.pause_left_s(server, now) > 0:
+            return True
+        return self.state(server).blocked_until > now
+
     def _is_impaired(self, server: Server, now: float) -> bool:
-        if self.state(server).blocked_until > now:
+        if self._is_blocked(server, now):
             return True
         return self.slowness(server, now) > SLOW_FACTOR
 
--- a/packages/persimmonlink-router/src/persimmonlink_router/wire_messages.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/wire_messages.py
@@ -111,6 +111,11 @@
         Whether a server other than the addressed one answered.
     is_encoded : bool
         Whether the body has a content encoding, which is never requested.
+    is_server_leaving : bool
+        Whether the server states that it is leaving.
+    pause_s : float
+        Time in which a server that rejected the request wants no others from this
+        node, in seconds.
     """
 
     request_id: str
@@ -118,6 +123,8 @@
     was_not_run: bool
     is_other_server: bool
     is_encoded: bool
+    is_server_leaving: bool = False
+    pause_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/stand_ins/src/persimmonlink_stand_ins/routed_server.py
+++ b/stand_ins/src/persimmonlink_stand_ins/routed_server.py
@@ -28,6 +28,11 @@
     ----------
     rejects_requests : bool
         Rejects requests without running them.
+    retry_after_s : float
+        Time in which a server that rejects requests wants no others, in seconds; 0
+        states none.
+    says_leaving : bool
+        States in every response that the server is leaving.
     withholds_responses : bool
         Runs requests and sends no response.
     resets_connections : bool
@@ -51,6 +56,8 @@
     """
 
     rejects_requests: bool = False
+    retry_after_s: float = 0.0
+    says_leaving: bool = False
     withholds_responses: bool = False
     resets_connections: bool = False
     responds_500: bool = False
@@ -93,6 +100,7 @@
         self.batch_sizes: list[int] = []
         self.freed_handles: list[str] = []
         self.disconnected_ids: list[str] = []
+        self.received_count = 0
         self._server = RawServer(self._handle)
 
     @property
@@ -129,12 +137,16 @@
         return {**entry, **changes}
 
     async def _handle(self, request: RawRequest, writer: asyncio.StreamWriter) -> bool:
+        self.received_count += 1
         expected = request.headers.get("persimmonlink-expect-instance")
         if expected not in (None, self.server_id):
             writer.write(encode_response(421, {}, b""))
             return True
         if self.faults.rejects_requests:
-            writer.write(encode_response(503, {"Persimmonlink-Not-Executed": "1"}, b""))
+            headers = {"Persimmonlink-Not-Executed": "1", **self._state_headers()}
+            if self.faults.retry_after_s:
+                headers["Retry-After"] = str(self.faults.retry_after_s)
+            writer.write(encode_response(503, headers, b""))
             return True
         if request.target == "/-/stage-run":
             return await self._run_pieces(request, writer)
@@ -164,7 +176,7 @@
             except asyncio.CancelledError:
                 self.disconnected_ids.append(request_id)
                 raise
-        headers = {"Persimmonlink-Request-Id": request_id}
+        headers = {"Persimmonlink-Request-Id": request_id, **self._state_headers()}
         if not self.faults.omits_seal:
             headers["Persimmonlink-Response-Seal"] = f"seal-{request_id}"
         if self.faults.responds_500:
@@ -225,9 +237,12 @@
             name = f"{item['id']}.{item['stage']}.{item['piece']}.{len(self.pieces)}"
             results.append({"handle": f"{self.address}/{name}"})
         body = msgspec.json.encode({"items": results})
-        writer.write(encode_response(200, {}, body))
+        writer.write(encode_response(200, self._state_headers(), body))
         return True
 
+    def _state_headers(self) -> dict[str, str]:
+        return {"Server-Leaving": "1"} if self.faults.says_leaving else {}
+
 
 def _chunk(data: bytes) -> bytes:
     return b"%x\r\n" % len(data) + data + b"\r\n"
--- a/tests/adapter/test_http_wire.py
+++ b/tests/adapter/test_http_wire.py
@@ -127,3 +127,25 @@
 def test_malformed_batch_results_are_errors(body):
     with pytest.raises(WireFormatError):
         WIRE.parse_batch_response(body, 2)
+
+
+@pytest.mark.parametrize(
+    ("status", "value", "pause_s"),
+    [
+        (503, b"2.5", 2.5),
+        (200, b"2.5", 0.0),
+        (503, b"soon", 0.0),
+        (503, b"-1", 0.0),
+        (503, b"nan", 0.0),
+        (503, b"1e9", 600.0),
+    ],
+)
+def test_the_pause_that_a_rejecting_server_wants_is_read(status, value, pause_s):
+    head = HttpResponseHead(status, ((b"retry-after", value),))
+    assert WIRE.parse_response_head(head).pause_s == pause_s
+
+
+@pytest.mark.parametrize(("value", "is_leaving"), [(b"1", True), (b"0", False)])
+def test_a_leaving_server_is_recognized(value, is_leaving):
+    head = HttpResponseHead(200, ((b"server-leaving", value),))
+    assert WIRE.parse_response_head(head).is_server_leaving is is_leaving
