Follow a store that came back from an older copy

Revisions go back and are given out again, leases are gone, and its responses name a new era.

Before, a node that had seen higher revisions ignored all that was written until the store had passed them: configurations, drains and servers. It renewed a lease that another node had been given under the same id, and was never registered again. Servers and drains that only the copy lacked vanished at once, and servers that had left came back.

An incarnation that was seen to leave stays out: a draining one for good, one whose entry had gone until it writes a later entry than was seen before. Configurations never went back and don't now.

--- a/packages/persimmonlink-router/src/persimmonlink_router/cluster_view.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/cluster_view.py
@@ -8,6 +8,7 @@
 from loguru import logger
 
 from persimmonlink_router.boot_clock import boot_time
+from persimmonlink_router.departed_servers import DepartedServers
 from persimmonlink_router.servers import Server, ServerDirectory
 from persimmonlink_router.wire_messages import WireFormatError
 
@@ -36,10 +37,13 @@
         Id of the server.
     server : Server or None
         The server; None if its entry was deleted or is malformed.
+    number : int
+        Number that the server gave the entry; later entries have higher ones.
     """
 
     server_id: str
     server: Server | None
+    number: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -83,9 +87,12 @@
         self.last_contact_at = 0.0
         self._contact_lost_at: float | None = None
         self._contact_recovered_at = 0.0
+        self._restored_at = 0.0
+        self._departed = DepartedServers()
         self._last_tick_at = boot_time()
         self._stale_until = 0.0
         self._drained_domains: set[str] = set()
+        self._drain_end_at_by_domain: dict[str, float] = {}
 
     def apply(self, item: StoredItem) -> None:
         """Apply a change of an item of the store; malformed items are logged."""
@@ -119,6 +126,14 @@
         ).info("dependency.recovered")
         self._contact_lost_at = None
 
+    def record_restore(self, now: float) -> None:
+        """Record that the store returned from an older copy.
+
+        What the copy lacks may be written again, and is believed for a time.
+        """
+        self._contact_recovered_at = now
+        self._restored_at = now
+
     def mark_refreshed_by_peer(self) -> None:
         """Record that a peer in contact with the store has refreshed the view."""
         self._stale_until = 0.0
@@ -145,6 +160,7 @@
         for server_id in self.servers.remove_expired(now):
             logger.bind(server=server_id, cause="lapsed").info("server.removed")
             self._on_change()
+        self._end_lapsed_drains(now)
 
     def is_fresh(self) -> bool:
         """Whether the view is recent enough to act on, after a possible suspension."""
@@ -190,6 +206,14 @@
     def _apply_server(self, entry: ServerEntry, revision: int) -> None:
         now = boot_time()
         if entry.server is not None:
+            if self._departed.is_outdated(
+                entry.server.key, entry.number, self._restored_at
+            ):
+                logger.bind(server=entry.server_id, revision=revision).info(
+                    "server.outdated_entry_ignored"
+                )
+                return
+            self._departed.record_entry(entry.server.key, entry.number)
             known = self.servers.server_by_id.get(entry.server_id)
             if not self.servers.update(entry.server, now):
                 return
@@ -220,23 +244,45 @@
             self.servers.schedule_removal(entry.server_id, until)
             return
         self.servers.remove(entry.server_id, now)
+        self._departed.record_departure(known.key, now)
         logger.bind(server=entry.server_id, revision=revision, cause="removed").info(
             "server.removed"
         )
 
     def _apply_drain(self, entry: DrainEntry, revision: int) -> None:
+        now = boot_time()
+        self._drain_end_at_by_domain.pop(entry.domain, None)
         if entry.is_drained:
             self._drained_domains.add(entry.domain)
+        elif now - self._contact_recovered_at < OUTAGE_EXPIRY_GRACE_S:
+            ends_at = self._contact_recovered_at + OUTAGE_EXPIRY_GRACE_S
+            self._drain_end_at_by_domain[entry.domain] = ends_at
+            return
         else:
             self._drained_domains.discard(entry.domain)
+        self._set_drained_domains()
+        logger.bind(
+            domain=entry.domain, drained=entry.is_drained, revision=revision
+        ).info("drain.changed")
+
+    def _end_lapsed_drains(self, now: float) -> None:
+        """End the drains that were not written again after the store returned."""
+        for domain, ends_at in list(self._drain_end_at_by_domain.items()):
+            if ends_at > now:
+                continue
+            del self._drain_end_at_by_domain[domain]
+            self._drained_domains.discard(domain)
+            self._set_drained_domains()
+            logger.bind(domain=domain, drained=False, cause="lapsed").info(
+                "drain.changed"
+            )
+
+    def _set_drained_domains(self) -> None:
         cold_s: dict[str, float] = {}
         if self.configuration is not None:
             for service in self.configuration.service_by_name.values():
                 cold_s[service.name] = service.cold_start_s
         self.servers.set_drained_domains(self._drained_domains, boot_time(), cold_s)
-        logger.bind(
-            domain=entry.domain, drained=entry.is_drained, revision=revision
-        ).info("drain.changed")
 
 
 __all__ = ("ClusterView", "DrainEntry", "EntryReader", "ServerEntry")
--- a/packages/persimmonlink-router/src/persimmonlink_router/store.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/store.py
@@ -14,6 +14,10 @@
     """The store no longer keeps the changes since the requested revision."""
 
 
+class StoreRestoredError(HistoryLostError):
+    """The store returned from an older copy, and has lost its latest changes."""
+
+
 class LeaseExpiredError(Exception):
     """The lease has expired or was revoked."""
 
@@ -59,6 +63,7 @@
 class MetadataStore(Protocol):
     """Listings, watches, leases and writes under a lease.
 
+    Revisions rise with each change, also when the store returns from an older copy.
     Each call raises `StoreUnavailableError` if the store does not answer in time.
     """
 
@@ -69,7 +74,8 @@
     async def watch(self, prefix: str, revision: int, wait_s: float) -> ItemPage:
         """Return the changes after a revision, waiting up to `wait_s` for one.
 
-        Raises `HistoryLostError` if the store no longer keeps these changes.
+        Raises `HistoryLostError` if the store no longer keeps these changes, and
+        `StoreRestoredError` if it has returned from an older copy since that revision.
         """
         ...
 
@@ -101,6 +107,7 @@
     "ItemPage",
     "LeaseExpiredError",
     "MetadataStore",
+    "StoreRestoredError",
     "StoreUnavailableError",
     "StoredItem",
 )
--- a/packages/persimmonlink-router/src/persimmonlink_router/store_follower.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/store_follower.py
@@ -13,6 +13,7 @@
 from persimmonlink_router.store import (
     HistoryLostError,
     LeaseExpiredError,
+    StoreRestoredError,
     StoreUnavailableError,
 )
 
@@ -69,6 +70,7 @@
         self._mirror = mirror
         self._cluster_view = cluster_view
         self._count_nodes = count_nodes
+        self._is_restored = False
 
     async def run(self) -> None:
         """Follow the store until cancelled; list again after lost history."""
@@ -80,8 +82,11 @@
                 page = await self._store.watch("", revision, WATCH_WAIT_S)
                 self._apply_page(page)
                 revision = max(revision, page.revision)
-            except HistoryLostError:
-                logger.bind(revision=revision).info("store.history_lost")
+            except HistoryLostError as error:
+                self._is_restored |= isinstance(error, StoreRestoredError)
+                logger.bind(revision=revision, restored=self._is_restored).info(
+                    "store.history_lost"
+                )
                 revision = 0
                 continue
             except StoreUnavailableError as error:
@@ -109,8 +114,11 @@
                 after = page.items[-1].key
             watch_revision = min(watch_revision or listing_revision, listing_revision)
             self._cluster_view.record_contact(boot_time())
+            if self._is_restored:
+                self._cluster_view.record_restore(boot_time())
             self._mirror.apply_listing(prefix, items, listing_revision)
         self._mirror.advance(watch_revision)
+        self._is_restored = False
         return watch_revision
 
     def _apply_page(self, page: ItemPage) -> None:
--- a/tests/adapter/test_store_client.py
+++ b/tests/adapter/test_store_client.py
@@ -11,6 +11,7 @@
 from persimmonlink_router.store import (
     HistoryLostError,
     LeaseExpiredError,
+    StoreRestoredError,
     StoreUnavailableError,
 )
 from persimmonlink_stand_ins.metadata_store import MetadataStoreStandIn
@@ -126,3 +127,65 @@
             await HttpMetadataStore("127.0.0.1:1").read_page("", "")
 
     asyncio.run(scenario())
+
+
+def test_revisions_rise_when_the_store_gives_them_out_again():
+    async def scenario(stand_in, store):
+        stand_in.take_copy()
+        stand_in.put("a", b"1")
+        before = await store.read_page("", "")
+        stand_in.restore_copy()
+        stand_in.put("b", b"2")
+        after = await store.read_page("", "")
+        assert after.revision > before.revision
+        assert after.items[0].revision > before.items[0].revision
+
+    run(scenario)
+
+
+def test_a_watch_from_before_a_restore_raises_although_the_revision_exists_again():
+    async def scenario(stand_in, store):
+        stand_in.take_copy()
+        stand_in.put("a", b"1")
+        page = await store.read_page("", "")
+        stand_in.restore_copy()
+        for _ in range(3):
+            stand_in.put("b", b"2")
+        with pytest.raises(StoreRestoredError):
+            await store.watch("", page.revision, 0.1)
+        page = await store.read_page("", "")
+        stand_in.put("c", b"3")
+        assert [i.key for i in (await store.watch("", page.revision, 0.1)).items] == [
+            "c"
+        ]
+
+    run(scenario)
+
+
+def test_a_waiting_watch_ends_when_the_store_is_restored():
+    async def scenario(stand_in, store):
+        stand_in.put("a", b"1")
+        page = await store.read_page("", "")
+        stand_in.take_copy()
+        watch = asyncio.ensure_future(store.watch("", page.revision, 2.0))
+        await asyncio.sleep(0.05)
+        stand_in.restore_copy()
+        stand_in.put("b", b"2")
+        with pytest.raises(StoreRestoredError):
+            await watch
+
+    run(scenario)
+
+
+def test_a_lease_of_before_a_restore_has_expired_although_its_id_exists_again():
+    async def scenario(stand_in, store):
+        stand_in.take_copy()
+        lease = await store.grant_lease(10.0)
+        stand_in.restore_copy()
+        assert stand_in.grant_lease(10.0) == lease
+        with pytest.raises(LeaseExpiredError):
+            await store.renew_lease(lease)
+        with pytest.raises(LeaseExpiredError):
+            await store.put_with_lease("k", b"1", lease)
+
+    run(scenario)
