--- a/packages/persimmonlink-router/src/persimmonlink_router/cluster_view.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/cluster_view.py
@@ -8,7 +8,7 @@
 from loguru import logger
 
 from persimmonlink_router.boot_clock import boot_time
-from persimmonlink_router.departed_servers import DepartedServers
+from persimmonlink_router.entry_numbers import EntryNumbers
 from persimmonlink_router.servers import Server, ServerDirectory
 from persimmonlink_router.wire_messages import WireFormatError
 
@@ -88,7 +88,7 @@
         self._contact_lost_at: float | None = None
         self._contact_recovered_at = 0.0
         self._restored_at = 0.0
-        self._departed = DepartedServers()
+        self._entry_numbers = EntryNumbers()
         self._last_tick_at = boot_time()
         self._stale_until = 0.0
         self._drained_domains: set[str] = set()
@@ -206,14 +206,14 @@
     def _apply_server(self, entry: ServerEntry, revision: int) -> None:
         now = boot_time()
         if entry.server is not None:
-            if self._departed.is_outdated(
+            if self._entry_numbers.is_outdated(
                 entry.server.key, entry.number, self._restored_at
             ):
                 logger.bind(server=entry.server_id, revision=revision).info(
                     "server.outdated_entry_ignored"
                 )
                 return
-            self._departed.record_entry(entry.server.key, entry.number)
+            self._entry_numbers.record(entry.server.key, entry.number, now)
             known = self.servers.server_by_id.get(entry.server_id)
             if not self.servers.update(entry.server, now):
                 return
@@ -244,7 +244,7 @@
             self.servers.schedule_removal(entry.server_id, until)
             return
         self.servers.remove(entry.server_id, now)
-        self._departed.record_departure(known.key, now)
+        self._entry_numbers.record_removal(known.key, now)
         logger.bind(server=entry.server_id, revision=revision, cause="removed").info(
             "server.removed"
         )
--- /dev/null
+++ b/packages/persimmonlink-router/src/persimmonlink_router/entry_numbers.py
@@ -0,0 +1,66 @@
+"""Numbers of the entries of servers, by which older copies are recognized."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from persimmonlink_router.servers import ServerKey
+
+# Longer than a copy of the store is old, with a margin.
+DEPARTURE_MEMORY_S = 60.0
+
+
+@dataclass(slots=True)
+class _LastEntry:
+    number: int
+    seen_at: float
+    is_removed: bool = False
+
+
+class EntryNumbers:
+    """Remembers the number of the last entry of each server incarnation.
+
+    Servers number the entries that they write. After the store has returned from an
+    older copy, entries that are older than those seen before are recognized by it.
+    """
+
+    def __init__(self) -> None:
+        self._last_by_key: dict[ServerKey, _LastEntry] = {}
+
+    def record(self, key: ServerKey, number: int, now: float) -> None:
+        """Record the number of an entry that was applied at a boot time in seconds."""
+        self._last_by_key[key] = _LastEntry(number, now)
+
+    def record_removal(self, key: ServerKey, now: float) -> None:
+        """Record that the entry of a server was removed at a boot time in seconds."""
+        last = self._last_by_key.setdefault(key, _LastEntry(0, now))
+        last.is_removed = True
+        last.seen_at = now
+        self._last_by_key = {
+            other: entry
+            for other, entry in self._last_by_key.items()
+            if not entry.is_removed or now - entry.seen_at < DEPARTURE_MEMORY_S
+        }
+
+    def is_outdated(self, key: ServerKey, number: int, restored_at: float) -> bool:
+        """Whether an entry is older than what was last seen of its server.
+
+        Parameters
+        ----------
+        key : ServerKey
+            The incarnation that the entry describes.
+        number : int
+            Number of the entry.
+        restored_at : float
+            Boot time at which the store last returned from a copy, in seconds. Only
+            that brings back older entries.
+        """
+        last = self._last_by_key.get(key)
+        if last is None or last.seen_at > restored_at:
+            return False
+        return number < last.number or (last.is_removed and number == last.number)
+
+
+__all__ = ("DEPARTURE_MEMORY_S", "EntryNumbers")
--- a/tests/router/test_store_restore.py
+++ b/tests/router/test_store_restore.py
@@ -122,6 +122,27 @@
     run(scenario())
 
 
+def test_a_draining_server_is_not_used_again_because_the_copy_lists_it_as_ready():
+    async def scenario():
+        async with make_rig() as rig:
+            rig.store.take_copy()
+            servers = rig.routers[0].cluster_view.servers
+            leaving = rig.server_by_id["desk-0"]
+            entry = leaving.build_entry(PLAIN_SERVICE, state="draining", seq=2)
+            rig.store.put("servers/desk-0", entry)
+            await wait_until(lambda: servers.server_by_id["desk-0"].is_draining)
+            revision = rig.routers[0]._mirror.revision
+            rig.store.restore_copy()
+            await wait_until(lambda: rig.routers[0]._mirror.revision > revision)
+            await asyncio.sleep(0.2)
+            used = [server.server_id for server in servers.list_usable(PLAIN_SERVICE)]
+            assert used == ["desk-1"]
+            rig.store.put("servers/desk-0", {**entry, "state": "ready", "seq": 3})
+            await wait_until(lambda: not servers.server_by_id["desk-0"].is_draining)
+
+    run(scenario())
+
+
 @pytest.mark.parametrize("says_draining", [True, False])
 def test_a_server_that_left_is_not_used_again_because_the_copy_lists_it(says_draining):
     async def scenario():
