Don't close a kept connection with a request waiting on it

Callers of persimmonlinkd got "Remote end closed connection without response" on a connection that they had used in time. The HTTP server closes idle connections after it has waited for bytes; a request that arrives between the two, while the process is paused or waits for a processor, was closed unread with its connection.

Why it works: a connection on which bytes wait isn't closed; the next wait reports it.

--- a/packages/persimmonlink-node/src/persimmonlink_node/http_server.py
+++ b/packages/persimmonlink-node/src/persimmonlink_node/http_server.py
@@ -11,6 +11,7 @@
 from persimmonlink_interfaces.connection import KEEPALIVE_SOCKET_OPTIONS
 from persimmonlink_model.result_code import Failure, ResultCode, RunState
 from persimmonlink_node.http_exchange import Exchange
+from persimmonlink_node.kept_connections import KeptConnections
 from persimmonlink_node.load_shedder import LoadShedder
 
 if TYPE_CHECKING:
@@ -121,6 +122,8 @@
         self.shedder = LoadShedder()
         self.shedder.start()
         super().prepare()
+        self._connections.close()
+        self._connections = KeptConnections(self)
 
     @classmethod
     def prepare_socket(cls, *args: Any, **kwargs: Any) -> socket.socket:
--- a/tests/node/test_http_server.py
+++ b/tests/node/test_http_server.py
@@ -171,3 +171,33 @@
     listening = server.socket
     for level, option, value in http_server.KEEPALIVE_SOCKET_OPTIONS:
         assert listening.getsockopt(level, option) == value
+
+
+def test_a_kept_connection_is_not_closed_with_a_request_waiting_on_it(
+    server: EntryServer, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    selector = server._connections._selector
+    select_ready = selector.select
+    is_frozen = threading.Event()
+
+    # As in a process that is paused between waiting for bytes and closing idle ones.
+    def select_unless_frozen(timeout: float | None = None) -> list[Any]:
+        ready = list(select_ready(timeout=0.02))
+        return [] if is_frozen.is_set() else ready
+
+    monkeypatch.setattr(selector, "select", select_unless_frozen)
+    connection = _connect(server)
+    connection.sendall(b"GET /quick HTTP/1.1\r\nHost: x\r\n\r\n")
+    assert _read_response(connection).startswith(b"HTTP/1.1 200")
+    is_frozen.set()
+    connection.sendall(b"GET /quick HTTP/1.1\r\nHost: x\r\n\r\n")
+    time.sleep(2.0)
+    is_frozen.clear()
+    assert _read_response(connection).startswith(b"HTTP/1.1 200")
+
+
+def _read_response(connection: socket.socket) -> bytes:
+    response = b""
+    while not response.endswith(b"{}") and (part := connection.recv(65536)):
+        response += part
+    return response
