Reserve the ports of routers in tests while they may be started again

Cause, read from the code: the rig chose ports from 12000 up without holding them, and a router that is killed leaves its ports free until it is started again. The daemon's tests choose theirs at random from 12000 to 32000, reserved among themselves only. Two runs of the rig alone shared 263 of their first 300 ports under the old rule (computed for two neighbouring process ids).

The rig takes its ports from find_free_ports, which reserves a port by its UDP twin, and gives them back when its routers have stopped. A second choice of ports is gone. tests/router, tests/soak, tests/bench: 253 passed, 3 xpassed.

--- a/bench/src/persimmonlink_bench/process.py
+++ b/bench/src/persimmonlink_bench/process.py
@@ -10,37 +10,48 @@
 import tempfile
 from dataclasses import dataclass
 from pathlib import Path
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
 
 STOP_TIMEOUT_S = 20.0
+HOST = "127.0.0.1"
 FIRST_PORT = 12_000
 LAST_PORT = 32_000
 _RANDOM = random.SystemRandom()
-_reservations: list[socket.socket] = []
+_reservation_by_port: dict[int, socket.socket] = {}
 
 
 def find_free_ports(count: int) -> list[int]:
     """Return free TCP ports of the loopback interface.
 
     The ports are below the range of ephemeral ports. The UDP port of the same number
-    stays bound until this process exits, which reserves the port, so that concurrent
-    trials don't choose the same ones.
+    stays bound until `release_ports` or the end of this process, which reserves the
+    port, so that concurrent trials don't choose the same ones.
     """
     ports: list[int] = []
     while len(ports) < count:
         port = _RANDOM.randrange(FIRST_PORT, LAST_PORT)
         reservation = socket.socket(type=socket.SOCK_DGRAM)
         try:
-            reservation.bind(("127.0.0.1", port))
+            reservation.bind((HOST, port))
             with socket.socket() as probe:
-                probe.bind(("127.0.0.1", port))
+                probe.bind((HOST, port))
         except OSError:
             reservation.close()
             continue
-        _reservations.append(reservation)
+        _reservation_by_port[port] = reservation
         ports.append(port)
     return ports
 
 
+def release_ports(ports: Iterable[int]) -> None:
+    """Give back ports of `find_free_ports` whose processes have ended."""
+    for port in ports:
+        _reservation_by_port.pop(port).close()
+
+
 @dataclass
 class ChildProcess:
     """A child process and its log file.
@@ -109,4 +120,4 @@
     return ChildProcess(name, process, Path(log.name))
 
 
-__all__ = ("ChildProcess", "find_free_ports", "start_process")
+__all__ = ("HOST", "ChildProcess", "find_free_ports", "release_ports", "start_process")
--- a/tests/router/process_rig.py
+++ b/tests/router/process_rig.py
@@ -20,6 +20,7 @@
     add_server,
     make_configuration,
     make_settings,
+    release_addresses,
     send,
     wait_until,
 )
@@ -143,6 +144,7 @@
         for server in rig.server_by_id.values():
             await server.stop()
         await store.stop()
+        release_addresses(rig.settings)
 
 
 def _list_member_keys(store: MetadataStoreStandIn) -> list[str]:
--- a/tests/router/rig.py
+++ b/tests/router/rig.py
@@ -3,16 +3,14 @@
 from __future__ import annotations
 
 import asyncio
-import itertools
-import os
-import socket
 from contextlib import asynccontextmanager
-from dataclasses import dataclass, field
+from dataclasses import asdict, dataclass, field
 from typing import TYPE_CHECKING, Any
 
 import h11
 
 from persimmonlink_adapter.run import create_adapters
+from persimmonlink_bench.process import find_free_ports, release_ports
 from persimmonlink_router.router import Router
 from persimmonlink_router.router_settings import (
     LimitSettings,
@@ -26,14 +24,6 @@
     from collections.abc import AsyncIterator
 
 HOST = "127.0.0.1"
-FIRST_PORT = 12000
-PORTS_PER_WORKER = 1000
-# Test runs on one machine start at different ports, so that they rarely collide.
-_FIRST_PORT_OFFSET = os.getpid() * 37 % PORTS_PER_WORKER
-_PORT_OFFSETS = itertools.cycle(
-    (_FIRST_PORT_OFFSET + offset) % PORTS_PER_WORKER
-    for offset in range(PORTS_PER_WORKER)
-)
 LIMITS = LimitSettings(0.2, 10.0, 52.0, 1.5, 5.0, 8.0, 5.0)
 STREAM_SERVICE = "engines"
 PLAIN_SERVICE = "desk"
@@ -41,25 +31,8 @@
 KEY = "key-of-acme"
 
 
-def find_port() -> int:
-    """Return a free port.
-
-    It is below the ephemeral ports of outgoing connections and in a range of this test
-    process, so that nothing else binds it before a router listens there.
-    """
-    worker = int(os.environ.get("PYTEST_XDIST_WORKER", "gw0").removeprefix("gw"))
-    while True:
-        port = FIRST_PORT + worker * PORTS_PER_WORKER + next(_PORT_OFFSETS)
-        with socket.socket() as sock:
-            try:
-                sock.bind((HOST, port))
-            except OSError:
-                continue
-        return port
-
-
 def make_settings(store: str, index: int, seeds: tuple[str, ...]) -> RouterSettings:
-    addresses = [f"{HOST}:{find_port()}" for _ in range(5)]
+    addresses = [f"{HOST}:{port}" for port in find_free_ports(5)]
     return RouterSettings(
         f"entry-{index}", "a", ListenAddresses(*addresses), store, seeds, LIMITS
     )
@@ -175,6 +148,13 @@
         )
 
 
+def release_addresses(settings: list[RouterSettings]) -> None:
+    """Give back the ports of routers that have stopped."""
+    for entry in settings:
+        addresses = asdict(entry.listen).values()
+        release_ports(int(address.rpartition(":")[2]) for address in addresses)
+
+
 async def send(
     address: str, method: str, path: str, headers: dict[str, str], body: bytes = b""
 ) -> ClientResponse:
@@ -237,6 +217,7 @@
             await server.stop()
         await store.stop()
         await asyncio.sleep(0)
+        release_addresses(rig.settings)
 
 
 async def add_server(
