--- a/bench/src/persimmonlink_bench/steady_load.py
+++ b/bench/src/persimmonlink_bench/steady_load.py
@@ -55,6 +55,7 @@
     def __init__(self, addresses: Sequence[str], plan: LoadPlan) -> None:
         self.outcomes: list[tuple[float, CallOutcome]] = []
         self._plan = plan
+        self._started_at = 0.0
         self._stopped = threading.Event()
         self._threads = [
             threading.Thread(
@@ -66,6 +67,7 @@
         ]
 
     def __enter__(self) -> SteadyLoad:
+        self._started_at = time.time()
         for thread in self._threads:
             thread.start()
         return self
@@ -88,6 +90,26 @@
         """Count the calls that ended between two times of `time.time`."""
         return sum(since <= at < until for at, _ in list(self.outcomes))
 
+    def describe_failures(self) -> str:
+        """Return how often calls failed, by node and cause, and when."""
+        times_by_cause: dict[tuple[str, int, str], list[float]] = {}
+        for at, outcome in list(self.outcomes):
+            if outcome.ok:
+                continue
+            problem = outcome.problem or {}
+            detail = f"{problem.get('code')}: {problem.get('detail')}"
+            cause = (outcome.address, outcome.status, detail)
+            times_by_cause.setdefault(cause, []).append(at)
+        lines = []
+        for (address, status, detail), times in times_by_cause.items():
+            first_s = min(times) - self._started_at
+            last_s = max(times) - self._started_at
+            lines.append(
+                f"{len(times)} x {address} status {status}, {detail}, "
+                f"from {first_s:.2f} to {last_s:.2f} s"
+            )
+        return "\n".join([f"{self.count_ended()} calls", *lines])
+
     def _send_until_stopped(self, address: str, number: int) -> None:
         plan = self._plan
         caller = Caller([address])
--- a/tests/node/test_slot_grants.py
+++ b/tests/node/test_slot_grants.py
@@ -100,7 +100,7 @@
     assert after["fall_overs"] - before["fall_overs"] <= 1
     cold_runs = list_runs_until_warm(after["runs"], detected_by, WARM_AFTER)
     assert find_peak_concurrency(cold_runs) <= COLD_SERVER_SLOTS
-    assert load.count_complete() >= 0.97 * load.count_ended()
+    assert load.count_complete() >= 0.97 * load.count_ended(), load.describe_failures()
 
 
 def test_server_that_turns_cold_under_load_gets_no_more_than_it_bears(
@@ -140,7 +140,7 @@
     first_forbidden_at = drained_at + DRAIN_WINDOW_S
     assert not [at for at in started if first_forbidden_at <= at < restored_at]
     assert any(at >= restored_at for at in started)
-    assert load.count_complete() >= 0.97 * load.count_ended()
+    assert load.count_complete() >= 0.97 * load.count_ended(), load.describe_failures()
 
 
 def test_leaving_server_runs_nothing_from_a_node_with_a_stale_vm_list(
@@ -156,7 +156,7 @@
     started = [r["started_at"] for r in _read_ledger(deployment, server_id)["runs"]]
     assert any(at < marked_leaving_at for at in started)
     assert not [at for at in started if at >= marked_leaving_at + DRAIN_WINDOW_S]
-    assert load.count_complete() >= 0.97 * load.count_ended()
+    assert load.count_complete() >= 0.97 * load.count_ended(), load.describe_failures()
 
 
 def test_node_that_is_cut_off_sends_nothing_into_a_domain_drained_meanwhile(
@@ -237,4 +237,4 @@
     assert after["fall_overs"] - before["fall_overs"] <= 1
     cold_runs = list_runs_until_warm(after["runs"], detected_by, WARM_AFTER)
     assert find_peak_concurrency(cold_runs) <= COLD_SERVER_SLOTS
-    assert load.count_complete() >= 0.9 * load.count_ended()
+    assert load.count_complete() >= 0.9 * load.count_ended(), load.describe_failures()
--- a/tests/router/rig.py
+++ b/tests/router/rig.py
@@ -21,7 +21,7 @@
 from persimmonlink_stand_ins.routed_server import RoutedServerStandIn
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncIterator, Coroutine
 
 HOST = "127.0.0.1"
 LIMITS = LimitSettings(0.2, 10.0, 52.0, 1.5, 5.0, 8.0, 5.0)
@@ -29,6 +29,13 @@
 PLAIN_SERVICE = "desk"
 STAGE_SERVICE = "stage"
 KEY = "key-of-acme"
+# Headers of a request for a stream, and of one with stages before it.
+STREAM = {
+    "Persimmonlink_Model": "m",
+    "Persimmonlink_Token_Count": "100,50",
+    "Persimmonlink_Prompt_Prefix": "aa:60,bb:40",
+}
+STAGED = {**STREAM, "Persimmonlink_Pieces": "1,3", "Persimmonlink_Piece_Key": "k1"}
 
 
 def make_settings(store: str, index: int, seeds: tuple[str, ...]) -> RouterSettings:
@@ -188,6 +195,11 @@
     return ClientResponse(status, response_headers, b"".join(parts), is_complete)
 
 
+def run(scenario: Coroutine[Any, Any, None]) -> None:
+    """Run the scenario of a test."""
+    asyncio.run(scenario)
+
+
 async def wait_until(condition, timeout_s: float = 5.0) -> None:
     """Wait until a condition holds; raise `TimeoutError` if it does not in time."""
     async with asyncio.timeout(timeout_s):
--- a/tests/router/test_interrupted_streams.py
+++ b/tests/router/test_interrupted_streams.py
@@ -6,17 +6,14 @@
 
 import pytest
 from loguru import logger
-from tests.router.rig import KEY, STREAM_SERVICE, make_rig, wait_until
-
-STREAM = {
-    "Persimmonlink_Model": "m",
-    "Persimmonlink_Token_Count": "100,50",
-    "Persimmonlink_Prompt_Prefix": "aa:60,bb:40",
-}
-
-
-def run(scenario) -> None:
-    asyncio.run(scenario)
+from tests.router.rig import (
+    KEY,
+    STREAM,
+    STREAM_SERVICE,
+    make_rig,
+    run,
+    wait_until,
+)
 
 
 def list_engines(rig):
--- a/tests/router/test_process_failures.py
+++ b/tests/router/test_process_failures.py
@@ -10,8 +10,7 @@
 
 import pytest
 from tests.router.process_rig import run_process_rig
-from tests.router.rig import wait_until
-from tests.router.test_whole_path import STAGED, STREAM
+from tests.router.rig import STAGED, STREAM, wait_until
 
 
 @pytest.mark.parametrize("number", [signal.SIGKILL, signal.SIGSTOP])
--- a/tests/router/test_server_signals.py
+++ b/tests/router/test_server_signals.py
@@ -5,22 +5,20 @@
 import asyncio
 
 import pytest
-from tests.router.rig import PLAIN_SERVICE, STAGE_SERVICE, STREAM_SERVICE, make_rig
-
-STREAM = {
-    "Persimmonlink_Model": "m",
-    "Persimmonlink_Token_Count": "100,50",
-    "Persimmonlink_Prompt_Prefix": "aa:60,bb:40",
-}
-STAGED = {**STREAM, "Persimmonlink_Pieces": "1,3", "Persimmonlink_Piece_Key": "k1"}
+from tests.router.rig import (
+    PLAIN_SERVICE,
+    STAGE_SERVICE,
+    STAGED,
+    STREAM,
+    STREAM_SERVICE,
+    make_rig,
+    run,
+)
+
 REQUEST_COUNT = 12
 PAUSE_S = 1.0
 
 
-def run(scenario) -> None:
-    asyncio.run(scenario)
-
-
 async def send_varied(rig, path: str, headers: dict[str, str]):
     """Send a request; the parts of its prompt are its own, so that any server fits."""
     if headers:
--- a/tests/router/test_stage_scheduler.py
+++ b/tests/router/test_stage_scheduler.py
@@ -5,8 +5,7 @@
 import asyncio
 
 import pytest
-from tests.router.rig import make_rig, wait_until
-from tests.router.test_whole_path import STAGED
+from tests.router.rig import STAGED, make_rig, wait_until
 
 from persimmonlink_router.stage_outcome import StageOutcome, StageState
 
--- a/tests/router/test_store_restore.py
+++ b/tests/router/test_store_restore.py
@@ -11,6 +11,7 @@
     add_server,
     make_configuration,
     make_rig,
+    run,
     wait_until,
 )
 
@@ -20,14 +21,18 @@
 RECOVERY_S = 4.0  # Time in which nodes follow the store again.
 
 
-def run(scenario) -> None:
-    asyncio.run(scenario)
-
-
 def list_registrations(rig) -> set[str]:
     return {key for key in rig.store.list_keys() if key.startswith(MEMBER_PREFIX)}
 
 
+async def check_for_a_second(condition) -> None:
+    """Check all the time that a condition holds."""
+    ends_at = asyncio.get_running_loop().time() + 1.0
+    while asyncio.get_running_loop().time() < ends_at:
+        await asyncio.sleep(0.02)
+        assert condition()
+
+
 def write_again(rig) -> None:
     """Write the entries of all servers again, as they do themselves."""
     for server_id, server in rig.server_by_id.items():
@@ -95,10 +100,7 @@
             servers = rig.routers[0].cluster_view.servers
             await wait_until(lambda: "desk-9" in servers.server_by_id)
             rig.store.restore_copy()
-            ends_at = asyncio.get_running_loop().time() + 1.0
-            while asyncio.get_running_loop().time() < ends_at:
-                await asyncio.sleep(0.02)
-                assert "desk-9" in servers.server_by_id
+            await check_for_a_second(lambda: "desk-9" in servers.server_by_id)
             write_again(rig)
             await asyncio.sleep(2 * OUTAGE_EXPIRY_GRACE_S)
             assert "desk-9" in servers.server_by_id
@@ -189,10 +191,7 @@
             rig.store.put("op/evacuate/a", {})
             await wait_until(lambda: servers.drained_domains == {"a"})
             rig.store.restore_copy()
-            ends_at = asyncio.get_running_loop().time() + 1.0
-            while asyncio.get_running_loop().time() < ends_at:
-                await asyncio.sleep(0.02)
-                assert servers.drained_domains == {"a"}
+            await check_for_a_second(lambda: servers.drained_domains == {"a"})
             rig.store.put("op/evacuate/a", {})
             await asyncio.sleep(2 * OUTAGE_EXPIRY_GRACE_S)
             assert servers.drained_domains == {"a"}
--- a/tests/router/test_stream_versions.py
+++ b/tests/router/test_stream_versions.py
@@ -4,21 +4,19 @@
 
 import asyncio
 
-from tests.router.rig import STREAM_SERVICE, add_server, make_rig, wait_until
+from tests.router.rig import (
+    STREAM,
+    STREAM_SERVICE,
+    add_server,
+    make_rig,
+    run,
+    wait_until,
+)
 
-STREAM = {
-    "Persimmonlink_Model": "m",
-    "Persimmonlink_Token_Count": "100,50",
-    "Persimmonlink_Prompt_Prefix": "aa:60,bb:40",
-}
 VERSIONS = ("v1", "v2")
 STREAM_COUNT = 6
 
 
-def run(scenario) -> None:
-    asyncio.run(scenario)
-
-
 async def add_engines(rig, per_version: int = 2) -> None:
     """Replace the engines by some of each version, known to all routers."""
     for server_id in list(rig.server_by_id):
--- a/tests/router/test_whole_path.py
+++ b/tests/router/test_whole_path.py
@@ -8,28 +8,20 @@
 from tests.router.rig import (
     KEY,
     PLAIN_SERVICE,
+    STAGED,
+    STREAM,
     STREAM_SERVICE,
     add_router,
     add_server,
     make_configuration,
     make_rig,
+    run,
     send,
     wait_until,
 )
 
 from persimmonlink_router.http_client import ConnectError
 
-STREAM = {
-    "Persimmonlink_Model": "m",
-    "Persimmonlink_Token_Count": "100,50",
-    "Persimmonlink_Prompt_Prefix": "aa:60,bb:40",
-}
-STAGED = {**STREAM, "Persimmonlink_Pieces": "1,3", "Persimmonlink_Piece_Key": "k1"}
-
-
-def run(scenario) -> None:
-    asyncio.run(scenario)
-
 
 def test_a_mutating_request_runs_once_and_gets_its_own_response():
     async def scenario():
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -16,8 +16,7 @@
 
 import pytest
 from tests.router.process_rig import run_process_rig
-from tests.router.rig import STREAM_SERVICE, add_server
-from tests.router.test_whole_path import STAGED, STREAM
+from tests.router.rig import STAGED, STREAM, STREAM_SERVICE, add_server
 from tests.soak.faults import FaultInjector
 
 SEEDS = (1, 2)
