Don't call a generation not run whose resume found no engine

A caller of persimmonlinkd was told that its request had not run, after it had received part of its stream: a resume that could not connect counted as a call that was never sent.

Cause: the fault of the last connection stood for the whole generation.

Why it works: once a text has come, a connection that fails leaves a broken generation, which is resumed again or ends as broken.

--- a/packages/persimmonlink-interfaces/src/persimmonlink_interfaces/engine_client.py
+++ b/packages/persimmonlink-interfaces/src/persimmonlink_interfaces/engine_client.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import time
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING, Any
 from urllib.parse import quote
 
@@ -173,7 +173,11 @@
                 response, call, deadline, cancelled, on_text, generation
             )
         except (HTTPError, OSError) as error:
-            return failure_from_error(error, deadline)
+            failure = failure_from_error(error, deadline)
+            if generation.texts and failure.fault is CallFault.NOT_RUN:
+                # Only the resume was not sent, the generation has run.
+                return replace(failure, fault=CallFault.BROKEN)
+            return failure
         except msgspec.MsgspecError as error:
             return CallFailure(CallFault.INVALID_RESPONSE, str(error))
         finally:
--- a/tests/interfaces/test_engine_client.py
+++ b/tests/interfaces/test_engine_client.py
@@ -66,3 +66,12 @@
     assert output.failure().fault is CallFault.INVALID_RESPONSE
     assert texts == ["t0 "]
     assert [body["stream_offset"] for body in bodies] == [0, 1]
+
+
+def test_a_generation_whose_resume_finds_no_engine_is_not_called_not_run():
+    address, _ = serve_once_each([HEAD + encode_event(0)])
+    texts: list[str] = []
+    deadline = Deadline(time.monotonic() + 5.0)
+    output = EngineClient().run(address, CALL, deadline, Cancellation(), texts.append)
+    assert texts == ["t0 "]
+    assert output.failure().fault is CallFault.BROKEN
