--- a/packages/persimmonlink-node/src/persimmonlink_node/control_path.py
+++ b/packages/persimmonlink-node/src/persimmonlink_node/control_path.py
@@ -29,7 +29,6 @@
     from persimmonlink_node.settings import Settings
 
 START_TIMEOUT_S = 5.0
-DRAIN_POLL_INTERVAL_S = 0.05
 
 
 class ControlPath:
--- a/packages/persimmonlink-node/src/persimmonlink_node/load_shedder.py
+++ b/packages/persimmonlink-node/src/persimmonlink_node/load_shedder.py
@@ -38,7 +38,6 @@
         self._lingering: deque[tuple[float, HTTPConnection]] = deque()
         self._stopped = threading.Event()
         self._response = _encode_overloaded_response()
-        self.shed_count = 0
 
     def start(self) -> None:
         """Start the thread that closes refused connections after the linger time."""
@@ -51,7 +50,6 @@
     def shed(self, connection: HTTPConnection) -> None:
         """Send the refusal on a connection without blocking."""
         with self._lock:
-            self.shed_count += 1
             close_now = len(self._lingering) >= MAX_LINGERING
         try:
             connection.socket.setblocking(False)
--- a/packages/persimmonlink-node/src/persimmonlink_node/pipeline_request.py
+++ b/packages/persimmonlink-node/src/persimmonlink_node/pipeline_request.py
@@ -207,10 +207,4 @@
     return hashlib.sha256(msgspec.json.encode(content)).hexdigest()
 
 
-def create_failure(code: ResultCode, detail: str, *, dispatched: bool) -> Failure:
-    """Return a failure with run state `RAN` if anything was sent, else `NOT_RUN`."""
-    state = RunState.RAN if dispatched else RunState.NOT_RUN
-    return Failure(code, detail, state)
-
-
-__all__ = ("PipelineRequest", "RequestValidator", "create_failure")
+__all__ = ("PipelineRequest", "RequestValidator")
--- a/tests/node/test_at_most_once.py
+++ b/tests/node/test_at_most_once.py
@@ -24,7 +24,6 @@
 DEADLINE_MS = 8_000
 LONG_DEADLINE_MS = 15_000
 DEAD_AFTER_S = 2.5
-LIVE_AGAIN_S = 1.5
 ANSWER_DELAY_S = 1.8
 SHORT_TTL_S = 0.2
 
