Say that a claim's holder has ended only if it replied so

A caller of persimmonlinkd was told that the only node which may have run its request had ended, and without a time to come back, whenever that node's reply to a forwarded request held no outcome.

Cause: any empty reply stood for another incarnation. Evidence: test_a_holder_that_replies_nothing_is_not_said_to_have_ended failed for both replies and passes; the reply of another incarnation says so still. Why it works: the state of the reply decides; all others are unknown, with Retry-After.

--- a/packages/persimmonlink-node/src/persimmonlink_node/answer_fetcher.py
+++ b/packages/persimmonlink-node/src/persimmonlink_node/answer_fetcher.py
@@ -81,7 +81,16 @@
                     f"forwarded to {holder.node_id}, which didn't answer"
                 )
             )
-        return _to_outcome(reply) or Err(_create_superseded_failure(holder))
+        outcome = _to_outcome(reply)
+        if outcome is not None:
+            return outcome
+        if reply.state is AnswerState.OTHER_INCARNATION:
+            return Err(_create_superseded_failure(holder))
+        return Err(
+            _create_unknown_failure(
+                f"forwarded to {holder.node_id}, which replied {reply.state}"
+            )
+        )
 
     def fetch(
         self, request_id: str, holder: ClaimHolder, body_digest: str = ""
