Reproduce a refusal of an idempotent request that has run, as known red

A caller of an idempotent request that ran once and whose response was lost gets 503, which promises that it has not run, if no second server accepts it. Requests that may not be repeated are never sent again and not affected.

--- a/tests/router/test_whole_path.py
+++ b/tests/router/test_whole_path.py
@@ -461,3 +461,19 @@
             assert b"account_request_seconds_bucket" in response.body
 
     run(scenario())
+
+
+def test_an_idempotent_request_that_has_run_is_not_refused_as_not_run():
+    async def scenario():
+        async with make_rig() as rig:
+            rig.server_by_id["desk-0"].faults.resets_connections = True
+            rig.server_by_id["desk-1"].faults.rejects_requests = True
+            for number in range(6):
+                request_id = f"l{number}"
+                response = await rig.send_request(
+                    "/look/1", "GET", request_id=request_id
+                )
+                if rig.count_runs(request_id):
+                    assert response.status == 502
+
+    run(scenario())
