Close the connections to servers that are no longer polled

persimmonlinkd kept the pool of each server whose load it had ever polled, with its open connection, for as long as it ran: on a fleet that replaces servers, descriptors grew with each of them.

Why it works: the pool is kept beside the subscription, and both end together. A poll under way ends with an error of its closed pool, which it reports as unreachable for a server that nobody asks about any more.

--- a/packages/persimmonlink-node/src/persimmonlink_node/load_poller.py
+++ b/packages/persimmonlink-node/src/persimmonlink_node/load_poller.py
@@ -72,6 +72,12 @@
     report: LoadReport | None = None
 
 
+@dataclass(frozen=True)
+class _PolledServer:
+    subscription: Subscription
+    pool: HTTPConnectionPool
+
+
 class LoadPoller:
     """Polls a changing set of servers at a fixed interval.
 
@@ -89,7 +95,7 @@
         self._interval_s = interval_s
         self._on_poll = on_poll
         self._lock = Lock()
-        self._subscription_by_address: dict[tuple[str, str], Subscription] = {}
+        self._polled_by_address: dict[tuple[str, str], _PolledServer] = {}
 
     def set_servers(
         self, address_by_server: Mapping[str, str], timers: TimerService
@@ -97,20 +103,23 @@
         """Replace the set of polled servers."""
         wanted = set(address_by_server.items())
         with self._lock:
-            for pair in wanted - self._subscription_by_address.keys():
-                self._subscription_by_address[pair] = self._subscribe(*pair, timers)
-            for pair in self._subscription_by_address.keys() - wanted:
-                self._subscription_by_address.pop(pair).cancel()
+            for pair in wanted - self._polled_by_address.keys():
+                self._polled_by_address[pair] = self._subscribe(*pair, timers)
+            for pair in self._polled_by_address.keys() - wanted:
+                polled = self._polled_by_address.pop(pair)
+                polled.subscription.cancel()
+                polled.pool.close()
 
     def _subscribe(
         self, server_id: str, address: str, timers: TimerService
-    ) -> Subscription:
+    ) -> _PolledServer:
         pool = create_pool(address)
 
         def poll() -> None:
             self._on_poll(_poll(server_id, pool))
 
-        return timers.every(self._interval_s, poll, f"load-{server_id}")
+        subscription = timers.every(self._interval_s, poll, f"load-{server_id}")
+        return _PolledServer(subscription, pool)
 
 
 def _poll(server_id: str, pool: HTTPConnectionPool) -> PollResult:
