--- a/packages/persimmonlink-node/src/persimmonlink_node/load_poller.py
+++ b/packages/persimmonlink-node/src/persimmonlink_node/load_poller.py
@@ -8,16 +8,16 @@
 from typing import TYPE_CHECKING
 
 import msgspec
+from urllib3 import HTTPConnectionPool
 from urllib3.exceptions import HTTPError
 
+from persimmonlink_interfaces.clock import Subscription
 from persimmonlink_interfaces.connection import create_pool, create_timeout
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
 
-    from urllib3 import HTTPConnectionPool
-
-    from persimmonlink_interfaces.clock import Subscription, TimerService
+    from persimmonlink_interfaces.clock import TimerService
 
 POLL_TIMEOUT_S = 0.4
 HTTP_OK = 200
