Keep the versions of all streams at the same members of each domain

Likely cause: keepers were chosen by each request's id, so that every node kept a channel with pings to nearly every other, 68 times 67. They are the same for all streams now, one a failure domain, so that a node has as many more channels as there are domains.

test_stream_versions.py and two more files: 16 passed.

--- a/packages/persimmonlink-router/src/persimmonlink_router/stream_version_exchange.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stream_version_exchange.py
@@ -25,6 +25,7 @@
     from persimmonlink_router.cluster_view import ClusterView
     from persimmonlink_router.stream_versions import StreamVersions
 
+KEEPER_KEY = "stream-versions"  # Key of the rendezvous hashing that ranks members.
 RECORD_TIMEOUT_S = 0.5  # Timeout of a message that records versions at a peer.
 FIND_TIMEOUT_S = 0.25  # Timeout of a message that asks a peer for a version.
 # Members of each failure domain that are asked if the first ones don't know a version:
@@ -35,8 +36,9 @@
 class StreamVersionExchange:
     """Records the version of each stream at several nodes, and finds it again.
 
-    One member of each failure domain, chosen by the request id, keeps a copy of each
+    One member of each failure domain, the same for all streams, keeps a copy of each
     record, so that it outlives the node that served the stream and a failure domain.
+    A choice by request id would open channels between all pairs of nodes.
 
     Parameters
     ----------
@@ -64,7 +66,7 @@
         """Record the version to which a request is sent, here and at the keepers."""
         self._versions.record(request_id, version, boot_time())
         keepers = self._membership.list_serving_members()
-        for member in _choose_by_domain(keepers, request_id, 1):
+        for member in _choose_by_domain(keepers, 1):
             if member.node_id == self._membership.own_member.node_id:
                 continue
             if member.node_id in self._unsent_by_node_id:
@@ -93,8 +95,8 @@
         servers = self._cluster_view.servers
         recent = set(servers.list_recent_versions(service, boot_time()))
         live = self._membership.list_live_members()
-        first = _choose_by_domain(live, request_id, 1)
-        asked = _choose_by_domain(live, request_id, MAX_ASKED_PER_DOMAIN)
+        first = _choose_by_domain(live, 1)
+        asked = _choose_by_domain(live, MAX_ASKED_PER_DOMAIN)
         for members in (first, [member for member in asked if member not in first]):
             for reply in await self._ask(members, request_id, service):
                 if reply.version is not None:
@@ -158,13 +160,11 @@
         del self._unsent_by_node_id[member.node_id]
 
 
-def _choose_by_domain(
-    members: Sequence[Member], request_id: str, per_domain: int
-) -> list[Member]:
-    """Return the first members of each failure domain in the order of a request id."""
+def _choose_by_domain(members: Sequence[Member], per_domain: int) -> list[Member]:
+    """Return the first members of each failure domain, in an order all nodes share."""
     chosen: list[Member] = []
     count_by_domain: dict[str, int] = {}
-    for member in rank_members(members, request_id):
+    for member in rank_members(members, KEEPER_KEY):
         count = count_by_domain.get(member.domain, 0)
         if count >= per_domain:
             continue
