Name what evidence is kept on a cause, not a prompt part

A prompt part is one kind of what several requests have in common when servers end. The evidence, the decisions and the guard are renamed for that; fields of messages between routers and of the store's records keep their names, for routers of older builds. No behaviour is changed.

--- a/bench/src/persimmonlink_bench/prompt_evidence_trial.py
+++ b/bench/src/persimmonlink_bench/prompt_evidence_trial.py
@@ -123,7 +123,7 @@
 
     def list_accused(self, now: float) -> set[frozenset[str]]:
         """Return the sets of parts that are to be held back."""
-        return {verdict.part_ids for verdict in self._evidence.judge(now)}
+        return {verdict.cause_ids for verdict in self._evidence.judge(now)}
 
 
 @dataclass(frozen=True)
--- a/packages/persimmonlink-router/src/persimmonlink_router/prompt_guard.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/crash_guard.py
@@ -1,4 +1,4 @@
-"""Holds requests back whose prompts have parts that end servers."""
+"""Holds back the requests that end servers."""
 
 from __future__ import annotations
 
@@ -8,9 +8,9 @@
 
 from persimmonlink_router.boot_clock import boot_time
 from persimmonlink_router.crash_evidence import CrashEvidence, ServerEnd
+from persimmonlink_router.holds import HOLD_S, Hold, Holds
 from persimmonlink_router.peer_messages import Acknowledgement, SharedFacts
-from persimmonlink_router.prompt_holds import HOLD_S, Hold, PromptHolds
-from persimmonlink_router.served_parts import ServedParts
+from persimmonlink_router.served_causes import ServedCauses
 from persimmonlink_router.server_runs import ServerRuns
 
 if TYPE_CHECKING:
@@ -26,7 +26,7 @@
 
 # A response that has gone on for longer than this didn't end its server.
 MAX_CRASH_DELAY_S = 1.0
-# A part that was served so shortly before didn't either.
+# A cause that was served so shortly before didn't either.
 RECENTLY_SERVED_S = 3.0
 # Responses to suspects are reported for this time, and if they are not older.
 SUSPICION_S = 20.0
@@ -36,8 +36,8 @@
 MAX_LOGGED_SERVERS = 8  # Most servers that a log line names.
 
 
-class PromptGuard:
-    """Learns from the ends of servers which prompt parts to hold back.
+class CrashGuard:
+    """Learns from the ends of servers which causes to hold back.
 
     Nodes report the ends that they see to some members, which combine them, and each
     decision is passed on to all nodes.
@@ -70,27 +70,27 @@
         self._spread = spread
         self._metrics = metrics
         self._evidence = CrashEvidence()
-        self._served = ServedParts()
+        self._served = ServedCauses()
         self._runs = ServerRuns()
-        self.holds = PromptHolds()
-        self._suspect_until_by_part: dict[str, float] = {}
-        self._reported_at_by_part: dict[str, float] = {}
+        self.holds = Holds()
+        self._suspect_until_by_cause: dict[str, float] = {}
+        self._reported_at_by_cause: dict[str, float] = {}
 
-    def find_hold(self, part_ids: Sequence[str]) -> Hold | None:
-        """Return the decision that holds a prompt with these parts back, or None."""
-        return self.holds.find(part_ids, boot_time())
+    def find_hold(self, cause_ids: Sequence[str]) -> Hold | None:
+        """Return the decision that holds a request with these causes back, or None."""
+        return self.holds.find(cause_ids, boot_time())
 
-    def record_served(self, part_ids: Sequence[str]) -> None:
-        """Record a complete response to a request with these shared parts."""
+    def record_served(self, cause_ids: Sequence[str]) -> None:
+        """Record a complete response to a request with these possible causes."""
         now = boot_time()
-        self._served.record(part_ids, now)
-        for part_id in part_ids:
-            if part_id not in self._suspect_until_by_part:
+        self._served.record(cause_ids, now)
+        for cause_id in cause_ids:
+            if cause_id not in self._suspect_until_by_cause:
                 continue
-            self._clear(part_id, now)
-            if now - self._reported_at_by_part.get(part_id, 0.0) >= REPORT_INTERVAL_S:
-                self._reported_at_by_part[part_id] = now
-                self._reporter.add_served(part_id, now)
+            self._clear(cause_id, now)
+            if now - self._reported_at_by_cause.get(cause_id, 0.0) >= REPORT_INTERVAL_S:
+                self._reported_at_by_cause[cause_id] = now
+                self._reporter.add_served(cause_id, now)
 
     def record_server_end(
         self, server: Server, requests: Sequence[InterruptedRequest]
@@ -102,13 +102,13 @@
             if request.response_age_s > MAX_CRASH_DELAY_S:
                 continue
             served_since = request.interrupted_at - RECENTLY_SERVED_S
-            part_ids = frozenset(
-                part_id
-                for part_id in request.part_ids
-                if not self._served.was_served_since(part_id, served_since)
+            cause_ids = frozenset(
+                cause_id
+                for cause_id in request.cause_ids
+                if not self._served.was_served_since(cause_id, served_since)
             )
-            if part_ids:
-                ends.append(ServerEnd(name, part_ids, request.interrupted_at))
+            if cause_ids:
+                ends.append(ServerEnd(name, cause_ids, request.interrupted_at))
         if not ends:
             return
         self._record_ends(ends)
@@ -123,16 +123,16 @@
                 for crash in message.crashes
             ]
         )
-        for part_id, age_s in message.served_age_s_by_part.items():
-            self._clear(part_id, now - age_s)
+        for cause_id, age_s in message.served_age_s_by_part.items():
+            self._clear(cause_id, now - age_s)
         return Acknowledgement()
 
     def collect_facts(self) -> SharedFacts:
         """Return what all nodes must know."""
         now = boot_time()
         suspects = {
-            part_id: until - now
-            for part_id, until in self._suspect_until_by_part.items()
+            cause_id: until - now
+            for cause_id, until in self._suspect_until_by_cause.items()
             if until > now
         }
         return SharedFacts(self.holds.build_notices(now), suspects)
@@ -143,10 +143,10 @@
         is_news = False
         for notice in facts.holds:
             is_news |= self._apply_notice(notice, member)
-        for part_id, left_s in facts.suspect_left_s_by_part.items():
-            if self._extend_suspicion(part_id, now + min(left_s, SUSPICION_S)):
+        for cause_id, left_s in facts.suspect_left_s_by_part.items():
+            if self._extend_suspicion(cause_id, now + min(left_s, SUSPICION_S)):
                 is_news = True
-                self._report_earlier_response(part_id, now)
+                self._report_earlier_response(cause_id, now)
         return is_news
 
     def _apply_notice(self, notice: HoldNotice, source: str) -> bool:
@@ -155,14 +155,14 @@
         if hold is None:
             return False
         if hold.is_released:
-            self._evidence.forget(hold.part_ids)
+            self._evidence.forget(hold.cause_ids)
         self._log_decision("prompt.hold_confirmed", hold, source)
         return True
 
-    def release(self, part_ids: frozenset[str]) -> None:
-        """Let requests with these parts go on, by an operator's order."""
-        hold = self.holds.release(part_ids, self._node_id, boot_time())
-        self._evidence.forget(part_ids)
+    def release(self, cause_ids: frozenset[str]) -> None:
+        """Let requests with these causes go on, by an operator's order."""
+        hold = self.holds.release(cause_ids, self._node_id, boot_time())
+        self._evidence.forget(cause_ids)
         self._log_decision("prompt.hold_released", hold, "operator")
         self._records.save(hold)
         self._spread()
@@ -182,21 +182,21 @@
         """Discard what has expired, and send reports that failed again."""
         now = boot_time()
         for hold in self.holds.remove_expired(now):
-            # One more end is enough to hold the parts back again.
-            self._evidence.put_on_probation(hold.part_ids)
+            # One more end is enough to hold the causes back again.
+            self._evidence.put_on_probation(hold.cause_ids)
             self._log_decision("prompt.hold_ended", hold, "expired")
-        self._suspect_until_by_part = {
-            part_id: until
-            for part_id, until in self._suspect_until_by_part.items()
+        self._suspect_until_by_cause = {
+            cause_id: until
+            for cause_id, until in self._suspect_until_by_cause.items()
             if until > now
         }
-        self._reported_at_by_part = {
-            part_id: reported_at
-            for part_id, reported_at in self._reported_at_by_part.items()
-            if part_id in self._suspect_until_by_part
+        self._reported_at_by_cause = {
+            cause_id: reported_at
+            for cause_id, reported_at in self._reported_at_by_cause.items()
+            if cause_id in self._suspect_until_by_cause
         }
-        for part_id in self._evidence.list_suspects():
-            self._extend_suspicion(part_id, now + SUSPICION_S)
+        for cause_id in self._evidence.list_suspects():
+            self._extend_suspicion(cause_id, now + SUSPICION_S)
         self._evidence.discard_expired(now)
         self._reporter.discard_expired(now)
         self._reporter.flush()
@@ -205,10 +205,10 @@
 
     def _judge(self, now: float) -> None:
         for verdict in self._evidence.judge(now):
-            if self.holds.covers(verdict.part_ids, now):
+            if self.holds.covers(verdict.cause_ids, now):
                 continue
             count = len(verdict.servers)
-            hold = Hold(verdict.part_ids, self._node_id, now, now + HOLD_S, count)
+            hold = Hold(verdict.cause_ids, self._node_id, now, now + HOLD_S, count)
             self._decide(hold, verdict.servers)
 
     def _decide(self, hold: Hold, servers: Sequence[str]) -> None:
@@ -224,43 +224,43 @@
         now = boot_time()
         has_news = False
         for end in ends:
-            for part_id in self._evidence.record_end(end, now):
+            for cause_id in self._evidence.record_end(end, now):
                 has_news = True
                 self._metrics.count("prompt_suspicions_total")
                 logger.bind(
-                    part=part_id,
-                    ends=self._evidence.count_ends(part_id),
+                    part=cause_id,
+                    ends=self._evidence.count_ends(cause_id),
                     server=end.server,
                     age_s=round(now - end.ended_at, 3),
                 ).warning("prompt.suspected")
-                self._extend_suspicion(part_id, now + SUSPICION_S)
-                self._report_earlier_response(part_id, now)
+                self._extend_suspicion(cause_id, now + SUSPICION_S)
+                self._report_earlier_response(cause_id, now)
         if has_news:
             self._spread()
 
-    def _extend_suspicion(self, part_id: str, until: float) -> bool:
+    def _extend_suspicion(self, cause_id: str, until: float) -> bool:
         """Remember a suspect until a boot time; return whether it is news."""
-        known = self._suspect_until_by_part.get(part_id)
-        if known is None and len(self._suspect_until_by_part) >= MAX_SUSPECTS:
-            logger.bind(part=part_id).warning("prompt.suspects_full")
+        known = self._suspect_until_by_cause.get(cause_id)
+        if known is None and len(self._suspect_until_by_cause) >= MAX_SUSPECTS:
+            logger.bind(part=cause_id).warning("prompt.suspects_full")
             return False
-        self._suspect_until_by_part[part_id] = max(until, known or 0.0)
+        self._suspect_until_by_cause[cause_id] = max(until, known or 0.0)
         return known is None
 
-    def _report_earlier_response(self, part_id: str, now: float) -> None:
+    def _report_earlier_response(self, cause_id: str, now: float) -> None:
         """Report the last response to a suspect if it may be later than the ends."""
-        served_at = self._served.find(part_id)
+        served_at = self._served.find(cause_id)
         if served_at is None or now - served_at > SUSPICION_S:
             return
-        self._clear(part_id, served_at)
-        self._reporter.add_served(part_id, served_at)
+        self._clear(cause_id, served_at)
+        self._reporter.add_served(cause_id, served_at)
 
-    def _clear(self, part_id: str, served_at: float) -> None:
-        count = self._evidence.record_served(part_id, served_at)
+    def _clear(self, cause_id: str, served_at: float) -> None:
+        count = self._evidence.record_served(cause_id, served_at)
         if not count:
             return
         logger.bind(
-            part=part_id, ends=count, age_s=round(boot_time() - served_at, 3)
+            part=cause_id, ends=count, age_s=round(boot_time() - served_at, 3)
         ).info("prompt.cleared")
         self._metrics.count("prompt_clearances_total")
 
@@ -270,7 +270,7 @@
         now = boot_time()
         self._metrics.count("prompt_decisions_total", f'event="{event}"')
         logger.bind(
-            parts=sorted(hold.part_ids),
+            parts=sorted(hold.cause_ids),
             ends=hold.server_ends,
             decided_by=hold.decided_by,
             is_released=hold.is_released,
@@ -281,4 +281,4 @@
         ).warning(event)
 
 
-__all__ = ("PromptGuard",)
+__all__ = ("CrashGuard",)
--- a/packages/persimmonlink-router/src/persimmonlink_router/crash_reports.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/crash_reports.py
@@ -51,7 +51,7 @@
     """Sends reports to one member of each failure domain, again if one fails.
 
     Each of these members has all reports of all nodes, so that any of them can tell
-    which requests had a prompt part in common with those under which servers ended.
+    which requests had a cause in common with those under which servers ended.
 
     Parameters
     ----------
@@ -62,7 +62,7 @@
     def __init__(self, peers: PeerDirectory) -> None:
         self._peers = peers
         self._ends: list[ServerEnd] = []
-        self._served_at_by_part: dict[str, float] = {}
+        self._served_at_by_cause: dict[str, float] = {}
         self._sent_ends_by_node_id: dict[str, set[ServerEnd]] = {}
         self._sent_served_at_by_node_id: dict[str, dict[str, float]] = {}
         self._task: asyncio.Task[None] | None = None
@@ -78,14 +78,14 @@
         self._ends.extend(ends)
         self.flush()
 
-    def add_served(self, part_id: str, served_at: float) -> None:
-        """Report that a request with a suspect part was served at a boot time."""
-        self._served_at_by_part[part_id] = served_at
+    def add_served(self, cause_id: str, served_at: float) -> None:
+        """Report that a request with a suspect cause was served at a boot time."""
+        self._served_at_by_cause[cause_id] = served_at
         self.flush()
 
     def flush(self) -> None:
         """Send what is unsent, unless that is being done."""
-        if not self._ends and not self._served_at_by_part:
+        if not self._ends and not self._served_at_by_cause:
             return
         if self._task is None or self._task.done():
             self._task = asyncio.get_running_loop().create_task(self._send_all())
@@ -93,9 +93,9 @@
     def discard_expired(self, now: float) -> None:
         """Discard the reports that are older than `REPORT_LIFETIME_S`."""
         self._ends = [e for e in self._ends if now - e.ended_at < REPORT_LIFETIME_S]
-        self._served_at_by_part = {
-            part_id: served_at
-            for part_id, served_at in self._served_at_by_part.items()
+        self._served_at_by_cause = {
+            cause_id: served_at
+            for cause_id, served_at in self._served_at_by_cause.items()
             if now - served_at < REPORT_LIFETIME_S
         }
         kept = set(self._ends)
@@ -123,19 +123,19 @@
         sent_served = self._sent_served_at_by_node_id.setdefault(member.node_id, {})
         ends = [end for end in self._ends if end not in sent][-MAX_REPORTS:]
         served = {
-            part_id: served_at
-            for part_id, served_at in self._served_at_by_part.items()
-            if sent_served.get(part_id) != served_at
+            cause_id: served_at
+            for cause_id, served_at in self._served_at_by_cause.items()
+            if sent_served.get(cause_id) != served_at
         }
         if not ends and not served:
             return
         message = ReportCrashes(
             self._peers.sender,
             tuple(
-                CrashReport(end.server, tuple(end.part_ids), now - end.ended_at)
+                CrashReport(end.server, tuple(end.cause_ids), now - end.ended_at)
                 for end in ends
             ),
-            {part_id: now - served_at for part_id, served_at in served.items()},
+            {cause_id: now - served_at for cause_id, served_at in served.items()},
         )
         channel = self._peers.channel(member.peer_address)
         reply = await channel.call(message, Acknowledgement, REPORT_TIMEOUT_S)
--- a/packages/persimmonlink-router/src/persimmonlink_router/hold_records.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/hold_records.py
@@ -10,12 +10,12 @@
 from loguru import logger
 from xxhash import xxh3_64_hexdigest
 
+from persimmonlink_router.holds import HOLD_S
 from persimmonlink_router.peer_messages import HoldNotice
-from persimmonlink_router.prompt_holds import HOLD_S
 from persimmonlink_router.store import LeaseExpiredError, StoreUnavailableError
 
 if TYPE_CHECKING:
-    from persimmonlink_router.prompt_holds import Hold
+    from persimmonlink_router.holds import Hold
     from persimmonlink_router.store import MetadataStore, StoredItem
 
 HOLD_PREFIX = "persimmonlink/holds/"  # Prefix of the keys of the decisions.
@@ -37,7 +37,7 @@
 
     def save(self, hold: Hold) -> None:
         """Write a decision soon."""
-        name = xxh3_64_hexdigest(",".join(sorted(hold.part_ids)).encode())
+        name = xxh3_64_hexdigest(",".join(sorted(hold.cause_ids)).encode())
         self._unsaved_by_key[HOLD_PREFIX + name] = hold
         self.flush()
 
@@ -66,7 +66,7 @@
     async def _write_all(self) -> None:
         for key, hold in list(self._unsaved_by_key.items()):
             notice = HoldNotice(
-                tuple(sorted(hold.part_ids)),
+                tuple(sorted(hold.cause_ids)),
                 hold.decided_by,
                 0.0,
                 HOLD_S,
--- a/packages/persimmonlink-router/src/persimmonlink_router/prompt_holds.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/holds.py
@@ -1,4 +1,4 @@
-"""Prompt parts that are held back, by decisions of this node and of its peers."""
+"""What is held back because it ends servers, by decisions of any node."""
 
 from __future__ import annotations
 
@@ -12,8 +12,8 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-HOLD_S = 600.0  # Time for which parts are held back, or stay released.
-# A decision is newer than another one on the same parts only if it is so by more than
+HOLD_S = 600.0  # Time for which causes are held back, or stay released.
+# A decision is newer than another one on the same causes only if it is so by more than
 # the times of its messages add up to.
 MIN_DECISION_GAP_S = 2.0
 # Decisions that are kept and passed on. Others are ignored until one of them ends, as
@@ -27,8 +27,8 @@
 
     Parameters
     ----------
-    part_ids : frozenset of str
-        A request whose prompt has all these parts is held back.
+    cause_ids : frozenset of str
+        A request that has all of them is held back.
     decided_by : str
         Node that decided it.
     decided_at : float
@@ -41,7 +41,7 @@
         Whether an operator let such requests go on.
     """
 
-    part_ids: frozenset[str]
+    cause_ids: frozenset[str]
     decided_by: str
     decided_at: float
     ends_at: float
@@ -49,27 +49,27 @@
     is_released: bool = False
 
 
-class PromptHolds:
-    """Decisions on sets of prompt parts, the newest of each set."""
+class Holds:
+    """Decisions on sets of causes, the newest of each set."""
 
     def __init__(self) -> None:
-        self._hold_by_parts: dict[frozenset[str], Hold] = {}
+        self._hold_by_causes: dict[frozenset[str], Hold] = {}
 
     def __len__(self) -> int:
-        return sum(1 for hold in self._hold_by_parts.values() if not hold.is_released)
+        return sum(1 for hold in self._hold_by_causes.values() if not hold.is_released)
 
     def add(self, hold: Hold) -> bool:
         """Add a decision; return whether it is news."""
-        known = self._hold_by_parts.get(hold.part_ids)
+        known = self._hold_by_causes.get(hold.cause_ids)
         if known is not None:
             gap_s = hold.decided_at - known.decided_at
             is_other = hold.is_released != known.is_released
             if gap_s < (0 if is_other else MIN_DECISION_GAP_S):
                 return False
-        elif len(self._hold_by_parts) >= MAX_HOLDS:
-            logger.bind(parts=sorted(hold.part_ids)).warning("prompt.holds_full")
+        elif len(self._hold_by_causes) >= MAX_HOLDS:
+            logger.bind(parts=sorted(hold.cause_ids)).warning("prompt.holds_full")
             return False
-        self._hold_by_parts[hold.part_ids] = hold
+        self._hold_by_causes[hold.cause_ids] = hold
         return True
 
     def add_notice(self, notice: HoldNotice, now: float) -> Hold | None:
@@ -86,63 +86,63 @@
         )
         return hold if self.add(hold) else None
 
-    def find(self, part_ids: Iterable[str], now: float) -> Hold | None:
-        """Return a decision that holds a prompt with these parts back, or None.
+    def find(self, cause_ids: Iterable[str], now: float) -> Hold | None:
+        """Return a decision that holds a request with these causes back, or None.
 
-        A release of any of its parts lets the prompt go on.
+        A release of any of its causes lets the request go on.
         """
-        if not self._hold_by_parts:
+        if not self._hold_by_causes:
             return None
-        present = frozenset(part_ids)
+        present = frozenset(cause_ids)
         found = None
-        for hold in self._hold_by_parts.values():
-            if hold.ends_at <= now or not hold.part_ids <= present:
+        for hold in self._hold_by_causes.values():
+            if hold.ends_at <= now or not hold.cause_ids <= present:
                 continue
             if hold.is_released:
                 return None
             found = hold
         return found
 
-    def covers(self, part_ids: frozenset[str], now: float) -> bool:
-        """Whether a decision on these parts, or on some of them, is in force."""
+    def covers(self, cause_ids: frozenset[str], now: float) -> bool:
+        """Whether a decision on these causes, or on some of them, is in force."""
         return any(
-            hold.ends_at > now and hold.part_ids <= part_ids
-            for hold in self._hold_by_parts.values()
+            hold.ends_at > now and hold.cause_ids <= cause_ids
+            for hold in self._hold_by_causes.values()
         )
 
-    def release(self, part_ids: frozenset[str], node_id: str, now: float) -> Hold:
-        """Let requests with these parts go on for `HOLD_S`; return the decision."""
-        known = self._hold_by_parts.get(part_ids)
+    def release(self, cause_ids: frozenset[str], node_id: str, now: float) -> Hold:
+        """Let requests with these causes go on for `HOLD_S`; return the decision."""
+        known = self._hold_by_causes.get(cause_ids)
         ends = known.server_ends if known is not None else 0
-        hold = Hold(part_ids, node_id, now, now + HOLD_S, ends, is_released=True)
-        self._hold_by_parts[part_ids] = hold
+        hold = Hold(cause_ids, node_id, now, now + HOLD_S, ends, is_released=True)
+        self._hold_by_causes[cause_ids] = hold
         return hold
 
     def remove_expired(self, now: float) -> list[Hold]:
         """Remove the decisions that are no longer in force, and return them."""
-        expired = [h for h in self._hold_by_parts.values() if h.ends_at <= now]
+        expired = [h for h in self._hold_by_causes.values() if h.ends_at <= now]
         for hold in expired:
-            del self._hold_by_parts[hold.part_ids]
+            del self._hold_by_causes[hold.cause_ids]
         return expired
 
     def list_all(self) -> list[Hold]:
         """Return all decisions."""
-        return list(self._hold_by_parts.values())
+        return list(self._hold_by_causes.values())
 
     def build_notices(self, now: float) -> tuple[HoldNotice, ...]:
         """Return the decisions as messages to peers."""
         return tuple(
             HoldNotice(
-                tuple(sorted(hold.part_ids)),
+                tuple(sorted(hold.cause_ids)),
                 hold.decided_by,
                 now - hold.decided_at,
                 hold.ends_at - now,
                 hold.server_ends,
                 hold.is_released,
             )
-            for hold in self._hold_by_parts.values()
+            for hold in self._hold_by_causes.values()
             if hold.ends_at > now
         )
 
 
-__all__ = ("HOLD_S", "Hold", "PromptHolds")
+__all__ = ("HOLD_S", "Hold", "Holds")
--- a/packages/persimmonlink-router/src/persimmonlink_router/operator_api.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/operator_api.py
@@ -12,8 +12,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from persimmonlink_router.crash_guard import CrashGuard
     from persimmonlink_router.http_server import Exchange
-    from persimmonlink_router.prompt_guard import PromptGuard
 
 HOLDS_PATH = "/holds"
 
@@ -25,15 +25,15 @@
     ----------
     render_metrics : callable
         Returns the metrics as text.
-    prompt_guard : PromptGuard
+    crash_guard : CrashGuard
         Knows which prompts are held back.
     """
 
     def __init__(
-        self, render_metrics: Callable[[], str], prompt_guard: PromptGuard
+        self, render_metrics: Callable[[], str], crash_guard: CrashGuard
     ) -> None:
         self._render_metrics = render_metrics
-        self._prompt_guard = prompt_guard
+        self._crash_guard = crash_guard
 
     async def handle(self, exchange: Exchange) -> None:
         """Respond to one request."""
@@ -52,25 +52,25 @@
         now = boot_time()
         return [
             {
-                "parts": sorted(hold.part_ids),
+                "parts": sorted(hold.cause_ids),
                 "state": "released" if hold.is_released else "held",
                 "server_ends": hold.server_ends,
                 "decided_by": hold.decided_by,
                 "age_s": round(now - hold.decided_at, 1),
                 "left_s": round(hold.ends_at - now, 1),
             }
-            for hold in self._prompt_guard.holds.list_all()
+            for hold in self._crash_guard.holds.list_all()
         ]
 
     async def _release(self, exchange: Exchange, text: str) -> None:
-        part_ids = frozenset(part for part in text.split(",") if part)
-        known = {hold.part_ids for hold in self._prompt_guard.holds.list_all()}
-        if part_ids not in known:
+        cause_ids = frozenset(part for part in text.split(",") if part)
+        known = {hold.cause_ids for hold in self._crash_guard.holds.list_all()}
+        if cause_ids not in known:
             await exchange.respond(
                 404, [(b"content-type", b"text/plain")], b"these parts are not held"
             )
             return
-        self._prompt_guard.release(part_ids)
+        self._crash_guard.release(cause_ids)
         await self._respond_json(exchange, self._describe_holds())
 
     async def _respond_json(self, exchange: Exchange, body: object) -> None:
--- a/packages/persimmonlink-router/src/persimmonlink_router/request_service.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/request_service.py
@@ -14,8 +14,8 @@
 from persimmonlink_router.http_server import ClientDisconnectedError
 from persimmonlink_router.plain_relay import relay_plain
 from persimmonlink_router.request_state import (
-    PromptHeldError,
     RequestFailedError,
+    RequestHeldError,
     RequestRefusedError,
     RequestState,
 )
@@ -137,7 +137,7 @@
                 await relay_plain(state, self._sender)
             return 200, "answered"
         except RequestRefusedError as error:
-            if isinstance(error, PromptHeldError):
+            if isinstance(error, RequestHeldError):
                 self._metrics.count(
                     "held_requests_total", f'route="{state.route.name}"'
                 )
--- a/packages/persimmonlink-router/src/persimmonlink_router/request_state.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/request_state.py
@@ -40,7 +40,7 @@
         self.retry_after_s = retry_after_s
 
 
-class PromptHeldError(RequestRefusedError):
+class RequestHeldError(RequestRefusedError):
     """The prompt of the request has parts that end servers, so it is not sent on."""
 
 
@@ -216,7 +216,7 @@
 
 
 __all__ = (
-    "PromptHeldError",
+    "RequestHeldError",
     "RequestFailedError",
     "RequestRefusedError",
     "RequestState",
--- a/packages/persimmonlink-router/src/persimmonlink_router/router.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/router.py
@@ -15,6 +15,7 @@
 from persimmonlink_router.cluster_membership import MEMBER_PREFIX, ClusterMembership
 from persimmonlink_router.cluster_view import ClusterView, EntryReader
 from persimmonlink_router.connection_pool import ConnectionPool
+from persimmonlink_router.crash_guard import CrashGuard
 from persimmonlink_router.crash_reports import CrashReporter
 from persimmonlink_router.hold_records import HOLD_PREFIX, HoldRecords
 from persimmonlink_router.http_server import HttpServer, RequestLimits
@@ -38,7 +39,6 @@
     SharedFacts,
     ShareFacts,
 )
-from persimmonlink_router.prompt_guard import PromptGuard
 from persimmonlink_router.request_service import RequestService
 from persimmonlink_router.send_limits import ColdSendLimit, RetryBudget
 from persimmonlink_router.server_chooser import ServerChooser
@@ -183,14 +183,14 @@
         self._version_exchange = StreamVersionExchange(
             self.membership, self.cluster_view, self._stream_versions
         )
-        self._prompt_guard = PromptGuard(
+        self._crash_guard = CrashGuard(
             own_member.node_id,
             CrashReporter(self.membership),
             HoldRecords(adapters.store),
             self.membership.facts.spread,
             self.metrics,
         )
-        self.membership.facts.attach(self._prompt_guard)
+        self.membership.facts.attach(self._crash_guard)
         self._sender = ServerSender(
             self._chooser,
             self.cluster_view,
@@ -201,10 +201,10 @@
             self._retry_budget,
             self._version_exchange,
             ServerEndDetector(
-                self._prompt_guard.record_server_end,
+                self._crash_guard.record_server_end,
                 self.metrics,
             ),
-            self._prompt_guard,
+            self._crash_guard,
             self._limiter,
         )
         self._request_service = RequestService(
@@ -231,7 +231,7 @@
         self._client_server = HttpServer(
             self._request_service.handle, self._client_limits
         )
-        operator_api = OperatorApi(self._render_metrics, self._prompt_guard)
+        operator_api = OperatorApi(self._render_metrics, self._crash_guard)
         self._auxiliary_servers = [
             (
                 settings.listen.readiness,
@@ -321,7 +321,7 @@
         versions = self._version_exchange
         peers.register(RecordStreamVersions, Acknowledgement, versions.handle_record)
         peers.register(FindStreamVersion, FoundStreamVersion, versions.handle_find)
-        guard = self._prompt_guard
+        guard = self._crash_guard
         peers.register(ReportCrashes, Acknowledgement, guard.handle_report)
         peers.register(AskPermit, PermitReply, self._limiter.handle_ask)
         peers.register(ShareFacts, SharedFacts, membership.facts.handle_share)
@@ -347,7 +347,7 @@
     def _tick(self) -> None:
         if self.cluster_view.tick(boot_time()):
             self._follower.refresh()
-        self._prompt_guard.tick()
+        self._crash_guard.tick()
 
     def _sweep(self) -> None:
         keys = {s.key for s in self.cluster_view.servers.server_by_id.values()}
@@ -356,7 +356,7 @@
         self._chooser.retain_servers(keys)
         self._scheduler.servers.discard_absent(keys)
         self._stream_versions.discard_expired(boot_time())
-        self._prompt_guard.sweep()
+        self._crash_guard.sweep()
         self._limiter.retain_servers(keys)
         configuration = self.cluster_view.configuration
         if configuration is not None:
@@ -368,7 +368,7 @@
             self.membership.apply_store_item(item)
             return
         if item.key.startswith(HOLD_PREFIX):
-            self._prompt_guard.apply_store_item(item)
+            self._crash_guard.apply_store_item(item)
             return
         self.cluster_view.apply(item)
 
--- a/packages/persimmonlink-router/src/persimmonlink_router/server_ends.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/server_ends.py
@@ -32,7 +32,7 @@
     ----------
     request_id : str
         Id of the client's attempt.
-    part_ids : tuple of str
+    cause_ids : tuple of str
         Ids of the parts of its prompt that other requests may share.
     sent_at : float
         Boot time at which it was sent to the server, in seconds.
@@ -43,7 +43,7 @@
     """
 
     request_id: str
-    part_ids: tuple[str, ...]
+    cause_ids: tuple[str, ...]
     sent_at: float
     first_event_at: float | None
     interrupted_at: float
@@ -120,7 +120,7 @@
     shown = [
         {
             "request": request.request_id,
-            "prompt_parts": request.part_ids,
+            "prompt_parts": request.cause_ids,
             "sent_s_before": round(request.interrupted_at - request.sent_at, 3),
             "has_events": request.first_event_at is not None,
         }
--- a/packages/persimmonlink-router/src/persimmonlink_router/server_sender.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/server_sender.py
@@ -17,8 +17,8 @@
 )
 from persimmonlink_router.http_messages import HttpResponseHead, ResponseFraming
 from persimmonlink_router.request_state import (
-    PromptHeldError,
     RequestFailedError,
+    RequestHeldError,
     RequestRefusedError,
     ResponseEnd,
 )
@@ -35,7 +35,7 @@
     from persimmonlink_router.cluster_membership import ClusterMembership
     from persimmonlink_router.cluster_view import ClusterView
     from persimmonlink_router.connection_pool import ConnectionPool
-    from persimmonlink_router.prompt_guard import PromptGuard
+    from persimmonlink_router.crash_guard import CrashGuard
     from persimmonlink_router.request_state import RequestState
     from persimmonlink_router.send_limits import RetryBudget
     from persimmonlink_router.server_chooser import ServerChooser
@@ -119,7 +119,7 @@
         Records and finds the software versions at which streams began.
     end_detector : ServerEndDetector
         Finds out which servers ended while they ran requests.
-    prompt_guard : PromptGuard
+    crash_guard : CrashGuard
         Knows which prompts end servers.
     limiter : ServerLimiter
         Keeps to the rates that servers name.
@@ -136,7 +136,7 @@
         budget: RetryBudget,
         stream_versions: StreamVersionExchange,
         end_detector: ServerEndDetector,
-        prompt_guard: PromptGuard,
+        crash_guard: CrashGuard,
         limiter: ServerLimiter,
     ) -> None:
         self._chooser = chooser
@@ -148,7 +148,7 @@
         self._budget = budget
         self._stream_versions = stream_versions
         self._end_detector = end_detector
-        self._prompt_guard = prompt_guard
+        self._crash_guard = crash_guard
         self._limiter = limiter
         self.body_budget = ByteBudget(MAX_BUFFERED_BYTES)
 
@@ -234,14 +234,14 @@
             NO_VERSION_RETRY_AFTER_S,
         )
 
-    def require_prompt_not_held(self, state: RequestState) -> None:
-        """Raise `PromptHeldError` if the prompt has parts that end servers."""
+    def require_not_held(self, state: RequestState) -> None:
+        """Raise `RequestHeldError` if the prompt has parts that end servers."""
         part_ids = state.metadata.shared_part_ids
-        hold = self._prompt_guard.find_hold(part_ids) if part_ids else None
+        hold = self._crash_guard.find_hold(part_ids) if part_ids else None
         if hold is None:
             return
-        parts = ", ".join(sorted(hold.part_ids))
-        raise PromptHeldError(
+        parts = ", ".join(sorted(hold.cause_ids))
+        raise RequestHeldError(
             f"{hold.server_ends} servers ended under requests with prompt part {parts}",
             hold.ends_at - boot_time(),
         )
@@ -285,7 +285,7 @@
         part_ids = state.metadata.shared_part_ids
         if not part_ids:
             return
-        self._prompt_guard.record_served(part_ids)
+        self._crash_guard.record_served(part_ids)
 
     async def require_whole(self, response: OpenResponse) -> None:
         """Check a response without a length whose connection was closed in order.
@@ -385,8 +385,8 @@
             )
         connection = await self._connect(server, state)
         try:
-            self.require_prompt_not_held(state)
-        except PromptHeldError:
+            self.require_not_held(state)
+        except RequestHeldError:
             self._pool.release(server.key, connection)
             raise
         now = boot_time()
--- a/packages/persimmonlink-router/src/persimmonlink_router/stream_relay.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stream_relay.py
@@ -13,8 +13,8 @@
 from persimmonlink_router.http_messages import strip_hop_by_hop_headers
 from persimmonlink_router.plain_relay import verify_success_response
 from persimmonlink_router.request_state import (
-    PromptHeldError,
     RequestFailedError,
+    RequestHeldError,
     RequestRefusedError,
 )
 from persimmonlink_router.retry_detector import choose_retry_after_s
@@ -60,7 +60,7 @@
     while True:
         attempt_count += 1
         try:
-            sender.require_prompt_not_held(state)
+            sender.require_not_held(state)
             await sender.pin_resumed_stream(state)
             sender.require_stream_version(state)
             inputs = await _run_stages(state, sender, stages)
@@ -80,7 +80,7 @@
             RequestFailedError,
             RequestRefusedError,
         ) as error:
-            is_final = isinstance(error, PromptHeldError) or not _may_resume(state)
+            is_final = isinstance(error, RequestHeldError) or not _may_resume(state)
             if is_final or attempt_count >= MAX_ATTEMPTS:
                 raise _to_client_error(state, error) from error
             if isinstance(error, RequestRefusedError):
--- a/tests/router/test_crash_evidence.py
+++ b/tests/router/test_crash_evidence.py
@@ -19,10 +19,10 @@
 MAX_LATER_REQUESTS = 3
 
 
-def record_ends(evidence, part_ids, count, started_at=0.0, name="s"):
+def record_ends(evidence, cause_ids, count, started_at=0.0, name="s"):
     for index in range(count):
         at = started_at + index
-        evidence.record_end(ServerEnd(f"{name}{index}", frozenset(part_ids), at), at)
+        evidence.record_end(ServerEnd(f"{name}{index}", frozenset(cause_ids), at), at)
     return started_at + count - 1
 
 
@@ -31,7 +31,7 @@
     last_at = record_ends(evidence, ["bad"], ENDS_TO_HOLD)
     assert not evidence.judge(last_at)
     verdict = evidence.judge(last_at + LATER_S)[0]
-    assert verdict.part_ids == {"bad"}
+    assert verdict.cause_ids == {"bad"}
     assert len(verdict.servers) == ENDS_TO_HOLD
 
 
@@ -61,7 +61,7 @@
     evidence = CrashEvidence()
     last_at = record_ends(evidence, ["first", "bad"], ENDS_TO_HOLD)
     verdicts = evidence.judge(last_at + LATER_S)
-    assert {verdict.part_ids for verdict in verdicts} == {frozenset(["first", "bad"])}
+    assert {verdict.cause_ids for verdict in verdicts} == {frozenset(["first", "bad"])}
 
 
 def test_an_end_without_the_other_part_narrows_the_accusation():
@@ -70,7 +70,7 @@
     end = ServerEnd("other", frozenset(["bad"]), last_at + LATER_S)
     evidence.record_end(end, last_at + LATER_S)
     verdicts = evidence.judge(last_at + 2 * LATER_S)
-    assert frozenset(["bad"]) in {verdict.part_ids for verdict in verdicts}
+    assert frozenset(["bad"]) in {verdict.cause_ids for verdict in verdicts}
 
 
 def test_a_shared_part_is_not_accused_for_the_ends_under_a_rarer_one():
@@ -78,10 +78,10 @@
     last_at = record_ends(evidence, ["shared", "bad"], ENDS_TO_HOLD + 1)
     record_ends(evidence, ["shared"], ENDS_TO_HOLD)
     verdicts = evidence.judge(last_at + LATER_S)
-    assert [verdict.part_ids for verdict in verdicts] == [{"bad", "shared"}]
+    assert [verdict.cause_ids for verdict in verdicts] == [{"bad", "shared"}]
     last_at = record_ends(evidence, ["shared"], 1, last_at + LATER_S, "later")
     verdicts = evidence.judge(last_at + LATER_S)
-    assert {"shared"} in [verdict.part_ids for verdict in verdicts]
+    assert {"shared"} in [verdict.cause_ids for verdict in verdicts]
 
 
 def test_a_part_that_comes_with_many_rarer_ones_is_accused():
@@ -92,7 +92,7 @@
             evidence, ["bad", f"own{number}"], ENDS_TO_HOLD, last_at + 1, f"s{number}-"
         )
     verdicts = evidence.judge(last_at + LATER_S)
-    assert {"bad"} in [verdict.part_ids for verdict in verdicts]
+    assert {"bad"} in [verdict.cause_ids for verdict in verdicts]
 
 
 def test_a_part_on_probation_is_accused_again_after_one_more_end():
@@ -110,8 +110,8 @@
         if ended_server:
             keeper.record_end(ServerEnd(ended_server, frozenset(parts), now), now)
             continue
-        for part_id in parts:
-            keeper.record_served(part_id, now)
+        for cause_id in parts:
+            keeper.record_served(cause_id, now)
 
 
 @given(
@@ -142,8 +142,8 @@
             restart_at = math.inf
             keepers[0] = CrashEvidence()
         for keeper in keepers:
-            held.update(verdict.part_ids for verdict in keeper.judge(now))
-        if any(part_ids <= frozenset(parts) for part_ids in held):
+            held.update(verdict.cause_ids for verdict in keeper.judge(now))
+        if any(cause_ids <= frozenset(parts) for cause_ids in held):
             assert is_fatal, f"{parts} held by {held}"
             continue
         if is_fatal:
--- a/tests/router/test_fact_exchange.py
+++ b/tests/router/test_fact_exchange.py
@@ -9,8 +9,8 @@
 
 from persimmonlink_peers.message import Sender
 from persimmonlink_router.fact_exchange import FactExchange
+from persimmonlink_router.holds import Holds
 from persimmonlink_router.peer_messages import HoldNotice, SharedFacts
-from persimmonlink_router.prompt_holds import PromptHolds
 
 NOTICE = HoldNotice(("bad",), "n0", 0.0, 60.0, 4)
 
@@ -21,7 +21,7 @@
     def __init__(self, name: str) -> None:
         self.sender = Sender(name, "1")
         self.peers: list[FakeNode] = []
-        self.holds = PromptHolds()
+        self.holds = Holds()
         self.sent_count = 0
         self.exchange = FactExchange(self)
         self.exchange.attach(self)
--- a/tests/router/test_prompt_holds.py
+++ b/tests/router/test_holds.py
@@ -2,24 +2,24 @@
 
 from __future__ import annotations
 
-from persimmonlink_router.prompt_holds import MAX_HOLDS, Hold, PromptHolds
+from persimmonlink_router.holds import MAX_HOLDS, Hold, Holds
 
 NOW = 100.0
 
 
-def make_hold(*part_ids: str, at: float = NOW) -> Hold:
-    return Hold(frozenset(part_ids), "n", at, at + 60.0, 4)
+def make_hold(*cause_ids: str, at: float = NOW) -> Hold:
+    return Hold(frozenset(cause_ids), "n", at, at + 60.0, 4)
 
 
 def test_only_prompts_with_all_parts_of_a_decision_are_held_back():
-    holds = PromptHolds()
+    holds = Holds()
     holds.add(make_hold("a", "bad"))
     assert holds.find(["a", "bad", "c"], NOW) is not None
     assert holds.find(["other", "bad"], NOW) is None
 
 
 def test_a_release_covers_what_later_decisions_say_of_more_parts():
-    holds = PromptHolds()
+    holds = Holds()
     holds.add(make_hold("bad"))
     holds.release(frozenset(["bad"]), "n", NOW + 1)
     assert holds.covers(frozenset(["a", "bad"]), NOW + 2)
@@ -28,14 +28,14 @@
 
 
 def test_a_decision_ends_with_its_time():
-    holds = PromptHolds()
+    holds = Holds()
     holds.add(make_hold("bad"))
     assert holds.find(["bad"], NOW + 61) is None
     assert len(holds.remove_expired(NOW + 61)) == 1
 
 
 def test_decisions_that_do_not_fit_are_not_news_again_and_again():
-    nodes = [PromptHolds(), PromptHolds()]
+    nodes = [Holds(), Holds()]
     numbers = range(MAX_HOLDS + 20)
     for node, order in zip(nodes, (numbers, reversed(numbers)), strict=True):
         for number in order:
--- a/tests/router/test_operator_api.py
+++ b/tests/router/test_operator_api.py
@@ -17,7 +17,7 @@
 )
 
 from persimmonlink_router.boot_clock import boot_time
-from persimmonlink_router.prompt_holds import MIN_DECISION_GAP_S, Hold
+from persimmonlink_router.holds import MIN_DECISION_GAP_S, Hold
 
 HELD_S = 60.0  # Time for which the tests hold a part back.
 PROMPT = {**STREAM, "Persimmonlink_Prompt_Prefix": "aa:60,bad:20,own:20"}
@@ -31,7 +31,7 @@
 def hold_back(router) -> None:
     """Let a router decide to hold a part back, as after four ends of servers."""
     now = boot_time()
-    guard = router._prompt_guard
+    guard = router._crash_guard
     hold = Hold(frozenset(["bad"]), guard._node_id, now, now + HELD_S, 4)
     guard._decide(hold, ())
 
@@ -41,7 +41,7 @@
         async with make_rig(routers=3) as rig:
             await asyncio.sleep(0.5)
             hold_back(rig.routers[0])
-            guards = [router._prompt_guard for router in rig.routers]
+            guards = [router._crash_guard for router in rig.routers]
             await wait_until(lambda: all(len(guard.holds) for guard in guards))
             listed = json.loads((await call(rig, 1, "GET", "/holds")).body)
             assert listed[0]["parts"] == ["bad"]
@@ -67,7 +67,7 @@
         async with make_rig(routers=2) as rig:
             hold_back(rig.routers[0])
             router = await add_router(rig, 2)
-            await wait_until(lambda: len(router._prompt_guard.holds) == 1, 2.0)
+            await wait_until(lambda: len(router._crash_guard.holds) == 1, 2.0)
 
     run(scenario())
 
@@ -136,7 +136,7 @@
             await asyncio.sleep(MIN_DECISION_GAP_S)
             await restart_router(rig, 1)
             await asyncio.sleep(1.0)
-            (hold,) = rig.routers[0]._prompt_guard.holds.list_all()
+            (hold,) = rig.routers[0]._crash_guard.holds.list_all()
             assert hold.ends_at < boot_time() + HELD_S
 
     run(scenario())
