Log the fingerprint of each request that ran on a server as it ended

Callers saw 502 for requests that ran on servers that ended, and the log named neither the end nor what the requests had in common unless their prompts had parts. Now server.ended is written for all requests, with a digest of account, path and body, which request.completed has, too. That tells one request that ends server after server from servers that end under load. Nothing is decided by it yet.

--- a/packages/persimmonlink-router/src/persimmonlink_router/request_service.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/request_service.py
@@ -244,6 +244,7 @@
         prediction = state.predicted_first_event_s
         logger.bind(
             request=state.metadata.request_id,
+            fingerprint=state.fingerprint,
             route=state.route.name,
             service=state.service,
             account=state.account_name,
--- a/packages/persimmonlink-router/src/persimmonlink_router/request_state.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/request_state.py
@@ -9,6 +9,7 @@
 from persimmonlink_router.configuration import Account, Route
 from persimmonlink_router.http_messages import ResponseFraming
 from persimmonlink_router.http_server import Exchange
+from persimmonlink_router.request_fingerprint import compute_fingerprint
 from persimmonlink_router.retry_detector import (
     CLIENT_RETRY_OBJECTIVE_SHARE,
     CLIENT_RETRY_PRIORITY_OFFSET,
@@ -142,10 +143,21 @@
     stream_version: str | None = None
     response_end: ResponseEnd | None = None
     partial_event_bytes: int = 0
+    _fingerprint: str = ""
 
     def __post_init__(self) -> None:
         self.silent_since = self.arrived_at
 
+    @property
+    def fingerprint(self) -> str:
+        """Digest by which the request is recognized if it comes again."""
+        if not self._fingerprint:
+            request = self.exchange.request
+            self._fingerprint = compute_fingerprint(
+                self.account_name, request.target, request.body
+            )
+        return self._fingerprint
+
     @property
     def may_begin_stream(self) -> bool:
         """Whether it begins a stream that its client may take up again."""
--- a/packages/persimmonlink-router/src/persimmonlink_router/server_ends.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/server_ends.py
@@ -32,6 +32,8 @@
     ----------
     request_id : str
         Id of the client's attempt.
+    fingerprint : str
+        Digest of the request, the same for all its attempts.
     cause_ids : tuple of str
         Ids of the parts of its prompt that other requests may share.
     sent_at : float
@@ -43,6 +45,7 @@
     """
 
     request_id: str
+    fingerprint: str
     cause_ids: tuple[str, ...]
     sent_at: float
     first_event_at: float | None
@@ -120,6 +123,7 @@
     shown = [
         {
             "request": request.request_id,
+            "fingerprint": request.fingerprint,
             "prompt_parts": request.cause_ids,
             "sent_s_before": round(request.interrupted_at - request.sent_at, 3),
             "has_events": request.first_event_at is not None,
--- a/packages/persimmonlink-router/src/persimmonlink_router/server_sender.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/server_sender.py
@@ -316,14 +316,12 @@
         sent_at: float,
         first_event_at: float | None = None,
     ) -> None:
-        part_ids = state.metadata.shared_part_ids
-        if not part_ids:
-            return
         self._end_detector.record_interruption(
             server,
             InterruptedRequest(
                 state.metadata.request_id,
-                part_ids,
+                state.fingerprint,
+                state.metadata.shared_part_ids,
                 sent_at,
                 first_event_at,
                 boot_time(),
--- a/stand_ins/src/persimmonlink_stand_ins/routed_server.py
+++ b/stand_ins/src/persimmonlink_stand_ins/routed_server.py
@@ -142,6 +142,8 @@
         # Parts of prompts on which it ends, and where in the response it does.
         self.fatal_part_ids: frozenset[str] = frozenset()
         self.crash_point = CrashPoint.AFTER_HEAD
+        # Bodies of requests, and keys of pieces, on which it ends after `work_s`.
+        self.fatal_bodies: frozenset[bytes] = frozenset()
         # Requests a second that it says it accepts from all nodes; 0 names none.
         self.rate_limit_per_s = 0.0
         self.runs: list[Run] = []
@@ -249,6 +251,10 @@
             except asyncio.CancelledError:
                 self.disconnected_ids.append(request_id)
                 raise
+        if request.body in self.fatal_bodies:
+            await asyncio.sleep(self.work_s)
+            await self.crash()
+            return False
         headers = {"Persimmonlink-Request-Id": request_id, **self._state_headers()}
         if not self.faults.omits_seal:
             headers["Persimmonlink-Response-Seal"] = f"seal-{request_id}"
@@ -355,6 +361,10 @@
         items = msgspec.json.decode(request.body)["items"]
         self.batch_sizes.append(len(items))
         await asyncio.sleep(0.02)
+        if self.fatal_bodies & {item.get("key", "").encode() for item in items}:
+            self.pieces += items
+            await self.crash()
+            return False
         if self.faults.resets_connections:
             reset_connection(writer)
             return False
--- a/tests/router/test_server_runs.py
+++ b/tests/router/test_server_runs.py
@@ -15,7 +15,7 @@
 
 
 def interrupt(sent_at: float, interrupted_at: float) -> InterruptedRequest:
-    return InterruptedRequest("r", ("a",), sent_at, None, interrupted_at)
+    return InterruptedRequest("r", "request:1", ("a",), sent_at, None, interrupted_at)
 
 
 def test_late_reports_of_one_end_name_one_run():
