--- a/stand_ins/src/persimmonlink_stand_ins/routed_server.py
+++ b/stand_ins/src/persimmonlink_stand_ins/routed_server.py
@@ -148,6 +148,8 @@
         self.rate_limit_per_s = 0.0
         self.runs: list[Run] = []
         self.pieces: list[dict[str, Any]] = []
+        # Pieces with the time of their arrival, also those of calls that failed.
+        self.piece_log: list[tuple[float, dict[str, Any]]] = []
         self.batch_sizes: list[int] = []
         self.freed_handles: list[str] = []
         self.disconnected_ids: list[str] = []
@@ -360,9 +362,9 @@
     ) -> bool:
         items = msgspec.json.decode(request.body)["items"]
         self.batch_sizes.append(len(items))
+        self.piece_log += [(time.monotonic(), item) for item in items]
         await asyncio.sleep(0.02)
         if self.fatal_bodies & {item.get("key", "").encode() for item in items}:
-            self.pieces += items
             await self.crash()
             return False
         if self.faults.resets_connections:
--- a/tests/router/rig.py
+++ b/tests/router/rig.py
@@ -95,7 +95,10 @@
             {"name": STAGE_SERVICE, "pieces": pieces},
         ],
         "limits": {"max-body-bytes": 100000, "idle-timeout-ms": 15000},
-        "tenants": [{"name": "acme", "api-keys": [KEY]}],
+        "tenants": [
+            {"name": "acme", "api-keys": [KEY]},
+            {"name": "other", "api-keys": ["key-of-other"]},
+        ],
     }
     return {**configuration, **changes}
 
