--- a/packages/persimmonlink-router/src/persimmonlink_router/crash_evidence.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/crash_evidence.py
@@ -11,21 +11,45 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from persimmonlink_router.request_fingerprint import is_fingerprint
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
 ENDS_TO_SUSPECT = 2  # Ends from which other nodes are asked for responses.
-ENDS_TO_HOLD = 4  # Ends from which a cause is held back.
+ENDS_TO_HOLD = 4  # Ends from which a prompt part is held back.
+# The same for a whole request. It is rarer than a part, so that fewer servers end for
+# other reasons while they run it.
+ENDS_TO_HOLD_REQUEST = 3
 # Time in which responses that clear a cause may arrive from other nodes.
 HOLD_DELAY_S = 0.4
 # Ends closer together count once, because servers that end together have one cause.
 MIN_END_SPACING_S = 0.1
 EVIDENCE_LIFETIME_S = 3600.0  # Older ends are forgotten.
-MAX_CAUSES = 2000  # Causes with evidence; those with the oldest evidence are forgotten.
+MAX_CAUSES = 8000  # Causes with evidence; those with the oldest evidence are forgotten.
 MAX_ENDS_PER_CAUSE = 32  # Ends that are kept for a cause, the newest.
 NEVER = float("-inf")  # Time of what has not happened.
 
 
+@dataclass(frozen=True, slots=True)
+class RequestOrigin:
+    """What operators are told of a request that may end servers.
+
+    Parameters
+    ----------
+    account : str
+        Name of the client account, empty if none or unknown.
+    path : str
+        Path, empty if unknown.
+    """
+
+    account: str = ""
+    path: str = ""
+
+
+UNKNOWN_ORIGIN = RequestOrigin()
+
+
 @dataclass(frozen=True, slots=True)
 class ServerEnd:
     """A server that ended soon after it got a request.
@@ -38,11 +62,20 @@
         What of the request may be the cause.
     ended_at : float
         Boot time of the end, in seconds.
+    sent_at : float
+        Boot time at which the request was sent, in seconds.
+    software : str
+        Service and software version of the server, empty if unknown.
+    origin : RequestOrigin
+        Where the request came from.
     """
 
     server: str
     cause_ids: frozenset[str]
     ended_at: float
+    sent_at: float = NEVER
+    software: str = ""
+    origin: RequestOrigin = UNKNOWN_ORIGIN
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,10 +89,16 @@
         those that were served meanwhile.
     servers : tuple of str
         Incarnations that ended, the first one first.
+    software : frozenset of str
+        Their services and software versions.
+    origin : RequestOrigin
+        Where the last of the requests came from.
     """
 
     cause_ids: frozenset[str]
     servers: tuple[str, ...]
+    software: frozenset[str] = frozenset()
+    origin: RequestOrigin = UNKNOWN_ORIGIN
 
 
 class CrashEvidence:
@@ -82,13 +121,13 @@
                 e.server == end.server and e.cause_ids == end.cause_ids for e in ends
             ):
                 continue
-            before = _count_distinct(ends)
+            before = _count_distinct(cause_id, ends)
             ends.append(end)
             del ends[:-MAX_ENDS_PER_CAUSE]
-            count = _count_distinct(ends)
+            count = _count_distinct(cause_id, ends)
             if before < ENDS_TO_SUSPECT <= count:
                 suspects.append(cause_id)
-            if count >= ENDS_TO_HOLD:
+            if count >= _count_ends_to_hold(cause_id):
                 self._reached_at_by_cause.setdefault(cause_id, now)
         self._discard_excess()
         return suspects
@@ -105,20 +144,21 @@
         ends = self._ends_by_cause[cause_id]
         kept = [end for end in ends if end.ended_at > served_at]
         self._ends_by_cause[cause_id] = kept
-        if _count_distinct(kept) < ENDS_TO_HOLD:
+        if _count_distinct(cause_id, kept) < _count_ends_to_hold(cause_id):
             self._reached_at_by_cause.pop(cause_id, None)
         return len(ends) - len(kept)
 
     def count_ends(self, cause_id: str) -> int:
         """Return the ends of servers since a cause was served, as they count."""
-        return _count_distinct(self._ends_by_cause.get(cause_id, ()))
+        return _count_distinct(cause_id, self._ends_by_cause.get(cause_id, ()))
 
     def list_suspects(self) -> list[str]:
         """Return the causes with so many ends that responses to them matter."""
         return [
             cause_id
             for cause_id, ends in self._ends_by_cause.items()
-            if len(ends) >= ENDS_TO_SUSPECT and _count_distinct(ends) >= ENDS_TO_SUSPECT
+            if len(ends) >= ENDS_TO_SUSPECT
+            and _count_distinct(cause_id, ends) >= ENDS_TO_SUSPECT
         ]
 
     @property
@@ -147,7 +187,10 @@
                 or self._served_at_by_cause.get(other, NEVER) < first_at
             }
             servers = tuple(dict.fromkeys(end.server for end in ends))
-            verdicts.append(Verdict(frozenset(cause_ids), servers))
+            versions = frozenset(end.software for end in ends)
+            verdicts.append(
+                Verdict(frozenset(cause_ids), servers, versions, ends[-1].origin)
+            )
         return verdicts
 
     def _is_explained(self, cause_id: str) -> bool:
@@ -178,7 +221,9 @@
             if self._reached_at_by_cause.pop(cause_id, None) is None:
                 continue
             self._ends_by_cause[cause_id] = _keep_newest(
-                self._ends_by_cause[cause_id], ENDS_TO_HOLD - 1
+                cause_id,
+                self._ends_by_cause[cause_id],
+                _count_ends_to_hold(cause_id) - 1,
             )
 
     def discard_expired(self, now: float) -> None:
@@ -188,7 +233,7 @@
             if len(kept) == len(ends) and kept:
                 continue
             self._ends_by_cause[cause_id] = kept
-            if _count_distinct(kept) < ENDS_TO_HOLD:
+            if _count_distinct(cause_id, kept) < _count_ends_to_hold(cause_id):
                 self._reached_at_by_cause.pop(cause_id, None)
             if not kept:
                 self.forget([cause_id])
@@ -198,30 +243,51 @@
             self.forget([next(iter(self._ends_by_cause))])
 
 
-def _keep_newest(ends: list[ServerEnd], count: int) -> list[ServerEnd]:
+def _count_ends_to_hold(cause_id: str) -> int:
+    return ENDS_TO_HOLD_REQUEST if is_fingerprint(cause_id) else ENDS_TO_HOLD
+
+
+def _keep_newest(cause_id: str, ends: list[ServerEnd], count: int) -> list[ServerEnd]:
     """Return the newest ends that count as at most `count`."""
     kept: list[ServerEnd] = []
     for end in sorted(ends, key=lambda e: e.ended_at, reverse=True):
-        if _count_distinct([*kept, end]) > count:
+        if _count_distinct(cause_id, [*kept, end]) > count:
             break
         kept.append(end)
     return kept
 
 
-def _count_distinct(ends: Iterable[ServerEnd]) -> int:
-    """Count the servers that ended, those that ended together once."""
-    ended_at_by_server: dict[str, float] = {}
+def _count_distinct(cause_id: str, ends: Iterable[ServerEnd]) -> int:
+    """Count the servers that ended, those that ended together once.
+
+    A whole request that was sent to a server after another one had ended under it is
+    evidence of its own, however soon that server ended.
+    """
+    first_by_server: dict[str, ServerEnd] = {}
     for end in ends:
-        known_at = ended_at_by_server.get(end.server, end.ended_at)
-        ended_at_by_server[end.server] = min(known_at, end.ended_at)
+        known = first_by_server.get(end.server)
+        if known is None or end.ended_at < known.ended_at:
+            first_by_server[end.server] = end
     count = 0
     counted_at = NEVER
-    for ended_at in sorted(ended_at_by_server.values()):
-        if ended_at - counted_at < MIN_END_SPACING_S:
+    for end in sorted(first_by_server.values(), key=lambda e: e.ended_at):
+        is_together = end.ended_at - counted_at < MIN_END_SPACING_S
+        was_sent_after = is_fingerprint(cause_id) and end.sent_at >= counted_at > NEVER
+        if is_together and not was_sent_after:
             continue
-        counted_at = ended_at
+        counted_at = end.ended_at
         count += 1
     return count
 
 
-__all__ = ("ENDS_TO_HOLD", "ENDS_TO_SUSPECT", "CrashEvidence", "ServerEnd", "Verdict")
+__all__ = (
+    "NEVER",
+    "ENDS_TO_HOLD",
+    "ENDS_TO_HOLD_REQUEST",
+    "ENDS_TO_SUSPECT",
+    "UNKNOWN_ORIGIN",
+    "CrashEvidence",
+    "RequestOrigin",
+    "ServerEnd",
+    "Verdict",
+)
--- a/packages/persimmonlink-router/src/persimmonlink_router/crash_guard.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/crash_guard.py
@@ -7,16 +7,23 @@
 from loguru import logger
 
 from persimmonlink_router.boot_clock import boot_time
-from persimmonlink_router.crash_evidence import CrashEvidence, ServerEnd
+from persimmonlink_router.crash_evidence import (
+    ENDS_TO_SUSPECT,
+    CrashEvidence,
+    ServerEnd,
+)
+from persimmonlink_router.crash_reports import read_report
 from persimmonlink_router.holds import HOLD_S, Hold, Holds
 from persimmonlink_router.peer_messages import Acknowledgement, SharedFacts
+from persimmonlink_router.request_fingerprint import is_fingerprint
 from persimmonlink_router.served_causes import ServedCauses
 from persimmonlink_router.server_runs import ServerRuns
+from persimmonlink_router.trial_permits import TrialPermits
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Sequence
+    from collections.abc import Callable, Iterable, Sequence
 
-    from persimmonlink_router.crash_reports import CrashReporter
+    from persimmonlink_router.crash_reports import CrashReporter, PeerDirectory
     from persimmonlink_router.hold_records import HoldRecords
     from persimmonlink_router.metrics import RouterMetrics
     from persimmonlink_router.peer_messages import HoldNotice, ReportCrashes
@@ -37,15 +44,18 @@
 
 
 class CrashGuard:
-    """Learns from the ends of servers which causes to hold back.
+    """Learns from the ends of servers which requests to hold back.
+
+    What may have ended a server is a part of a prompt, or a whole request that comes
+    again under other ids.
 
     Nodes report the ends that they see to some members, which combine them, and each
     decision is passed on to all nodes.
 
     Parameters
     ----------
-    node_id : str
-        Name of this node.
+    peers : PeerDirectory
+        Members of the cluster, and this node.
     reporter : CrashReporter
         Sends reports to the members that combine them.
     records : HoldRecords
@@ -58,21 +68,24 @@
 
     def __init__(
         self,
-        node_id: str,
+        peers: PeerDirectory,
         reporter: CrashReporter,
         records: HoldRecords,
         spread: Callable[[], None],
         metrics: RouterMetrics,
     ) -> None:
-        self._node_id = node_id
+        self._node_id = peers.sender.node_id
         self._reporter = reporter
         self._records = records
         self._spread = spread
         self._metrics = metrics
         self._evidence = CrashEvidence()
-        self._served = ServedCauses()
+        self._served_parts = ServedCauses()
+        self._served_requests = ServedCauses()
         self._runs = ServerRuns()
         self.holds = Holds()
+        self.trials = TrialPermits(peers, reporter, self._needs_trial)
+        self._served_in_trial_at: dict[str, float] = {}
         self._suspect_until_by_cause: dict[str, float] = {}
         self._reported_at_by_cause: dict[str, float] = {}
 
@@ -80,12 +93,20 @@
         """Return the decision that holds a request with these causes back, or None."""
         return self.holds.find(cause_ids, boot_time())
 
-    def record_served(self, cause_ids: Sequence[str]) -> None:
-        """Record a complete response to a request with these possible causes."""
+    def is_suspect(self, fingerprint: str) -> bool:
+        """Whether servers have ended under a request, which needs a permit for that."""
+        if fingerprint in self._suspect_until_by_cause:
+            return True
+        return self.find_hold([fingerprint]) is not None
+
+    def record_served(self, part_ids: Sequence[str], fingerprint: str) -> None:
+        """Record a complete response to a request."""
         now = boot_time()
-        self._served.record(cause_ids, now)
-        for cause_id in cause_ids:
-            if cause_id not in self._suspect_until_by_cause:
+        self._served_parts.record(part_ids, now)
+        self._served_requests.record([fingerprint], now)
+        for cause_id in (*part_ids, fingerprint):
+            is_held = len(self.holds) and self.find_hold([cause_id]) is not None
+            if cause_id not in self._suspect_until_by_cause and not is_held:
                 continue
             self._clear(cause_id, now)
             if now - self._reported_at_by_cause.get(cause_id, 0.0) >= REPORT_INTERVAL_S:
@@ -102,13 +123,21 @@
             if request.response_age_s > MAX_CRASH_DELAY_S:
                 continue
             served_since = request.interrupted_at - RECENTLY_SERVED_S
-            cause_ids = frozenset(
-                cause_id
-                for cause_id in request.cause_ids
-                if not self._served.was_served_since(cause_id, served_since)
+            part_ids = [
+                part_id
+                for part_id in request.part_ids
+                if not self._served_parts.was_served_since(part_id, served_since)
+            ]
+            ends.append(
+                ServerEnd(
+                    name,
+                    frozenset([*part_ids, request.fingerprint]),
+                    request.interrupted_at,
+                    request.sent_at,
+                    server.software,
+                    request.origin,
+                )
             )
-            if cause_ids:
-                ends.append(ServerEnd(name, cause_ids, request.interrupted_at))
         if not ends:
             return
         self._record_ends(ends)
@@ -117,12 +146,7 @@
     async def handle_report(self, message: ReportCrashes) -> Acknowledgement:
         """Combine a peer's report with what is known."""
         now = boot_time()
-        self._record_ends(
-            [
-                ServerEnd(crash.server, frozenset(crash.part_ids), now - crash.age_s)
-                for crash in message.crashes
-            ]
-        )
+        self._record_ends([read_report(crash, now) for crash in message.crashes])
         for cause_id, age_s in message.served_age_s_by_part.items():
             self._clear(cause_id, now - age_s)
         return Acknowledgement()
@@ -156,14 +180,14 @@
             return False
         if hold.is_released:
             self._evidence.forget(hold.cause_ids)
-        self._log_decision("prompt.hold_confirmed", hold, source)
+        self._log_decision("hold_confirmed", hold, source)
         return True
 
     def release(self, cause_ids: frozenset[str]) -> None:
         """Let requests with these causes go on, by an operator's order."""
         hold = self.holds.release(cause_ids, self._node_id, boot_time())
         self._evidence.forget(cause_ids)
-        self._log_decision("prompt.hold_released", hold, "operator")
+        self._log_decision("hold_released", hold, "operator")
         self._records.save(hold)
         self._spread()
 
@@ -182,9 +206,11 @@
         """Discard what has expired, and send reports that failed again."""
         now = boot_time()
         for hold in self.holds.remove_expired(now):
+            for cause_id in hold.cause_ids:
+                self._served_in_trial_at.pop(cause_id, None)
             # One more end is enough to hold the causes back again.
             self._evidence.put_on_probation(hold.cause_ids)
-            self._log_decision("prompt.hold_ended", hold, "expired")
+            self._log_decision("hold_ended", hold, "expired")
         self._suspect_until_by_cause = {
             cause_id: until
             for cause_id, until in self._suspect_until_by_cause.items()
@@ -201,14 +227,31 @@
         self._reporter.discard_expired(now)
         self._reporter.flush()
         self._records.flush()
-        self._metrics.set_gauge("prompt_holds", len(self.holds))
+        on_requests = self.holds.count_on_requests()
+        self._metrics.set_gauge("prompt_holds", len(self.holds) - on_requests)
+        self._metrics.set_gauge("request_holds", on_requests)
+
+    def _needs_trial(self, cause_id: str) -> bool:
+        """Whether servers ended under a request that was not served since."""
+        if self._evidence.count_ends(cause_id) >= ENDS_TO_SUSPECT:
+            return True
+        is_held = self.find_hold([cause_id]) is not None
+        return is_held and cause_id not in self._served_in_trial_at
 
     def _judge(self, now: float) -> None:
         for verdict in self._evidence.judge(now):
-            if self.holds.covers(verdict.cause_ids, now):
+            versions = verdict.software
+            if self.holds.covers(verdict.cause_ids, versions, now):
                 continue
-            count = len(verdict.servers)
-            hold = Hold(verdict.cause_ids, self._node_id, now, now + HOLD_S, count)
+            hold = Hold(
+                verdict.cause_ids,
+                self._node_id,
+                now,
+                now + HOLD_S,
+                len(verdict.servers),
+                software=versions,
+                origin=verdict.origin,
+            )
             self._decide(hold, verdict.servers)
 
     def _decide(self, hold: Hold, servers: Sequence[str]) -> None:
@@ -216,7 +259,7 @@
         if not self.holds.add(hold):
             return
         shown = servers[-MAX_LOGGED_SERVERS:]
-        self._log_decision("prompt.held", hold, "own", servers=shown)
+        self._log_decision("held", hold, "own", servers=shown)
         self._records.save(hold)
         self._spread()
 
@@ -224,15 +267,21 @@
         now = boot_time()
         has_news = False
         for end in ends:
+            for cause_id in end.cause_ids:
+                if self._served_in_trial_at.get(cause_id, end.ended_at) < end.ended_at:
+                    del self._served_in_trial_at[cause_id]
             for cause_id in self._evidence.record_end(end, now):
                 has_news = True
-                self._metrics.count("prompt_suspicions_total")
+                kind = _name_kind([cause_id])
+                self._metrics.count(f"{kind}_suspicions_total")
                 logger.bind(
                     part=cause_id,
                     ends=self._evidence.count_ends(cause_id),
                     server=end.server,
+                    account=end.origin.account,
+                    path=end.origin.path,
                     age_s=round(now - end.ended_at, 3),
-                ).warning("prompt.suspected")
+                ).warning(f"{kind}.suspected")
                 self._extend_suspicion(cause_id, now + SUSPICION_S)
                 self._report_earlier_response(cause_id, now)
         if has_news:
@@ -242,35 +291,48 @@
         """Remember a suspect until a boot time; return whether it is news."""
         known = self._suspect_until_by_cause.get(cause_id)
         if known is None and len(self._suspect_until_by_cause) >= MAX_SUSPECTS:
-            logger.bind(part=cause_id).warning("prompt.suspects_full")
+            logger.bind(part=cause_id).warning(
+                f"{_name_kind([cause_id])}.suspects_full"
+            )
             return False
         self._suspect_until_by_cause[cause_id] = max(until, known or 0.0)
         return known is None
 
     def _report_earlier_response(self, cause_id: str, now: float) -> None:
         """Report the last response to a suspect if it may be later than the ends."""
-        served_at = self._served.find(cause_id)
+        served = (
+            self._served_requests if is_fingerprint(cause_id) else self._served_parts
+        )
+        served_at = served.find(cause_id)
         if served_at is None or now - served_at > SUSPICION_S:
             return
         self._clear(cause_id, served_at)
         self._reporter.add_served(cause_id, served_at)
 
     def _clear(self, cause_id: str, served_at: float) -> None:
+        if self.find_hold([cause_id]) is not None:
+            self._served_in_trial_at[cause_id] = served_at
         count = self._evidence.record_served(cause_id, served_at)
         if not count:
             return
+        kind = _name_kind([cause_id])
         logger.bind(
             part=cause_id, ends=count, age_s=round(boot_time() - served_at, 3)
-        ).info("prompt.cleared")
-        self._metrics.count("prompt_clearances_total")
+        ).info(f"{kind}.cleared")
+        self._metrics.count(f"{kind}_clearances_total")
 
     def _log_decision(
         self, event: str, hold: Hold, source: str, **details: object
     ) -> None:
         now = boot_time()
-        self._metrics.count("prompt_decisions_total", f'event="{event}"')
+        kind = _name_kind(hold.cause_ids)
+        event = f"{kind}.{event}"
+        self._metrics.count(f"{kind}_decisions_total", f'event="{event}"')
         logger.bind(
             parts=sorted(hold.cause_ids),
+            account=hold.origin.account,
+            path=hold.origin.path,
+            software=sorted(hold.software),
             ends=hold.server_ends,
             decided_by=hold.decided_by,
             is_released=hold.is_released,
@@ -281,4 +343,9 @@
         ).warning(event)
 
 
+def _name_kind(cause_ids: Iterable[str]) -> str:
+    """Return the first word of the log events and metrics on these causes."""
+    return "request" if any(map(is_fingerprint, cause_ids)) else "prompt"
+
+
 __all__ = ("CrashGuard",)
--- a/packages/persimmonlink-router/src/persimmonlink_router/crash_reports.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/crash_reports.py
@@ -9,6 +9,7 @@
 from returns.result import Failure as Err
 
 from persimmonlink_router.boot_clock import boot_time
+from persimmonlink_router.crash_evidence import NEVER, RequestOrigin, ServerEnd
 from persimmonlink_router.keepers import choose_keepers
 from persimmonlink_router.peer_messages import (
     Acknowledgement,
@@ -22,7 +23,6 @@
     from persimmonlink_model.membership import Member
     from persimmonlink_peers.message import Sender
     from persimmonlink_peers.peer_channel import PeerChannel
-    from persimmonlink_router.crash_evidence import ServerEnd
 
 REPORT_DELAY_S = 0.02  # Delay in which reports join the same message.
 REPORT_TIMEOUT_S = 0.5  # Timeout of a message.
@@ -71,7 +71,7 @@
     def is_keeper(self) -> bool:
         """Whether this node is one of the members that combine the reports."""
         own_id = self._peers.sender.node_id
-        return any(member.node_id == own_id for member in self._list_keepers())
+        return any(member.node_id == own_id for member in self.list_keepers())
 
     def add_ends(self, ends: Sequence[ServerEnd]) -> None:
         """Report ends of servers under requests of this node."""
@@ -102,13 +102,14 @@
         for node_id, sent in list(self._sent_ends_by_node_id.items()):
             self._sent_ends_by_node_id[node_id] = sent & kept
 
-    def _list_keepers(self) -> list[Member]:
+    def list_keepers(self) -> list[Member]:
+        """Return the members that combine the reports, in the same order at all."""
         return choose_keepers(self._peers.list_serving_members(), 1)
 
     async def _send_all(self) -> None:
         await asyncio.sleep(REPORT_DELAY_S)
         own_id = self._peers.sender.node_id
-        keepers = [m for m in self._list_keepers() if m.node_id != own_id]
+        keepers = [m for m in self.list_keepers() if m.node_id != own_id]
         for sent_by_node_id in (
             self._sent_ends_by_node_id,
             self._sent_served_at_by_node_id,
@@ -131,10 +132,7 @@
             return
         message = ReportCrashes(
             self._peers.sender,
-            tuple(
-                CrashReport(end.server, tuple(end.cause_ids), now - end.ended_at)
-                for end in ends
-            ),
+            tuple(_build_report(end, now) for end in ends),
             {cause_id: now - served_at for cause_id, served_at in served.items()},
         )
         channel = self._peers.channel(member.peer_address)
@@ -149,4 +147,29 @@
         sent_served.update(served)
 
 
-__all__ = ("CrashReporter", "PeerDirectory")
+def _build_report(end: ServerEnd, now: float) -> CrashReport:
+    is_known = end.sent_at != NEVER
+    return CrashReport(
+        end.server,
+        tuple(end.cause_ids),
+        now - end.ended_at,
+        now - end.sent_at if is_known else None,
+        end.software,
+        end.origin.account,
+        end.origin.path,
+    )
+
+
+def read_report(report: CrashReport, now: float) -> ServerEnd:
+    """Return the end that a peer reports."""
+    return ServerEnd(
+        report.server,
+        frozenset(report.part_ids),
+        now - report.age_s,
+        NEVER if report.sent_age_s is None else now - report.sent_age_s,
+        report.software,
+        RequestOrigin(report.account, report.path),
+    )
+
+
+__all__ = ("CrashReporter", "PeerDirectory", "read_report")
--- a/packages/persimmonlink-router/src/persimmonlink_router/hold_records.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/hold_records.py
@@ -10,7 +10,7 @@
 from loguru import logger
 from xxhash import xxh3_64_hexdigest
 
-from persimmonlink_router.holds import HOLD_S
+from persimmonlink_router.holds import HOLD_S, build_notice
 from persimmonlink_router.peer_messages import HoldNotice
 from persimmonlink_router.store import LeaseExpiredError, StoreUnavailableError
 
@@ -65,14 +65,7 @@
 
     async def _write_all(self) -> None:
         for key, hold in list(self._unsaved_by_key.items()):
-            notice = HoldNotice(
-                tuple(sorted(hold.cause_ids)),
-                hold.decided_by,
-                0.0,
-                HOLD_S,
-                hold.server_ends,
-                hold.is_released,
-            )
+            notice = replace(build_notice(hold, hold.decided_at), left_s=HOLD_S)
             try:
                 lease = await self._store.grant_lease(HOLD_S)
                 value = msgspec.json.encode(notice)
--- a/packages/persimmonlink-router/src/persimmonlink_router/holds.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/holds.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
 from loguru import logger
 
+from persimmonlink_router.crash_evidence import UNKNOWN_ORIGIN, RequestOrigin
 from persimmonlink_router.peer_messages import HoldNotice
+from persimmonlink_router.request_fingerprint import is_fingerprint
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -25,6 +27,9 @@
 class Hold:
     """A decision to hold requests back, or to let them go on.
 
+    A prompt part is held back from all servers, a whole request from those of the
+    services and software versions that have ended under it.
+
     Parameters
     ----------
     cause_ids : frozenset of str
@@ -39,6 +44,10 @@
         Servers that had ended under such requests.
     is_released : bool
         Whether an operator let such requests go on.
+    software : frozenset of str
+        Services and software versions of the servers that ended.
+    origin : RequestOrigin
+        Where such a request came from, if it is a whole request.
     """
 
     cause_ids: frozenset[str]
@@ -47,6 +56,17 @@
     ends_at: float
     server_ends: int
     is_released: bool = False
+    software: frozenset[str] = frozenset()
+    origin: RequestOrigin = UNKNOWN_ORIGIN
+
+    @property
+    def is_on_request(self) -> bool:
+        """Whether it is on a whole request, not on parts of prompts alone."""
+        return any(is_fingerprint(cause_id) for cause_id in self.cause_ids)
+
+    def forbids(self, software: str) -> bool:
+        """Whether such requests may not be sent to servers of a service and version."""
+        return not self.is_on_request or software in self.software
 
 
 class Holds:
@@ -58,13 +78,25 @@
     def __len__(self) -> int:
         return sum(1 for hold in self._hold_by_causes.values() if not hold.is_released)
 
+    def count_on_requests(self) -> int:
+        """Return the number of decisions that hold whole requests back."""
+        return sum(
+            1
+            for hold in self._hold_by_causes.values()
+            if hold.is_on_request and not hold.is_released
+        )
+
     def add(self, hold: Hold) -> bool:
         """Add a decision; return whether it is news."""
         known = self._hold_by_causes.get(hold.cause_ids)
         if known is not None:
             gap_s = hold.decided_at - known.decided_at
             is_other = hold.is_released != known.is_released
-            if gap_s < (0 if is_other else MIN_DECISION_GAP_S):
+            is_wider = not is_other and not (hold.software <= known.software)
+            if not is_other:
+                versions = hold.software | known.software
+                hold = replace(hold, software=versions)
+            if not is_wider and gap_s < (0 if is_other else MIN_DECISION_GAP_S):
                 return False
         elif len(self._hold_by_causes) >= MAX_HOLDS:
             logger.bind(parts=sorted(hold.cause_ids)).warning("prompt.holds_full")
@@ -83,6 +115,8 @@
             now + min(notice.left_s, HOLD_S),
             notice.server_ends,
             notice.is_released,
+            frozenset(notice.software),
+            RequestOrigin(notice.account, notice.path),
         )
         return hold if self.add(hold) else None
 
@@ -103,18 +137,31 @@
             found = hold
         return found
 
-    def covers(self, cause_ids: frozenset[str], now: float) -> bool:
-        """Whether a decision on these causes, or on some of them, is in force."""
-        return any(
-            hold.ends_at > now and hold.cause_ids <= cause_ids
-            for hold in self._hold_by_causes.values()
-        )
+    def covers(
+        self, cause_ids: frozenset[str], software: frozenset[str], now: float
+    ) -> bool:
+        """Whether a decision on these causes, or on some of them, is in force.
+
+        One on a whole request must be on all of this software, too, unless it is a
+        release.
+        """
+        for hold in self._hold_by_causes.values():
+            if hold.ends_at <= now or not hold.cause_ids <= cause_ids:
+                continue
+            if hold.is_released or not hold.is_on_request:
+                return True
+            if software <= hold.software:
+                return True
+        return False
 
     def release(self, cause_ids: frozenset[str], node_id: str, now: float) -> Hold:
         """Let requests with these causes go on for `HOLD_S`; return the decision."""
         known = self._hold_by_causes.get(cause_ids)
         ends = known.server_ends if known is not None else 0
-        hold = Hold(cause_ids, node_id, now, now + HOLD_S, ends, is_released=True)
+        origin = known.origin if known is not None else UNKNOWN_ORIGIN
+        hold = Hold(
+            cause_ids, node_id, now, now + HOLD_S, ends, is_released=True, origin=origin
+        )
         self._hold_by_causes[cause_ids] = hold
         return hold
 
@@ -132,17 +179,25 @@
     def build_notices(self, now: float) -> tuple[HoldNotice, ...]:
         """Return the decisions as messages to peers."""
         return tuple(
-            HoldNotice(
-                tuple(sorted(hold.cause_ids)),
-                hold.decided_by,
-                now - hold.decided_at,
-                hold.ends_at - now,
-                hold.server_ends,
-                hold.is_released,
-            )
+            build_notice(hold, now)
             for hold in self._hold_by_causes.values()
             if hold.ends_at > now
         )
 
 
-__all__ = ("HOLD_S", "Hold", "Holds")
+def build_notice(hold: Hold, now: float) -> HoldNotice:
+    """Return a decision as a message to peers."""
+    return HoldNotice(
+        tuple(sorted(hold.cause_ids)),
+        hold.decided_by,
+        now - hold.decided_at,
+        hold.ends_at - now,
+        hold.server_ends,
+        hold.is_released,
+        tuple(sorted(hold.software)),
+        hold.origin.account,
+        hold.origin.path,
+    )
+
+
+__all__ = ("HOLD_S", "Hold", "Holds", "build_notice")
--- a/packages/persimmonlink-router/src/persimmonlink_router/peer_messages.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/peer_messages.py
@@ -47,12 +47,13 @@
 
 @dataclass(frozen=True)
 class HoldNotice:
-    """Decision to hold back requests whose prompts have all of some parts.
+    """Decision to hold back requests that have all of some possible causes.
 
     Parameters
     ----------
     part_ids : tuple of str
-        The parts.
+        The causes: parts of prompts, or the fingerprint of a whole request. The name
+        is kept for nodes of older builds, here and in the messages below.
     decided_by : str
         Node that decided it.
     age_s : float
@@ -63,6 +64,13 @@
         Servers that had ended under such requests.
     is_released : bool
         Whether an operator let such requests go on.
+    software : tuple of str
+        Services and versions of these servers, as `SERVICE/VERSION`. Whole requests
+        may go to others.
+    account : str
+        Client account of a whole request, empty if unknown.
+    path : str
+        Path of a whole request, empty if unknown.
     """
 
     part_ids: tuple[str, ...]
@@ -71,6 +79,9 @@
     left_s: float
     server_ends: int
     is_released: bool = False
+    software: tuple[str, ...] = ()
+    account: str = ""
+    path: str = ""
 
 
 @dataclass(frozen=True)
@@ -102,7 +113,7 @@
 
 @dataclass(frozen=True)
 class PermitReply:
-    """Reply to `AskPermit`: a permit, or the time after which to ask again.
+    """Reply to `AskPermit` or `AskTrial`: a permit, or when to ask again.
 
     Parameters
     ----------
@@ -116,6 +127,22 @@
     wait_s: float
 
 
+@dataclass(frozen=True)
+class AskTrial:
+    """Asks whether a request that servers ended under may be sent now.
+
+    Parameters
+    ----------
+    sender : Sender
+        Identity of the asking node.
+    cause_id : str
+        Fingerprint of the request.
+    """
+
+    sender: Sender
+    cause_id: str
+
+
 @dataclass(frozen=True)
 class SharedFacts:
     """What some nodes have learnt and all nodes must know.
@@ -153,14 +180,27 @@
     server : str
         Incarnation of the server.
     part_ids : tuple of str
-        Parts of the request's prompt that the node has not served lately.
+        Possible causes: the fingerprint of the request, and the parts of its prompt
+        that the node has not served lately.
     age_s : float
         Time since the end, in seconds.
+    sent_age_s : float or None
+        Time since the request was sent, in seconds; None if unknown.
+    software : str
+        Service and software version of the server, empty if unknown.
+    account : str
+        Client account of the request, empty if unknown.
+    path : str
+        Path of the request, empty if unknown.
     """
 
     server: str
     part_ids: tuple[str, ...]
     age_s: float
+    sent_age_s: float | None = None
+    software: str = ""
+    account: str = ""
+    path: str = ""
 
 
 @dataclass(frozen=True)
@@ -296,6 +336,7 @@
 __all__ = (
     "Acknowledgement",
     "AskPermit",
+    "AskTrial",
     "CrashReport",
     "EngineLoad",
     "FindStreamVersion",
--- a/packages/persimmonlink-router/src/persimmonlink_router/request_fingerprint.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/request_fingerprint.py
@@ -32,4 +32,9 @@
     return FINGERPRINT_PREFIX + digest.hexdigest()
 
 
-__all__ = ("FINGERPRINT_PREFIX", "compute_fingerprint")
+def is_fingerprint(cause_id: str) -> bool:
+    """Whether the id of a possible cause is the fingerprint of a request."""
+    return cause_id.startswith(FINGERPRINT_PREFIX)
+
+
+__all__ = ("FINGERPRINT_PREFIX", "compute_fingerprint", "is_fingerprint")
--- a/packages/persimmonlink-router/src/persimmonlink_router/request_state.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/request_state.py
@@ -7,6 +7,7 @@
 
 from persimmonlink_router.boot_clock import boot_time
 from persimmonlink_router.configuration import Account, Route
+from persimmonlink_router.crash_evidence import RequestOrigin
 from persimmonlink_router.http_messages import ResponseFraming
 from persimmonlink_router.http_server import Exchange
 from persimmonlink_router.request_fingerprint import compute_fingerprint
@@ -42,7 +43,7 @@
 
 
 class RequestHeldError(RequestRefusedError):
-    """The prompt of the request has parts that end servers, so it is not sent on."""
+    """The request, or a part of its prompt, ends servers, so it is not sent on."""
 
 
 class RequestFailedError(Exception):
@@ -123,6 +124,8 @@
         How the last response of a server ended.
     partial_event_bytes : int
         Bytes of that response after its last complete event.
+    avoided_software : frozenset of str
+        Services and software versions whose servers have ended under the request.
     """
 
     exchange: Exchange
@@ -143,6 +146,7 @@
     stream_version: str | None = None
     response_end: ResponseEnd | None = None
     partial_event_bytes: int = 0
+    avoided_software: frozenset[str] = frozenset()
     _fingerprint: str = ""
 
     def __post_init__(self) -> None:
@@ -163,8 +167,20 @@
         """Whether it begins a stream that its client may take up again."""
         return self.route.is_resumable and not self.metadata.last_event_id
 
+    @property
+    def cause_ids(self) -> tuple[str, ...]:
+        """Ids of what may end the servers that run the request."""
+        return (*self.metadata.shared_part_ids, self.fingerprint)
+
+    @property
+    def origin(self) -> RequestOrigin:
+        """Where the request came from."""
+        return RequestOrigin(self.account_name, self.exchange.request.path)
+
     def allows_server(self, server: Server) -> bool:
-        """Whether a stream that has begun may go on at a server."""
+        """Whether the request, or a stream that has begun, may go to a server."""
+        if server.software in self.avoided_software:
+            return False
         if self.stream_version is None:
             return True
         return server.software_version == self.stream_version
--- a/packages/persimmonlink-router/src/persimmonlink_router/router.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/router.py
@@ -24,6 +24,7 @@
 from persimmonlink_router.peer_messages import (
     Acknowledgement,
     AskPermit,
+    AskTrial,
     EngineLoad,
     FindStreamVersion,
     FoundStreamVersion,
@@ -159,6 +160,17 @@
         )
         self._limiter = ServerLimiter(self.membership, self.cluster_view, self.metrics)
         self.membership.facts.attach(self._limiter)
+        self._crash_guard = CrashGuard(
+            self.membership,
+            CrashReporter(self.membership),
+            HoldRecords(adapters.store),
+            self.membership.facts.spread,
+            self.metrics,
+        )
+        self.membership.facts.attach(self._crash_guard)
+        end_detector = ServerEndDetector(
+            self._crash_guard.record_server_end, self.metrics
+        )
         self._scheduler = StageScheduler(
             self.cluster_view,
             self._pool,
@@ -167,6 +179,8 @@
             self._piece_retry_budget,
             self.metrics,
             self._limiter,
+            self._crash_guard,
+            end_detector,
         )
         self._coordinator_client = StageCoordinatorClient(
             self.membership, self._scheduler
@@ -183,14 +197,6 @@
         self._version_exchange = StreamVersionExchange(
             self.membership, self.cluster_view, self._stream_versions
         )
-        self._crash_guard = CrashGuard(
-            own_member.node_id,
-            CrashReporter(self.membership),
-            HoldRecords(adapters.store),
-            self.membership.facts.spread,
-            self.metrics,
-        )
-        self.membership.facts.attach(self._crash_guard)
         self._sender = ServerSender(
             self._chooser,
             self.cluster_view,
@@ -200,12 +206,10 @@
             self._health,
             self._retry_budget,
             self._version_exchange,
-            ServerEndDetector(
-                self._crash_guard.record_server_end,
-                self.metrics,
-            ),
+            end_detector,
             self._crash_guard,
             self._limiter,
+            self.metrics,
         )
         self._request_service = RequestService(
             self.cluster_view,
@@ -324,6 +328,7 @@
         guard = self._crash_guard
         peers.register(ReportCrashes, Acknowledgement, guard.handle_report)
         peers.register(AskPermit, PermitReply, self._limiter.handle_ask)
+        peers.register(AskTrial, PermitReply, guard.trials.handle_ask)
         peers.register(ShareFacts, SharedFacts, membership.facts.handle_share)
         host, _, port = self._settings.listen.peers.rpartition(":")
         await peers.start(host, int(port))
--- a/packages/persimmonlink-router/src/persimmonlink_router/server_ends.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/server_ends.py
@@ -9,6 +9,7 @@
 from loguru import logger
 
 from persimmonlink_router.boot_clock import boot_time
+from persimmonlink_router.crash_evidence import UNKNOWN_ORIGIN, RequestOrigin
 from persimmonlink_router.http_client import ConnectError, HttpClientConnection
 
 if TYPE_CHECKING:
@@ -34,7 +35,7 @@
         Id of the client's attempt.
     fingerprint : str
         Digest of the request, the same for all its attempts.
-    cause_ids : tuple of str
+    part_ids : tuple of str
         Ids of the parts of its prompt that other requests may share.
     sent_at : float
         Boot time at which it was sent to the server, in seconds.
@@ -42,14 +43,17 @@
         Boot time of the first event of the response, in seconds; None if none came.
     interrupted_at : float
         Boot time of the interruption, in seconds.
+    origin : RequestOrigin
+        Where the request came from.
     """
 
     request_id: str
     fingerprint: str
-    cause_ids: tuple[str, ...]
+    part_ids: tuple[str, ...]
     sent_at: float
     first_event_at: float | None
     interrupted_at: float
+    origin: RequestOrigin = UNKNOWN_ORIGIN
 
     @property
     def response_age_s(self) -> float:
@@ -124,7 +128,7 @@
         {
             "request": request.request_id,
             "fingerprint": request.fingerprint,
-            "prompt_parts": request.cause_ids,
+            "prompt_parts": request.part_ids,
             "sent_s_before": round(request.interrupted_at - request.sent_at, 3),
             "has_events": request.first_event_at is not None,
         }
--- a/packages/persimmonlink-router/src/persimmonlink_router/server_sender.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/server_sender.py
@@ -36,6 +36,8 @@
     from persimmonlink_router.cluster_view import ClusterView
     from persimmonlink_router.connection_pool import ConnectionPool
     from persimmonlink_router.crash_guard import CrashGuard
+    from persimmonlink_router.holds import Hold
+    from persimmonlink_router.metrics import RouterMetrics
     from persimmonlink_router.request_state import RequestState
     from persimmonlink_router.send_limits import RetryBudget
     from persimmonlink_router.server_chooser import ServerChooser
@@ -123,6 +125,8 @@
         Knows which prompts end servers.
     limiter : ServerLimiter
         Keeps to the rates that servers name.
+    metrics : RouterMetrics
+        Counts permits.
     """
 
     def __init__(
@@ -138,6 +142,7 @@
         end_detector: ServerEndDetector,
         crash_guard: CrashGuard,
         limiter: ServerLimiter,
+        metrics: RouterMetrics,
     ) -> None:
         self._chooser = chooser
         self._cluster_view = cluster_view
@@ -150,6 +155,7 @@
         self._end_detector = end_detector
         self._crash_guard = crash_guard
         self._limiter = limiter
+        self._metrics = metrics
         self.body_budget = ByteBudget(MAX_BUFFERED_BYTES)
 
     async def send(
@@ -183,6 +189,8 @@
             A server may have run the request, and there is no response.
         """
         excluded_ids: set[str] = set()
+        self.require_not_held(state)
+        await self._require_trial_permit(state)
         while True:
             server = await self._wait_for_server(state, inputs, excluded_ids)
             try:
@@ -235,15 +243,35 @@
         )
 
     def require_not_held(self, state: RequestState) -> None:
-        """Raise `RequestHeldError` if the prompt has parts that end servers."""
-        part_ids = state.metadata.shared_part_ids
-        hold = self._crash_guard.find_hold(part_ids) if part_ids else None
+        """Raise `RequestHeldError` if the request is held back from all servers."""
+        hold = self._crash_guard.find_hold(state.cause_ids)
+        state.avoided_software = frozenset()
         if hold is None:
             return
-        parts = ", ".join(sorted(hold.cause_ids))
+        for server in self._cluster_view.servers.list_usable(state.service):
+            if not hold.forbids(server.software):
+                state.avoided_software = hold.software
+                return
+        raise _build_held_error(hold)
+
+    def _require_not_held_from(self, state: RequestState, server: Server) -> None:
+        """Raise `RequestHeldError` if the request is held back from a server."""
+        hold = self._crash_guard.find_hold(state.cause_ids)
+        if hold is not None and hold.forbids(server.software):
+            raise _build_held_error(hold)
+
+    async def _require_trial_permit(self, state: RequestState) -> None:
+        """Raise `RequestHeldError` if a suspect request may not be sent now."""
+        if not self._crash_guard.is_suspect(state.fingerprint):
+            return
+        decision = await self._crash_guard.trials.ask(state.fingerprint)
+        outcome = "granted" if decision.is_granted else "refused"
+        self._metrics.count("trial_permits_total", f'outcome="{outcome}"')
+        if decision.is_granted:
+            return
         raise RequestHeldError(
-            f"{hold.server_ends} servers ended under requests with prompt part {parts}",
-            hold.ends_at - boot_time(),
+            f"servers ended under request {state.fingerprint}, which is tried at times",
+            decision.wait_s,
         )
 
     def predict_domain(self, state: RequestState) -> str:
@@ -282,10 +310,9 @@
         self._health.record_failure(server.key, boot_time())
 
     def _record_served(self, state: RequestState, response: OpenResponse) -> None:
-        part_ids = state.metadata.shared_part_ids
-        if not part_ids:
-            return
-        self._crash_guard.record_served(part_ids)
+        self._crash_guard.record_served(
+            state.metadata.shared_part_ids, state.fingerprint
+        )
 
     async def require_whole(self, response: OpenResponse) -> None:
         """Check a response without a length whose connection was closed in order.
@@ -325,6 +352,7 @@
                 sent_at,
                 first_event_at,
                 boot_time(),
+                state.origin,
             ),
         )
 
@@ -383,7 +411,7 @@
             )
         connection = await self._connect(server, state)
         try:
-            self.require_not_held(state)
+            self._require_not_held_from(state, server)
         except RequestHeldError:
             self._pool.release(server.key, connection)
             raise
@@ -534,4 +562,12 @@
         )
 
 
+def _build_held_error(hold: Hold) -> RequestHeldError:
+    causes = ", ".join(sorted(hold.cause_ids))
+    what = causes if hold.is_on_request else f"requests with prompt part {causes}"
+    return RequestHeldError(
+        f"{hold.server_ends} servers ended under {what}", hold.ends_at - boot_time()
+    )
+
+
 __all__ = ("OpenResponse", "ServerSender")
--- a/packages/persimmonlink-router/src/persimmonlink_router/servers.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/servers.py
@@ -49,6 +49,11 @@
     cold_left_s: float
     software_version: str = ""
 
+    @property
+    def software(self) -> str:
+        """Service and software version, as `SERVICE/VERSION`."""
+        return f"{self.service}/{self.software_version}"
+
     @property
     def key(self) -> ServerKey:
         """Identity of this incarnation: id, start time and address."""
--- a/packages/persimmonlink-router/src/persimmonlink_router/stage_dispatcher.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stage_dispatcher.py
@@ -10,7 +10,9 @@
 from loguru import logger
 
 from persimmonlink_router.boot_clock import boot_time
+from persimmonlink_router.crash_evidence import RequestOrigin
 from persimmonlink_router.http_client import ConnectError, ConnectionLostError
+from persimmonlink_router.server_ends import InterruptedRequest
 from persimmonlink_router.servers import Server
 from persimmonlink_router.stage_log import log_batch
 from persimmonlink_router.stage_queue import PendingPiece, StageQueue, estimate_call_s
@@ -24,6 +26,8 @@
 if TYPE_CHECKING:
     from persimmonlink_router.cluster_view import ClusterView
     from persimmonlink_router.configuration import Service
+    from persimmonlink_router.crash_guard import CrashGuard
+    from persimmonlink_router.server_ends import ServerEndDetector
     from persimmonlink_router.stage_calls import StageCalls
     from persimmonlink_router.stage_chain import StageChain
     from persimmonlink_router.stage_servers import StageServers
@@ -66,6 +70,10 @@
         Called with the outcome of each batch.
     on_piece_sent : callable
         Called with the chain and the stage of each piece that is sent.
+    crash_guard : CrashGuard
+        Knows under which requests servers have ended.
+    end_detector : ServerEndDetector
+        Finds out which servers ended while they ran batches.
     """
 
     def __init__(
@@ -75,12 +83,16 @@
         calls: StageCalls,
         on_outcome: Callable[[BatchOutcome], None],
         on_piece_sent: Callable[[StageChain, int], None],
+        crash_guard: CrashGuard,
+        end_detector: ServerEndDetector,
     ) -> None:
         self._cluster_view = cluster_view
         self._servers = servers
         self._calls = calls
         self._on_outcome = on_outcome
         self._on_piece_sent = on_piece_sent
+        self._crash_guard = crash_guard
+        self._end_detector = end_detector
         self._queue_by_service: dict[str, StageQueue] = {}
         self.is_stopped = False
         self.sent_batches = 0
@@ -128,7 +140,7 @@
             return False
         now = boot_time()
         view = self._servers.build_view(service, server, now)
-        selected = queue.pop_batch(spec, view, now)
+        selected = queue.pop_batch(spec, view, now, self._crash_guard.is_suspect)
         batch = selected.pieces
         if not batch:
             return False
@@ -191,6 +203,8 @@
             self._servers.state(server).free_memory(batch_bytes)
             self._record_call_failure(server, error, is_unreachable=True)
         except (ConnectionLostError, WireFormatError, TimeoutError) as error:
+            if isinstance(error, ConnectionLostError):
+                self._record_interruption(server, batch, started_at)
             self._record_call_failure(server, error, is_unreachable=False)
             self._free_memory_later(service, server, batch_bytes)
         finally:
@@ -199,6 +213,27 @@
         self._on_outcome(BatchOutcome(server, batch, results))
         self.dispatch(service.name)
 
+    def _record_interruption(
+        self, server: Server, batch: Sequence[PendingPiece], sent_at: float
+    ) -> None:
+        """Record that a server broke off a batch, for each request in it."""
+        job_by_id = {piece.chain.job.request_id: piece.chain.job for piece in batch}
+        for job in job_by_id.values():
+            if not job.fingerprint:
+                continue
+            self._end_detector.record_interruption(
+                server,
+                InterruptedRequest(
+                    job.request_id,
+                    job.fingerprint,
+                    (),
+                    sent_at,
+                    None,
+                    boot_time(),
+                    RequestOrigin(job.account, job.path),
+                ),
+            )
+
     def _record_no_room(
         self,
         service: Service,
--- a/packages/persimmonlink-router/src/persimmonlink_router/stage_job.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stage_job.py
@@ -80,6 +80,10 @@
         The stages, by index.
     made : tuple of TransferredResult
         Results that the previous coordinator transferred.
+    fingerprint : str
+        Digest by which the request is recognized if it comes again; empty if unknown.
+    path : str
+        Path of the request.
     """
 
     request_id: str
@@ -92,6 +96,8 @@
     piece_key: str
     stages: tuple[StageNeed, ...]
     made: tuple[TransferredResult, ...] = ()
+    fingerprint: str = ""
+    path: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/persimmonlink-router/src/persimmonlink_router/stage_queue.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stage_queue.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -152,9 +152,19 @@
         """Remove pieces that are no longer needed or have lost their inputs."""
         self._pieces = [piece for piece in self._pieces if piece.is_sendable()]
 
-    def pop_batch(self, spec: BatchSpec, view: StageServerView, now: float) -> Batch:
+    def pop_batch(
+        self,
+        spec: BatchSpec,
+        view: StageServerView,
+        now: float,
+        is_suspect: Callable[[str], bool] = lambda _: False,
+    ) -> Batch:
         """Remove and return the pieces that a server runs next.
 
+        Pieces of a request under which servers ended are sent in batches of their own,
+        so that its fate tells whether it was the cause. `is_suspect` says so of its
+        fingerprint.
+
         Pieces whose inputs expire soon go first, then those of requests that can still
         meet their objective, by priority and by the latest time at which the piece
         must start.
@@ -166,6 +176,7 @@
             if piece.accepts_domain(view.domain, view.served_domains, now)
         ]
         eligible.sort(key=lambda piece: _sort_key(piece, now))
+        eligible = _separate_suspects(eligible, is_suspect)
         batch: list[PendingPiece] = []
         remaining_room_bytes = view.room_bytes
         for piece in eligible:
@@ -184,6 +195,18 @@
         return min((piece.result_bytes for piece in self._pieces), default=0)
 
 
+def _separate_suspects(
+    pieces: list[PendingPiece], is_suspect: Callable[[str], bool]
+) -> list[PendingPiece]:
+    """Return the pieces that may be in one batch with the first one."""
+    if not pieces:
+        return pieces
+    first = pieces[0].chain
+    if is_suspect(first.job.fingerprint):
+        return [piece for piece in pieces if piece.chain is first]
+    return [piece for piece in pieces if not is_suspect(piece.chain.job.fingerprint)]
+
+
 def _sort_key(piece: PendingPiece, now: float) -> tuple[bool, bool, int, float]:
     chain = piece.chain
     # Inputs that expire soon are consumed first. A piece with large inputs never ranks
--- a/packages/persimmonlink-router/src/persimmonlink_router/stage_scheduler.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stage_scheduler.py
@@ -34,8 +34,10 @@
 if TYPE_CHECKING:
     from persimmonlink_router.cluster_view import ClusterView
     from persimmonlink_router.connection_pool import ConnectionPool
+    from persimmonlink_router.crash_guard import CrashGuard
     from persimmonlink_router.metrics import RouterMetrics
     from persimmonlink_router.send_limits import RetryBudget
+    from persimmonlink_router.server_ends import ServerEndDetector
     from persimmonlink_router.server_health import ServerHealth
     from persimmonlink_router.server_limiter import ServerLimiter
     from persimmonlink_router.stage_dispatcher import BatchOutcome
@@ -101,6 +103,10 @@
         Counters of admissions and failures.
     limiter : ServerLimiter
         Keeps to the rates that servers name.
+    crash_guard : CrashGuard
+        Knows which requests end servers.
+    end_detector : ServerEndDetector
+        Finds out which servers ended while they ran batches.
     """
 
     def __init__(
@@ -112,9 +118,12 @@
         budget: RetryBudget,
         metrics: RouterMetrics,
         limiter: ServerLimiter,
+        crash_guard: CrashGuard,
+        end_detector: ServerEndDetector,
     ) -> None:
         self._cluster_view = cluster_view
         self._metrics = metrics
+        self._crash_guard = crash_guard
         self._budget = budget
         self.servers = StageServers(cluster_view, health)
         self._calls = StageCalls(cluster_view, pool, wire, self.servers, limiter)
@@ -124,6 +133,8 @@
             self._calls,
             self._on_batch_outcome,
             self._on_piece_sent,
+            crash_guard,
+            end_detector,
         )
         self._request_by_id: dict[str, _StageRequest] = {}
         self._deferred: list[_StageRequest] = []
@@ -143,6 +154,8 @@
         load_by_service = self._demand.list_loads(job, now)
         if load_by_service is None:
             return StageOutcome(StageState.UNKNOWN_SERVICE)
+        if self._is_held(job):
+            return StageOutcome(StageState.FAILED)
         if self.dispatcher.is_stopped:
             return StageOutcome(StageState.MOVED, made=job.made)
         is_over_share = self._account_shares.exceeds_share(job.account, now)
@@ -231,6 +244,8 @@
             )
             if is_unclaimed or now > request.chain.deadline_at + EXPIRY_DELAY_S:
                 self.release(request_id)
+            elif not request.outcome_future.done() and self._is_held(request.chain.job):
+                self._finish(request, StageOutcome(StageState.FAILED))
             elif not request.outcome_future.done():
                 self._abandon_if_too_late(request, now)
         self.dispatcher.dispatch_all()
@@ -370,7 +385,8 @@
         if request.outcome_future.done() or not piece.is_current():
             return
         now = boot_time()
-        if failure is PieceFailure.TOO_LATE or now > chain.deadline_at:
+        is_late = failure is PieceFailure.TOO_LATE or now > chain.deadline_at
+        if is_late or self._is_held(chain.job):
             self._finish(request, StageOutcome(StageState.FAILED))
             return
         service = chain.job.stages[piece.stage].service
@@ -384,6 +400,20 @@
             return
         self.dispatcher.put([piece])
 
+    def _is_held(self, job: StageJob) -> bool:
+        """Whether a request is held back from the servers of a stage."""
+        if not job.fingerprint:
+            return False
+        hold = self._crash_guard.find_hold([job.fingerprint])
+        if hold is None:
+            return False
+        servers = self._cluster_view.servers
+        for need in job.stages:
+            usable = servers.list_usable(need.service) if need.pieces else []
+            if usable and all(hold.forbids(server.software) for server in usable):
+                return True
+        return False
+
     def _advance(self, request: _StageRequest) -> None:
         """Queue the next stages of a request, or finish it if all are done."""
         if request.outcome_future.done():
--- a/packages/persimmonlink-router/src/persimmonlink_router/stream_relay.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stream_relay.py
@@ -125,6 +125,8 @@
         sender.predict_domain(state),
         metadata.piece_key,
         needs,
+        fingerprint=state.fingerprint,
+        path=state.exchange.request.path,
     )
     outcome = await stages.run(job)
     state.predicted_first_event_s = outcome.predicted_s
--- a/tests/router/test_crash_evidence.py
+++ b/tests/router/test_crash_evidence.py
@@ -10,11 +10,13 @@
 
 from persimmonlink_router.crash_evidence import (
     ENDS_TO_HOLD,
+    ENDS_TO_HOLD_REQUEST,
     CrashEvidence,
     ServerEnd,
 )
 
 LATER_S = 1.0
+REQUEST = "request:1"
 CONTACT_S = 3.0  # The users' bound, in seconds after the fifth end.
 MAX_LATER_REQUESTS = 3
 
@@ -104,6 +106,29 @@
     assert evidence.judge(last_at + 3)
 
 
+def test_a_request_is_accused_after_its_third_end():
+    evidence = CrashEvidence()
+    last_at = record_ends(evidence, [REQUEST], ENDS_TO_HOLD_REQUEST)
+    assert evidence.judge(last_at + LATER_S)[0].cause_ids == {REQUEST}
+
+
+def test_a_request_that_is_repeated_at_once_ends_each_server_on_its_own():
+    evidence = CrashEvidence()
+    for index in range(3):
+        ended_at = 5.0 + 0.03 * index
+        end = ServerEnd(f"s{index}", frozenset([REQUEST]), ended_at, ended_at - 0.02)
+        evidence.record_end(end, ended_at)
+    assert evidence.count_ends(REQUEST) == 3
+
+
+def test_servers_that_end_at_the_same_time_under_one_request_count_once():
+    evidence = CrashEvidence()
+    for index in range(10):
+        end = ServerEnd(f"s{index}", frozenset([REQUEST]), 5.0 + index / 200, 4.9)
+        evidence.record_end(end, 5.1)
+    assert evidence.count_ends(REQUEST) == 1
+
+
 def record_outcome(keepers, ended_server, parts, now):
     """Record at all keepers that a server ended under a prompt, or served it."""
     for keeper in keepers:
--- a/tests/router/test_fatal_prompt_parts.py
+++ b/tests/router/test_fatal_prompt_parts.py
@@ -106,6 +106,7 @@
             rig.send_request(
                 path,
                 node=rng.randrange(len(rig.settings)),
+                body=prompt.encode(),
                 **{**STREAM, "Persimmonlink_Prompt_Prefix": prompt},
             )
         )
@@ -214,7 +215,7 @@
                 for server in rng.sample(live, min(4, len(live))):
                     await server.crash()
             sent = await sending
-            held = [r for r in sent if b"prompt part" in r.task.result().body]
+            held = [r for r in sent if b"servers ended under" in r.task.result().body]
             assert not held
             assert len(engines.crashed_at) >= 12
 
--- a/tests/router/test_holds.py
+++ b/tests/router/test_holds.py
@@ -22,7 +22,7 @@
     holds = Holds()
     holds.add(make_hold("bad"))
     holds.release(frozenset(["bad"]), "n", NOW + 1)
-    assert holds.covers(frozenset(["a", "bad"]), NOW + 2)
+    assert holds.covers(frozenset(["a", "bad"]), frozenset(), NOW + 2)
     holds.add(make_hold("a", "bad", at=NOW + 2))
     assert holds.find(["a", "bad"], NOW + 3) is None
 
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -151,6 +151,7 @@
                 method,
                 node=node,
                 request_id=request_id,
+                body=b"" if method == "GET" else request_id.encode(),
                 deadline_ms=DEADLINE_MS,
                 **headers,
             )
@@ -174,6 +175,7 @@
             path,
             node=(node + attempt) % ROUTER_COUNT,
             request_id=f"{began_as}-resumed-{attempt}",
+            body=began_as.encode(),
             deadline_ms=DEADLINE_MS,
             Last_Event_Id=list_event_ids(response)[-1].decode(),
             Resumes=began_as,
