Log when a node no longer reaches any server of a service

Nodes that were cut off from all servers refused their callers, and no line told that from servers that had ended or were avoided. A node now records which servers it can connect to and which answer it; while none of a service can be reached it says service.unreached, and service.reached at the end, with a gauge and a counter of checks. Servers that are silent while requests wait are checked by a connection, at most every 2 s; those of an unreached service every 0.5 s, three at most. The connections are kept for later requests. Nothing is decided by it yet. For tests, links between nodes and servers can be cut by hanging, reset, or refusal of new connections only.

--- a/packages/persimmonlink-router/src/persimmonlink_router/connection_pool.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/connection_pool.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any, Protocol
 
 from persimmonlink_router.boot_clock import boot_time
-from persimmonlink_router.http_client import HttpClientConnection
+from persimmonlink_router.http_client import ConnectError, HttpClientConnection
 
 if TYPE_CHECKING:
     from collections.abc import Collection, Hashable
@@ -21,10 +21,37 @@
 IDLE_MARGIN_S = 1.0
 
 
+class ConnectionObserver(Protocol):
+    """Learns which servers can be reached."""
+
+    def record_connected(self, key: Any) -> None:
+        """Record a new connection to a server."""
+        ...
+
+    def record_unreachable(self, key: Any) -> None:
+        """Record that a connection to a server could not be opened."""
+        ...
+
+
+async def open_connection(address: str, timeout_s: float) -> HttpClientConnection:
+    """Return a new connection; raise `ConnectError` if it cannot be opened."""
+    connection = HttpClientConnection(address)
+    await connection.connect(timeout_s)
+    return connection
+
+
 class ConnectionPool:
-    """Idle connections by server incarnation, and the count of opened ones."""
+    """Idle connections by server incarnation, and the count of opened ones.
+
+    Parameters
+    ----------
+    observer : ConnectionObserver or None
+        Told which connections could be opened.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, observer: ConnectionObserver | None = None) -> None:
+        self._observer = observer
+        self.open_connection = open_connection
         self._idle_by_key: dict[Hashable, list[HttpClientConnection]] = {}
         self.opened_count = 0
 
@@ -38,11 +65,26 @@
         kept = self._pop_idle(key, max_idle_s)
         if kept is not None:
             return kept
-        connection = HttpClientConnection(address)
-        await connection.connect(CONNECT_TIMEOUT_S)
+        return await self.open_new(key, address)
+
+    async def open_new(self, key: Hashable, address: str) -> HttpClientConnection:
+        """Return a new connection; raise `ConnectError` if it cannot be opened."""
+        try:
+            connection = await self.open_connection(address, CONNECT_TIMEOUT_S)
+        except ConnectError:
+            if self._observer is not None:
+                self._observer.record_unreachable(key)
+            raise
+        if self._observer is not None:
+            self._observer.record_connected(key)
         self.opened_count += 1
         return connection
 
+    def add_idle(self, key: Hashable, connection: HttpClientConnection) -> None:
+        """Keep a connection on which nothing was sent."""
+        connection.idle_since = boot_time()
+        self._idle_by_key.setdefault(key, []).append(connection)
+
     def release(self, key: Hashable, connection: HttpClientConnection) -> None:
         """End the exchange of a connection and keep it if it is reusable."""
         if not connection.finish(boot_time()):
@@ -75,6 +117,15 @@
         self.release(key, connection)
         return head, body
 
+    async def refuses_connections(self, address: str, timeout_s: float) -> bool:
+        """Whether an address refuses a connection; one that hangs doesn't."""
+        try:
+            connection = await self.open_connection(address, timeout_s)
+        except ConnectError as error:
+            return isinstance(error.__cause__, ConnectionRefusedError)
+        connection.close()
+        return False
+
     def has_idle(self, key: Hashable) -> bool:
         """Whether an idle connection to a server can be reused."""
         return any(c.is_reusable for c in self._idle_by_key.get(key, ()))
@@ -115,4 +166,4 @@
     return max(0.2, connection.idle_limit_s - IDLE_MARGIN_S)
 
 
-__all__ = ("ConnectionPool",)
+__all__ = ("ConnectionObserver", "ConnectionPool")
--- a/packages/persimmonlink-router/src/persimmonlink_router/router.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/router.py
@@ -40,12 +40,14 @@
     SharedFacts,
     ShareFacts,
 )
+from persimmonlink_router.reach_monitor import ReachMonitor
 from persimmonlink_router.request_service import RequestService
 from persimmonlink_router.send_limits import ColdSendLimit, RetryBudget
 from persimmonlink_router.server_chooser import ServerChooser
 from persimmonlink_router.server_ends import ServerEndDetector
 from persimmonlink_router.server_health import ServerHealth
 from persimmonlink_router.server_limiter import ServerLimiter
+from persimmonlink_router.server_reach import ServerReach
 from persimmonlink_router.server_sender import ServerSender
 from persimmonlink_router.stage_coordinator_client import StageCoordinatorClient
 from persimmonlink_router.stage_outcome import StageOutcome
@@ -132,7 +134,8 @@
         self._timers = LoopTimerService()
         self._tasks: list[asyncio.Task[Any]] = []
         self._is_stopping = False
-        self._pool = ConnectionPool()
+        self._reach = ServerReach()
+        self._pool = ConnectionPool(self._reach)
         self._health = ServerHealth()
         self._cold_limit = ColdSendLimit(limits.cold_burst_factor, limits.cold_slack)
         self._retry_budget = RetryBudget(
@@ -169,7 +172,7 @@
         )
         self.membership.facts.attach(self._crash_guard)
         end_detector = ServerEndDetector(
-            self._crash_guard.record_server_end, self.metrics
+            self._crash_guard.record_server_end, self._pool, self.metrics
         )
         self._scheduler = StageScheduler(
             self.cluster_view,
@@ -181,6 +184,14 @@
             self._limiter,
             self._crash_guard,
             end_detector,
+            self._reach,
+        )
+        self._reach_monitor = ReachMonitor(
+            self._reach,
+            self.cluster_view,
+            self._pool,
+            self.metrics,
+            self._on_reach_change,
         )
         self._coordinator_client = StageCoordinatorClient(
             self.membership, self._scheduler
@@ -210,6 +221,7 @@
             self._crash_guard,
             self._limiter,
             self.metrics,
+            self._reach,
         )
         self._request_service = RequestService(
             self.cluster_view,
@@ -353,11 +365,13 @@
         if self.cluster_view.tick(boot_time()):
             self._follower.refresh()
         self._crash_guard.tick()
+        self._reach_monitor.tick()
 
     def _sweep(self) -> None:
         keys = {s.key for s in self.cluster_view.servers.server_by_id.values()}
         self._pool.close_idle(keys)
         self._health.retain_servers(keys)
+        self._reach.retain_servers(keys)
         self._chooser.retain_servers(keys)
         self._scheduler.servers.discard_absent(keys)
         self._stream_versions.discard_expired(boot_time())
@@ -368,6 +382,9 @@
             names = {route.name for route in configuration.routes}
             self._request_service.retain_routes(names)
 
+    def _on_reach_change(self) -> None:
+        """Tell the other nodes which services this node doesn't reach."""
+
     def _on_store_item(self, item: StoredItem) -> None:
         if item.key.startswith(MEMBER_PREFIX):
             self.membership.apply_store_item(item)
--- a/packages/persimmonlink-router/src/persimmonlink_router/server_ends.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/server_ends.py
@@ -10,11 +10,11 @@
 
 from persimmonlink_router.boot_clock import boot_time
 from persimmonlink_router.crash_evidence import UNKNOWN_ORIGIN, RequestOrigin
-from persimmonlink_router.http_client import ConnectError, HttpClientConnection
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
 
+    from persimmonlink_router.connection_pool import ConnectionPool
     from persimmonlink_router.metrics import RouterMetrics
     from persimmonlink_router.servers import Server, ServerKey
 
@@ -73,6 +73,8 @@
     ----------
     on_ended : callable
         Called with a server that ended and the requests it broke off.
+    pool : ConnectionPool
+        Opens the connections that tell it.
     metrics : RouterMetrics
         Counts the ends of servers.
     """
@@ -80,9 +82,11 @@
     def __init__(
         self,
         on_ended: Callable[[Server, Sequence[InterruptedRequest]], None],
+        pool: ConnectionPool,
         metrics: RouterMetrics,
     ) -> None:
         self._on_ended = on_ended
+        self._pool = pool
         self._metrics = metrics
         self._requests_by_key: dict[ServerKey, list[InterruptedRequest]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
@@ -101,7 +105,7 @@
         has_ended = False
         for delay_s in CHECK_DELAYS_S:
             await asyncio.sleep(delay_s)
-            has_ended = await _refuses_connections(server.address)
+            has_ended = await self._refuses_connections(server)
             if has_ended:
                 break
         requests = self._requests_by_key.pop(server.key)
@@ -118,7 +122,10 @@
         Only that tells whether a response without a length is whole.
         """
         await asyncio.sleep(END_DELAY_S)
-        return await _refuses_connections(server.address)
+        return await self._refuses_connections(server)
+
+    async def _refuses_connections(self, server: Server) -> bool:
+        return await self._pool.refuses_connections(server.address, CHECK_TIMEOUT_S)
 
 
 def _log_requests(
@@ -143,14 +150,4 @@
     ).info(event)
 
 
-async def _refuses_connections(address: str) -> bool:
-    connection = HttpClientConnection(address)
-    try:
-        await connection.connect(CHECK_TIMEOUT_S)
-    except ConnectError as error:
-        return isinstance(error.__cause__, ConnectionRefusedError)
-    connection.close()
-    return False
-
-
 __all__ = ("InterruptedRequest", "ServerEndDetector")
--- a/packages/persimmonlink-router/src/persimmonlink_router/server_sender.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/server_sender.py
@@ -44,6 +44,7 @@
     from persimmonlink_router.server_ends import ServerEndDetector
     from persimmonlink_router.server_health import ServerHealth
     from persimmonlink_router.server_limiter import ServerLimiter
+    from persimmonlink_router.server_reach import ServerReach
     from persimmonlink_router.stream_version_exchange import StreamVersionExchange
     from persimmonlink_router.wire_messages import Wire
 
@@ -127,6 +128,8 @@
         Keeps to the rates that servers name.
     metrics : RouterMetrics
         Counts permits.
+    reach : ServerReach
+        Which servers this node reaches.
     """
 
     def __init__(
@@ -143,6 +146,7 @@
         crash_guard: CrashGuard,
         limiter: ServerLimiter,
         metrics: RouterMetrics,
+        reach: ServerReach,
     ) -> None:
         self._chooser = chooser
         self._cluster_view = cluster_view
@@ -156,6 +160,7 @@
         self._crash_guard = crash_guard
         self._limiter = limiter
         self._metrics = metrics
+        self._reach = reach
         self.body_budget = ByteBudget(MAX_BUFFERED_BYTES)
 
     async def send(
@@ -329,6 +334,10 @@
                 f"{response.server.server_id}: the server ended with its response"
             )
 
+    def record_events(self, response: OpenResponse) -> None:
+        """Record that a response goes on."""
+        self._reach.record_answer(response.server, boot_time())
+
     def record_interruption(self, state: RequestState, response: OpenResponse) -> None:
         """Record a response that its server broke off."""
         self.record_failure(response.server)
@@ -434,6 +443,7 @@
         state.servers.append(server.server_id)
         state.server_versions.append(server.software_version)
         self._health.record_sent(server.key, state.metadata.prompt_tokens, now)
+        self._reach.record_sent(server.key, now)
         self._chooser.prompt_cache.record_prompt(
             server.key, state.metadata.prompt_parts
         )
@@ -445,6 +455,7 @@
             is_open = True
         finally:
             self._health.end_response_wait(server.key, now)
+            self._reach.record_done(server.key, now)
             if not is_open:
                 if not connection.is_reusable:
                     connection.close()
@@ -546,6 +557,7 @@
         async with asyncio.timeout(timeout_s):
             for _ in range(MAX_UNEXPECTED_RESPONSES + 1):
                 head = await connection.read_head()
+                self._reach.record_answer(server, boot_time())
                 info = self._wire.parse_response_head(head)
                 self._cluster_view.apply_response(server, info)
                 self._limiter.record_response(server, info)
--- a/packages/persimmonlink-router/src/persimmonlink_router/stage_calls.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stage_calls.py
@@ -17,6 +17,7 @@
     from persimmonlink_router.cluster_view import ClusterView
     from persimmonlink_router.connection_pool import ConnectionPool
     from persimmonlink_router.server_limiter import ServerLimiter
+    from persimmonlink_router.server_reach import ServerReach
     from persimmonlink_router.servers import Server
     from persimmonlink_router.stage_job import StageResult
     from persimmonlink_router.stage_servers import StageServers
@@ -43,6 +44,8 @@
         Memory accounting of the servers; updated after a release.
     limiter : ServerLimiter
         Keeps to the rates that servers name.
+    reach : ServerReach
+        Which servers this node reaches.
     """
 
     def __init__(
@@ -52,12 +55,14 @@
         wire: Wire,
         servers: StageServers,
         limiter: ServerLimiter,
+        reach: ServerReach,
     ) -> None:
         self._cluster_view = cluster_view
         self._pool = pool
         self._wire = wire
         self._servers = servers
         self._limiter = limiter
+        self._reach = reach
         self._tasks: set[asyncio.Task[None]] = set()
         self._pending_releases_by_key: dict[Hashable, list[StageResult]] = {}
 
@@ -84,10 +89,16 @@
         if not self._cluster_view.may_send(server):
             return None
         call = self._wire.build_batch_request(server, pieces)
-        async with asyncio.timeout(timeout_s):
-            head, body = await self._pool.exchange(
-                server.key, server.address, call, MAX_BODY_BYTES
-            )
+        sent_at = boot_time()
+        self._reach.record_sent(server.key, sent_at)
+        try:
+            async with asyncio.timeout(timeout_s):
+                head, body = await self._pool.exchange(
+                    server.key, server.address, call, MAX_BODY_BYTES
+                )
+            self._reach.record_answer(server, boot_time())
+        finally:
+            self._reach.record_done(server.key, sent_at)
         info = self._wire.parse_response_head(head)
         self._cluster_view.apply_response(server, info)
         self._limiter.record_response(server, info)
--- a/packages/persimmonlink-router/src/persimmonlink_router/stage_scheduler.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stage_scheduler.py
@@ -40,6 +40,7 @@
     from persimmonlink_router.server_ends import ServerEndDetector
     from persimmonlink_router.server_health import ServerHealth
     from persimmonlink_router.server_limiter import ServerLimiter
+    from persimmonlink_router.server_reach import ServerReach
     from persimmonlink_router.stage_dispatcher import BatchOutcome
     from persimmonlink_router.stage_job import StageJob
     from persimmonlink_router.stage_queue import PendingPiece
@@ -107,6 +108,8 @@
         Knows which requests end servers.
     end_detector : ServerEndDetector
         Finds out which servers ended while they ran batches.
+    reach : ServerReach
+        Which servers this node reaches.
     """
 
     def __init__(
@@ -120,13 +123,14 @@
         limiter: ServerLimiter,
         crash_guard: CrashGuard,
         end_detector: ServerEndDetector,
+        reach: ServerReach,
     ) -> None:
         self._cluster_view = cluster_view
         self._metrics = metrics
         self._crash_guard = crash_guard
         self._budget = budget
         self.servers = StageServers(cluster_view, health)
-        self._calls = StageCalls(cluster_view, pool, wire, self.servers, limiter)
+        self._calls = StageCalls(cluster_view, pool, wire, self.servers, limiter, reach)
         self.dispatcher = StageDispatcher(
             cluster_view,
             self.servers,
--- a/packages/persimmonlink-router/src/persimmonlink_router/stream_relay.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stream_relay.py
@@ -206,6 +206,7 @@
     is_first = True
     async with asyncio.timeout(max(0.0, state.time_left_s)):
         while (data := await response.connection.read_body_part()) is not None:
+            sender.record_events(response)
             events = splitter.feed(data)
             if not events:
                 continue
--- a/tests/router/rig.py
+++ b/tests/router/rig.py
@@ -11,18 +11,22 @@
 
 from persimmonlink_adapter.run import create_adapters
 from persimmonlink_bench.process import find_free_ports, release_ports
+from persimmonlink_router.connection_pool import open_connection
 from persimmonlink_router.router import Router
 from persimmonlink_router.router_settings import (
     LimitSettings,
     ListenAddresses,
     RouterSettings,
 )
+from persimmonlink_stand_ins.link import Links
 from persimmonlink_stand_ins.metadata_store import MetadataStoreStandIn
 from persimmonlink_stand_ins.routed_server import RoutedServerStandIn
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Coroutine
 
+    from persimmonlink_router.http_client import HttpClientConnection
+
 HOST = "127.0.0.1"
 LIMITS = LimitSettings(0.2, 10.0, 52.0, 1.5, 5.0, 8.0, 5.0)
 STREAM_SERVICE = "engines"
@@ -122,6 +126,7 @@
     routers: list[Router]
     settings: list[RouterSettings]
     ids: list[str] = field(default_factory=list)
+    links: Links = field(default_factory=Links)
 
     def count_runs(self, request_id: str) -> int:
         """Return how many runs of a request the servers have recorded."""
@@ -227,6 +232,7 @@
     finally:
         for router in rig.routers:
             await stop_router(router)
+        await rig.links.stop()
         for server in rig.server_by_id.values():
             await server.stop()
         await store.stop()
@@ -249,6 +255,16 @@
     await wait_until(lambda: router.cluster_view.configuration is not None)
 
 
+def connect_by_links(rig: Rig, index: int) -> None:
+    """Let a router reach servers over links that tests can cut."""
+
+    async def open_by_link(address: str, timeout_s: float) -> HttpClientConnection:
+        link = await rig.links.find(index, address)
+        return await open_connection(link.address, timeout_s)
+
+    rig.routers[index]._pool.open_connection = open_by_link
+
+
 async def add_server(
     rig: Rig,
     service: str,
