--- a/tests/router/test_fatal_requests.py
+++ b/tests/router/test_fatal_requests.py
@@ -15,12 +15,15 @@
     STREAM,
     STREAM_SERVICE,
     add_server,
+    connect_by_links,
     make_rig,
     restart_router,
     run,
     stop_router,
 )
 
+from persimmonlink_stand_ins.link import Cut
+
 ROUTER_COUNT = 6
 SERVER_COUNT = 4
 # The users' bound: after the third end, three more sends at most later than this time.
@@ -173,6 +176,29 @@
     run(scenario())
 
 
+@pytest.mark.timeout(60)
+def test_a_node_that_is_cut_off_from_servers_accuses_no_request():
+    async def scenario():
+        async with make_rig(routers=3, servers=SERVER_COUNT) as rig:
+            await asyncio.sleep(0.5)
+            connect_by_links(rig, 0)
+            for server in rig.server_by_id.values():
+                server.work_s = 0.2
+            for _ in range(5):
+                waiting = asyncio.ensure_future(rig.send_request("/look/1", body=b"x"))
+                await asyncio.sleep(0.1)
+                await rig.links.cut([0], Cut.RESET)
+                await waiting
+                await asyncio.sleep(0.7)
+                await rig.links.mend([0])
+                await asyncio.sleep(0.7)
+            assert not any(len(r._crash_guard.holds) for r in rig.routers)
+            response = await rig.send_request("/look/1", node=1, body=b"x")
+            assert response.status == 200
+
+    run(scenario())
+
+
 @pytest.mark.timeout(60)
 def test_another_account_is_served_the_same_path_and_body():
     async def scenario():
