Have peers serve the requests of a node that reaches no server

Callers of nodes that were cut off from all servers got 503 until the cut ended, though other nodes reached the servers; where the stages' coordinator was cut off, callers of all nodes did. Cause: a node without a way to the servers had no other, and no node knew of another's reach.

A node that reaches no server of a service now tells all others at once and with heartbeats. It passes each request on, whole, to a peer that reaches the service: one hop, by a stream of messages that carries backpressure and the client's leaving, with the time that has passed, the sends so far, and the account that the entry node found. The peer sends it under its own limits, holds and retries, and refuses it as not run if it has an older configuration, leaves, is full, or reaches no server itself. Coordinators are chosen among nodes that reach the stages; one that no longer does transfers its jobs. The directory leaves out nodes that lack half of the services.

--- a/packages/persimmonlink-peers/src/persimmonlink_peers/peer_channel.py
+++ b/packages/persimmonlink-peers/src/persimmonlink_peers/peer_channel.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 from collections import Counter
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
-from grpclib.client import Channel, UnaryUnaryMethod
+from grpclib.client import Channel, UnaryStreamMethod, UnaryUnaryMethod
 from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
 from loguru import logger
 from returns.result import Failure as Err
@@ -16,10 +16,30 @@
 from persimmonlink_peers.peer_server import build_method_path
 from persimmonlink_peers.ping import build_ping_configuration
 
+if TYPE_CHECKING:
+    from collections.abc import AsyncGenerator
+
 PING_INTERVAL_S = 2.0
 PING_TIMEOUT_S = 1.0
 
 
+class PeerStreamError(Exception):
+    """A peer did not reply to the end.
+
+    Parameters
+    ----------
+    failure : Failure
+        What went wrong.
+    was_sent : bool
+        Whether the peer may have got the message.
+    """
+
+    def __init__(self, failure: Failure, *, was_sent: bool) -> None:
+        super().__init__(failure.detail)
+        self.failure = failure
+        self.was_sent = was_sent
+
+
 class PeerChannel:
     """Channel to one peer, replaced by a new one after a failed call.
 
@@ -86,6 +106,45 @@
         finally:
             self._release_channel(channel)
 
+    async def stream(
+        self, message: Any, reply_type: type, timeout_s: float
+    ) -> AsyncGenerator[Any]:
+        """Send a message, and yield the parts of its reply.
+
+        The peer waits while they are not read. Closing the generator cancels the call
+        at the peer. Raises `PeerStreamError` if the reply does not end in order.
+
+        Parameters
+        ----------
+        message : object
+            Frozen data class with a `sender` field.
+        reply_type : type
+            Type of the parts.
+        timeout_s : float
+            Timeout of the whole call, in seconds.
+        """
+        channel = self._get_channel()
+        method: UnaryStreamMethod[Any, Any] = UnaryStreamMethod(
+            channel, build_method_path(type(message)), type(message), reply_type
+        )
+        self._calls_by_channel[channel] += 1
+        was_sent = False
+        try:
+            async with method.open(timeout=timeout_s) as stream:
+                await stream.send_request()
+                was_sent = True
+                await stream.send_message(message, end=True)
+                async for reply in stream:
+                    yield reply
+        except GRPCError as error:
+            raise PeerStreamError(self._to_failure(error), was_sent=was_sent) from error
+        except (TimeoutError, StreamTerminatedError, ProtocolError, OSError) as error:
+            if self._channel is channel:
+                self._channel = None
+            raise PeerStreamError(self._to_failure(error), was_sent=was_sent) from error
+        finally:
+            self._release_channel(channel)
+
     @property
     def is_open(self) -> bool:
         """Whether there is a connection that the next call will use."""
@@ -122,4 +181,4 @@
         return self._channel
 
 
-__all__ = ("PeerChannel",)
+__all__ = ("PeerChannel", "PeerStreamError")
--- a/packages/persimmonlink-peers/src/persimmonlink_peers/peer_server.py
+++ b/packages/persimmonlink-peers/src/persimmonlink_peers/peer_server.py
@@ -68,6 +68,32 @@
             serve, Cardinality.UNARY_UNARY, request_type, reply_type
         )
 
+    def register_stream(
+        self,
+        request_type: type,
+        part_type: type,
+        handle: Callable[[Any, Callable[[Any], Awaitable[None]]], Awaitable[None]],
+    ) -> None:
+        """Register the handler of a message type whose reply has several parts.
+
+        `handle` gets the message and a function that sends a part. It is cancelled if
+        the peer leaves.
+        """
+
+        async def serve(stream: Any) -> None:
+            try:
+                message = await stream.recv_message()
+            except GRPCError as error:
+                code = CODE_BY_STATUS.get(error.status, ResultCode.PEER_MESSAGE_INVALID)
+                self._report_invalid(code, str(error.message))
+                raise
+            if message is not None:
+                await handle(message, stream.send_message)
+
+        self._handler_by_path[build_method_path(request_type)] = Handler(
+            serve, Cardinality.UNARY_STREAM, request_type, part_type
+        )
+
     def __mapping__(self) -> Mapping[str, Handler]:
         """Return the handlers by path, as grpclib requires."""
         return self._handler_by_path
--- a/packages/persimmonlink-router/src/persimmonlink_router/cluster_membership.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/cluster_membership.py
@@ -193,6 +193,10 @@
         ]
         return min(candidates, default=(0, 0, self.own_member.node_id))[2]
 
+    def list_serving_ids(self) -> list[str]:
+        """Return the ids of the members that serve."""
+        return [member.node_id for member in self.list_serving_members()]
+
     def is_node_alive(self, node_id: str) -> bool:
         """Whether a node is a known member and considered alive."""
         member = self.members.find(node_id)
--- a/packages/persimmonlink-router/src/persimmonlink_router/configuration.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/configuration.py
@@ -245,6 +245,13 @@
         for routes in self._routes_by_host.values():
             routes.sort(key=lambda route: len(route.prefix), reverse=True)
 
+    def find_account(self, name: str) -> Account:
+        """Return the client account of a name; one without priority if unknown."""
+        for account in self.account_by_key.values():
+            if account.name == name:
+                return account
+        return Account(name)
+
     def find_route(self, host: str, path: str) -> Route | None:
         """Return a host's route with the longest matching prefix, or None."""
         for route in self._routes_by_host.get(host.lower(), ()):
--- a/packages/persimmonlink-router/src/persimmonlink_router/event_stream.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/event_stream.py
@@ -12,11 +12,17 @@
 
 
 class EventSplitter:
-    """Buffers bytes of a stream until events are complete; tracks the last event id."""
+    """Buffers bytes of a stream until events are complete; tracks the last event id.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    last_id : bytes
+        Id of the event after which the stream goes on, empty for a new stream.
+    """
+
+    def __init__(self, last_id: bytes = b"") -> None:
         self._partial = b""
-        self.last_id = b""
+        self.last_id = last_id
 
     def feed(self, data: bytes) -> bytes:
         """Buffer bytes; return the events that are complete now.
--- a/packages/persimmonlink-router/src/persimmonlink_router/fact_exchange.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/fact_exchange.py
@@ -11,7 +11,11 @@
 
 if TYPE_CHECKING:
     from persimmonlink_router.cluster_membership import ClusterMembership
-    from persimmonlink_router.peer_messages import HoldNotice, LimitNotice
+    from persimmonlink_router.peer_messages import (
+        HoldNotice,
+        LimitNotice,
+        ReachNotice,
+    )
 
 SPREAD_DELAY_S = 0.02  # Delay in which facts join the same message.
 SPREAD_TIMEOUT_S = 0.5  # Timeout of a message; heartbeats repeat what is lost.
@@ -53,12 +57,16 @@
         holds: list[HoldNotice] = []
         suspect_left_s_by_part: dict[str, float] = {}
         limits: list[LimitNotice] = []
+        unreached: list[ReachNotice] = []
         for holder in self._holders:
             facts = holder.collect_facts()
             holds += facts.holds
             suspect_left_s_by_part |= facts.suspect_left_s_by_part
             limits += facts.limits
-        return SharedFacts(tuple(holds), suspect_left_s_by_part, tuple(limits))
+            unreached += facts.unreached
+        return SharedFacts(
+            tuple(holds), suspect_left_s_by_part, tuple(limits), tuple(unreached)
+        )
 
     def apply(self, facts: SharedFacts, member: str) -> None:
         """Apply what a peer knows, and pass on what is news."""
--- a/packages/persimmonlink-router/src/persimmonlink_router/peer_messages.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/peer_messages.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from enum import StrEnum
 
 from persimmonlink_model.membership import Member
 from persimmonlink_peers.message import Sender
@@ -23,10 +24,13 @@
     cores : float
         Processor cores of the node, weighted by their speed; members with fewer cores
         than others don't coordinate.
+    region : str
+        Region of its failure domain, empty if unknown.
     """
 
     seniority: int = 0
     cores: float = 1.0
+    region: str = ""
 
 
 @dataclass(frozen=True)
@@ -127,6 +131,59 @@
     wait_s: float
 
 
+@dataclass(frozen=True)
+class ReachNotice:
+    """What a node says of its way to the servers.
+
+    Parameters
+    ----------
+    node_id : str
+        The node.
+    services : tuple of str
+        Services of which it reaches no server; none if it reaches all again.
+    age_s : float
+        Time since it said so, in seconds.
+    """
+
+    node_id: str
+    services: tuple[str, ...]
+    age_s: float
+
+
+@dataclass(frozen=True)
+class AskReach:
+    """Asks a peer whether it reaches a server.
+
+    Parameters
+    ----------
+    sender : Sender
+        Identity of the asking node.
+    server : tuple of str, int and str
+        Id, start time and address of the incarnation.
+    quiet_s : float
+        Time since the asking node found the server gone, in seconds.
+    """
+
+    sender: Sender
+    server: ServerKey
+    quiet_s: float
+
+
+class ReachState(StrEnum):
+    """What a node knows of a server."""
+
+    REACHED = "reached"
+    REFUSED = "refused"
+    UNKNOWN = "unknown"
+
+
+@dataclass(frozen=True)
+class ReachReply:
+    """Reply to `AskReach`."""
+
+    state: ReachState
+
+
 @dataclass(frozen=True)
 class AskTrial:
     """Asks whether a request that servers ended under may be sent now.
@@ -156,11 +213,14 @@
         to them are to be reported, in seconds.
     limits : tuple of LimitNotice
         Rates that servers have named, and those that they no longer name.
+    unreached : tuple of ReachNotice
+        Nodes that reach no server of some services, and those that do again.
     """
 
     holds: tuple[HoldNotice, ...] = ()
     suspect_left_s_by_part: dict[str, float] = field(default_factory=dict)
     limits: tuple[LimitNotice, ...] = ()
+    unreached: tuple[ReachNotice, ...] = ()
 
 
 @dataclass(frozen=True)
@@ -336,6 +396,10 @@
 __all__ = (
     "Acknowledgement",
     "AskPermit",
+    "AskReach",
+    "ReachNotice",
+    "ReachReply",
+    "ReachState",
     "AskTrial",
     "CrashReport",
     "EngineLoad",
--- a/packages/persimmonlink-router/src/persimmonlink_router/plain_relay.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/plain_relay.py
@@ -8,7 +8,11 @@
 from persimmonlink_router.configuration import RequestKind
 from persimmonlink_router.http_client import ConnectionLostError
 from persimmonlink_router.http_messages import strip_hop_by_hop_headers
-from persimmonlink_router.request_state import RequestFailedError, RequestRefusedError
+from persimmonlink_router.request_state import (
+    NoReachError,
+    RequestFailedError,
+    RequestRefusedError,
+)
 
 if TYPE_CHECKING:
     from persimmonlink_router.request_state import RequestState
@@ -34,6 +38,8 @@
         try:
             response = await sender.send(state, head_timeout_s=timeout_s)
             body = await _read_body(state, sender, response)
+        except NoReachError:
+            raise
         except RequestRefusedError as error:
             if state.may_have_run:
                 raise RequestFailedError(str(error)) from error
--- a/packages/persimmonlink-router/src/persimmonlink_router/reach_monitor.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/reach_monitor.py
@@ -11,7 +11,7 @@
 from persimmonlink_router.http_client import ConnectError
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Callable, Iterable, Mapping
 
     from persimmonlink_router.cluster_view import ClusterView
     from persimmonlink_router.connection_pool import ConnectionPool
@@ -91,9 +91,22 @@
             logger.bind(service=service, lost_s=round(now - lost_at, 2)).info(
                 "service.reached"
             )
+        if after - before:
+            self._check_quiet_services(servers_by_service)
         self._metrics.set_gauge("unreached_services", len(after))
         self._on_change()
 
+    def _check_quiet_services(
+        self, servers_by_service: Mapping[str, list[Server]]
+    ) -> None:
+        """Check the services that nothing was heard of lately, as one was lost."""
+        since = boot_time() - CHECK_INTERVAL_S
+        for servers in servers_by_service.values():
+            if any(self._reach.answered_since(s.key, since) for s in servers):
+                continue
+            for server in self._choose_checked(servers):
+                self._start_check(server)
+
     def describe(self) -> list[dict[str, object]]:
         """Return the services that are not reached, for operators."""
         now = boot_time()
--- a/packages/persimmonlink-router/src/persimmonlink_router/request_service.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/request_service.py
@@ -11,9 +11,13 @@
 
 from persimmonlink_router.boot_clock import boot_time
 from persimmonlink_router.configuration import RequestKind
+from persimmonlink_router.http_messages import HttpRequest
 from persimmonlink_router.http_server import ClientDisconnectedError
 from persimmonlink_router.plain_relay import relay_plain
+from persimmonlink_router.relay_messages import RelayRefusal
+from persimmonlink_router.relayed_exchange import RelayBrokenOffError, RelayedExchange
 from persimmonlink_router.request_state import (
+    NoReachError,
     RequestFailedError,
     RequestHeldError,
     RequestRefusedError,
@@ -25,17 +29,22 @@
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Collection
+    from collections.abc import Callable, Collection
 
     from persimmonlink_router.cluster_view import ClusterView
-    from persimmonlink_router.configuration import Route
+    from persimmonlink_router.configuration import Configuration, Route
     from persimmonlink_router.http_server import Exchange
     from persimmonlink_router.metrics import RouterMetrics
+    from persimmonlink_router.relay_messages import RelayRequest
+    from persimmonlink_router.relayed_exchange import SendPart
+    from persimmonlink_router.request_forwarder import RequestForwarder
     from persimmonlink_router.server_sender import ServerSender
     from persimmonlink_router.stage_coordinator_client import StageCoordinatorClient
-    from persimmonlink_router.wire_messages import Wire
+    from persimmonlink_router.wire_messages import RequestMetadata, Wire
 
 NO_CONFIGURATION_RETRY_AFTER_S = 0.5  # Retry-After of a node without configuration.
+# Requests of peers that this node serves at once; others are refused as not run.
+MAX_RELAYED_REQUESTS = 512
 # Largest random increase of Retry-After, as a fraction, so that clients which were
 # refused together do not retry together.
 RETRY_AFTER_JITTER = 0.4
@@ -78,6 +87,10 @@
         Counters and histograms of requests.
     rng : random.Random
         Source of the Retry-After jitter and of the weighted choice of targets.
+    forwarder : RequestForwarder
+        Passes requests on to peers if this node reaches no server.
+    is_stopping : callable
+        Whether this node is about to stop.
     """
 
     def __init__(
@@ -88,6 +101,8 @@
         stages: StageCoordinatorClient,
         metrics: RouterMetrics,
         rng: random.Random,
+        forwarder: RequestForwarder,
+        is_stopping: Callable[[], bool],
     ) -> None:
         self._cluster_view = cluster_view
         self._wire = wire
@@ -95,6 +110,9 @@
         self._stages = stages
         self._metrics = metrics
         self._rng = rng
+        self._forwarder = forwarder
+        self._is_stopping = is_stopping
+        self._relayed_count = 0
         self._retry_detector = RetryDetector()
 
     def retain_routes(self, names: Collection[str]) -> None:
@@ -109,7 +127,50 @@
             await self._send_local_reply(exchange, "", resolved)
             self._log_end(None, exchange, resolved.status, resolved.reason, arrived_at)
             return
-        state = resolved
+        await self._run(resolved)
+
+    async def handle_relayed(self, message: RelayRequest, send_part: SendPart) -> None:
+        """Serve a request that a peer passes on, unless this node can't.
+
+        Raises `RelayBrokenOffError` if the response broke off.
+        """
+        arrived_at = boot_time() - message.elapsed_s
+        request = HttpRequest(
+            message.method, message.target, message.headers, message.body
+        )
+        exchange = RelayedExchange(request, send_part)
+        refusal = self._check_relay(message)
+        resolved = self._resolve_request(exchange, arrived_at, message)
+        if not refusal and isinstance(resolved, LocalReply):
+            refusal = RelayRefusal.OLDER_CONFIGURATION
+        outcome = refusal or "taken"
+        self._metrics.count("received_relays_total", f'outcome="{outcome}"')
+        if refusal or isinstance(resolved, LocalReply):
+            await exchange.refuse(refusal)
+            return
+        self._relayed_count += 1
+        try:
+            await self._run(resolved)
+        finally:
+            self._relayed_count -= 1
+        if not exchange.is_complete:
+            raise RelayBrokenOffError(message.sender.node_id)
+
+    def _check_relay(self, message: RelayRequest) -> RelayRefusal:
+        configuration = self._cluster_view.configuration
+        if self._is_stopping():
+            return RelayRefusal.LEAVING
+        if configuration is None:
+            return RelayRefusal.OLDER_CONFIGURATION
+        if configuration.version < message.configuration_version:
+            return RelayRefusal.OLDER_CONFIGURATION
+        if self._relayed_count >= MAX_RELAYED_REQUESTS:
+            return RelayRefusal.BUSY
+        return RelayRefusal.NONE
+
+    async def _run(self, state: RequestState) -> None:
+        exchange = state.exchange
+        arrived_at = state.arrived_at
         status = 0
         reason = "left"
         try:
@@ -131,12 +192,17 @@
         """
         exchange = state.exchange
         try:
-            if state.route.kind is RequestKind.STREAM:
-                await relay_stream(state, self._sender, self._stages)
-            else:
-                await relay_plain(state, self._sender)
+            try:
+                await self._send_to_server(state)
+            except NoReachError:
+                if state.relayed_from:
+                    raise
+                await self._forwarder.forward(state)
+                return 200, "answered by a peer"
             return 200, "answered"
         except RequestRefusedError as error:
+            if isinstance(error, NoReachError) and await _refuse_relay(state):
+                return 0, str(error)
             if isinstance(error, RequestHeldError):
                 self._metrics.count(
                     "held_requests_total", f'route="{state.route.name}"'
@@ -158,9 +224,22 @@
         await self._send_local_reply(exchange, state.metadata.request_id, reply)
         return reply.status, reply.reason
 
+    async def _send_to_server(self, state: RequestState) -> None:
+        if state.route.kind is RequestKind.STREAM:
+            await relay_stream(state, self._sender, self._stages)
+        else:
+            await relay_plain(state, self._sender)
+
     def _resolve_request(
-        self, exchange: Exchange, arrived_at: float
+        self,
+        exchange: Exchange | RelayedExchange,
+        arrived_at: float,
+        relayed: RelayRequest | None = None,
     ) -> RequestState | LocalReply:
+        """Return the state of a request, or why it has none.
+
+        The account of a relayed request is the one that the peer found.
+        """
         configuration = self._cluster_view.configuration
         if configuration is None:
             return LocalReply(
@@ -177,6 +256,10 @@
         except WireFormatError as error:
             return LocalReply(400, str(error))
         account = None
+        if relayed is not None:
+            return _build_relayed_state(
+                exchange, metadata, route, configuration, relayed, arrived_at
+            )
         if configuration.requires_key and not route.is_public:
             account = configuration.account_by_key.get(metadata.key)
             if account is None:
@@ -203,7 +286,7 @@
         return self._rng.choices(route.targets, weights)[0].service
 
     async def _send_local_reply(
-        self, exchange: Exchange, request_id: str, reply: LocalReply
+        self, exchange: Exchange | RelayedExchange, request_id: str, reply: LocalReply
     ) -> None:
         headers = [
             (b"content-type", b"text/plain"),
@@ -218,7 +301,7 @@
     def _log_end(
         self,
         state: RequestState | None,
-        exchange: Exchange,
+        exchange: Exchange | RelayedExchange,
         status: int,
         reason: str,
         arrived_at: float,
@@ -255,6 +338,8 @@
             first_event_s=None if first is None else round(first, 3),
             predicted_s=None if prediction is None else round(prediction, 3),
             sends=state.sends,
+            relayed_to=state.relayed_to or None,
+            relayed_from=state.relayed_from or None,
             servers=state.servers,
             prompt_parts=state.metadata.shared_part_ids or None,
             server_versions=state.server_versions,
@@ -269,4 +354,41 @@
         ).info("request.completed")
 
 
+def _build_relayed_state(
+    exchange: Exchange | RelayedExchange,
+    metadata: RequestMetadata,
+    route: Route,
+    configuration: Configuration,
+    relayed: RelayRequest,
+    arrived_at: float,
+) -> RequestState:
+    account = None
+    if relayed.account is not None:
+        account = configuration.find_account(relayed.account)
+    return RequestState(
+        exchange,
+        metadata,
+        route,
+        relayed.service,
+        account,
+        arrived_at,
+        sends=relayed.sends,
+        runs=relayed.runs,
+        may_have_run=relayed.runs > 0,
+        is_client_retry=relayed.is_client_retry,
+        stream_version=relayed.stream_version,
+        last_forwarded_id=relayed.last_event_id,
+        relayed_from=relayed.sender.node_id,
+    )
+
+
+async def _refuse_relay(state: RequestState) -> bool:
+    """Tell the peer that passed a request on that it has not run here."""
+    exchange = state.exchange
+    if not isinstance(exchange, RelayedExchange) or exchange.has_started:
+        return False
+    await exchange.refuse(RelayRefusal.NO_REACH)
+    return True
+
+
 __all__ = ("LocalReply", "RequestService")
--- a/packages/persimmonlink-router/src/persimmonlink_router/request_state.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/request_state.py
@@ -10,6 +10,7 @@
 from persimmonlink_router.crash_evidence import RequestOrigin
 from persimmonlink_router.http_messages import ResponseFraming
 from persimmonlink_router.http_server import Exchange
+from persimmonlink_router.relayed_exchange import RelayedExchange
 from persimmonlink_router.request_fingerprint import compute_fingerprint
 from persimmonlink_router.retry_detector import (
     CLIENT_RETRY_OBJECTIVE_SHARE,
@@ -42,6 +43,10 @@
         self.retry_after_s = retry_after_s
 
 
+class NoReachError(RequestRefusedError):
+    """No server of the service can be reached from here, so a peer has to send it."""
+
+
 class RequestHeldError(RequestRefusedError):
     """The request, or a part of its prompt, ends servers, so it is not sent on."""
 
@@ -87,8 +92,8 @@
 
     Parameters
     ----------
-    exchange : Exchange
-        HTTP request of the client and the response to it.
+    exchange : Exchange or RelayedExchange
+        Request of the client and the response to it, to the client or a peer.
     metadata : RequestMetadata
         Values of the request's headers.
     route : Route
@@ -124,11 +129,17 @@
         How the last response of a server ended.
     partial_event_bytes : int
         Bytes of that response after its last complete event.
+    relayed_to : str
+        Node that this one had serve the request, empty for none.
+    relayed_from : str
+        Node from which this one has the request, empty for a client.
+    last_forwarded_id : bytes
+        Id of the last event that the client has, as its stream goes on elsewhere.
     avoided_software : frozenset of str
         Services and software versions whose servers have ended under the request.
     """
 
-    exchange: Exchange
+    exchange: Exchange | RelayedExchange
     metadata: RequestMetadata
     route: Route
     service: str
@@ -147,6 +158,9 @@
     response_end: ResponseEnd | None = None
     partial_event_bytes: int = 0
     avoided_software: frozenset[str] = frozenset()
+    relayed_to: str = ""
+    relayed_from: str = ""
+    last_forwarded_id: bytes = b""
     _fingerprint: str = ""
 
     def __post_init__(self) -> None:
@@ -244,6 +258,7 @@
 
 
 __all__ = (
+    "NoReachError",
     "RequestHeldError",
     "RequestFailedError",
     "RequestRefusedError",
--- a/packages/persimmonlink-router/src/persimmonlink_router/router.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/router.py
@@ -40,7 +40,10 @@
     SharedFacts,
     ShareFacts,
 )
+from persimmonlink_router.reach_board import ReachBoard
 from persimmonlink_router.reach_monitor import ReachMonitor
+from persimmonlink_router.relay_messages import RelayPart, RelayRequest
+from persimmonlink_router.request_forwarder import RequestForwarder
 from persimmonlink_router.request_service import RequestService
 from persimmonlink_router.send_limits import ColdSendLimit, RetryBudget
 from persimmonlink_router.server_chooser import ServerChooser
@@ -64,6 +67,7 @@
     from collections.abc import Coroutine, Sequence
     from typing import Any
 
+    from persimmonlink_model.membership import Member
     from persimmonlink_model.result_code import ResultCode
     from persimmonlink_router.http_messages import Headers
     from persimmonlink_router.http_server import Exchange
@@ -153,6 +157,7 @@
             settings.listen.clients,
             settings.listen.peers,
             cores=settings.core_share * settings.core_speed,
+            region=settings.region,
         )
         self.membership = ClusterMembership(
             own_member,
@@ -161,6 +166,10 @@
             self._mirror,
             self._collect_engine_loads,
         )
+        self._reach_board = ReachBoard(
+            lambda: self.membership.own_member.node_id, self.membership.facts.spread
+        )
+        self.membership.facts.attach(self._reach_board)
         self._limiter = ServerLimiter(self.membership, self.cluster_view, self.metrics)
         self.membership.facts.attach(self._limiter)
         self._crash_guard = CrashGuard(
@@ -194,7 +203,7 @@
             self._on_reach_change,
         )
         self._coordinator_client = StageCoordinatorClient(
-            self.membership, self._scheduler
+            self.membership, self._scheduler, self._reach_board
         )
         self._chooser = ServerChooser(
             settings.domain,
@@ -230,6 +239,14 @@
             self._coordinator_client,
             self.metrics,
             self._rng,
+            RequestForwarder(
+                self.membership,
+                self._reach_board,
+                self.cluster_view,
+                self.metrics,
+                self._rng,
+            ),
+            lambda: self._is_stopping,
         )
         self._follower = StoreFollower(
             adapters.store,
@@ -339,6 +356,8 @@
         peers.register(FindStreamVersion, FoundStreamVersion, versions.handle_find)
         guard = self._crash_guard
         peers.register(ReportCrashes, Acknowledgement, guard.handle_report)
+        relayed = self._request_service.handle_relayed
+        peers.register_stream(RelayRequest, RelayPart, relayed)
         peers.register(AskPermit, PermitReply, self._limiter.handle_ask)
         peers.register(AskTrial, PermitReply, guard.trials.handle_ask)
         peers.register(ShareFacts, SharedFacts, membership.facts.handle_share)
@@ -384,6 +403,18 @@
 
     def _on_reach_change(self) -> None:
         """Tell the other nodes which services this node doesn't reach."""
+        unreached = self._reach.unreached_services
+        self._reach_board.update_own(unreached)
+        if self._is_stopping:
+            return
+        if any(self._is_stage_service(service) for service in unreached):
+            self._scheduler.transfer_requests()
+        else:
+            self._scheduler.resume()
+
+    def _is_stage_service(self, name: str) -> bool:
+        service = self.cluster_view.find_service(name)
+        return service is not None and service.batch is not None
 
     def _on_store_item(self, item: StoredItem) -> None:
         if item.key.startswith(MEMBER_PREFIX):
@@ -424,8 +455,7 @@
         await exchange.respond(status, [], b"")
 
     async def _respond_directory(self, exchange: Exchange) -> None:
-        members = self.membership.list_serving_members()
-        addresses = sorted({m.http_address for m in members})
+        addresses = sorted({m.http_address for m in self._list_directory_members()})
         if not addresses:
             await exchange.respond(503, [(b"retry-after", b"0.5")], b"")
             return
@@ -437,6 +467,23 @@
         )
         await exchange.respond(200, headers, body)
 
+    def _list_directory_members(self) -> list[Member]:
+        """Return the members that clients are told of.
+
+        Those that lack at least half of all services are left out, unless all do.
+        """
+        members = self.membership.list_serving_members()
+        configuration = self.cluster_view.configuration
+        if configuration is None:
+            return members
+        half = len(configuration.service_by_name) / 2
+        able = [
+            member
+            for member in members
+            if len(self._reach_board.list_lacking(member.node_id)) < max(half, 1)
+        ]
+        return able or members
+
     def _render_metrics(self) -> str:
         metrics = self.metrics
         metrics.set_gauge("connections_opened_total", self._pool.opened_count)
--- a/packages/persimmonlink-router/src/persimmonlink_router/router_settings.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/router_settings.py
@@ -98,6 +98,8 @@
         Share of a processor core that the process may use.
     core_speed : float
         Speed of that core relative to a standard one.
+    region : str
+        Region of that failure domain; requests are only passed on inside it.
     log_level : str
         Lowest level that is logged.
     """
@@ -110,6 +112,7 @@
     limits: LimitSettings
     core_share: Annotated[float, Meta(gt=0)] = 1.0
     core_speed: Annotated[float, Meta(gt=0)] = 1.0
+    region: str = ""
     log_level: Annotated[str, Meta(pattern="^(DEBUG|INFO|WARNING|ERROR)$")] = "INFO"
 
 
--- a/packages/persimmonlink-router/src/persimmonlink_router/server_sender.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/server_sender.py
@@ -17,6 +17,7 @@
 )
 from persimmonlink_router.http_messages import HttpResponseHead, ResponseFraming
 from persimmonlink_router.request_state import (
+    NoReachError,
     RequestFailedError,
     RequestHeldError,
     RequestRefusedError,
@@ -95,6 +96,10 @@
     """A server did not run the request, which may be sent to another server."""
 
 
+class UnreachableError(NotRunError):
+    """A connection to a server could not be opened."""
+
+
 class LimitReachedError(NotRunError):
     """The rate that a server names is reached; it is paused until there is room."""
 
@@ -194,7 +199,9 @@
             A server may have run the request, and there is no response.
         """
         excluded_ids: set[str] = set()
+        unreachable_ids: set[str] = set()
         self.require_not_held(state)
+        self.require_reach(state)
         await self._require_trial_permit(state)
         while True:
             server = await self._wait_for_server(state, inputs, excluded_ids)
@@ -207,11 +214,18 @@
                 continue
             except NotRunError as error:
                 excluded_ids.add(server.server_id)
+                if isinstance(error, UnreachableError):
+                    unreachable_ids.add(server.server_id)
+                    self._require_other_server(state, unreachable_ids)
                 logger.bind(
                     request=state.metadata.request_id,
                     server=server.server_id,
                     reason=str(error),
                 ).info("request.rejected_by_server")
+                if len(unreachable_ids) > MAX_REJECTIONS:
+                    raise NoReachError(
+                        "too many servers can't be reached", NO_SERVER_RETRY_AFTER_S
+                    ) from error
                 if len(excluded_ids) > MAX_REJECTIONS:
                     raise RequestRefusedError(
                         "too many servers rejected the request",
@@ -235,6 +249,26 @@
                 NO_VERSION_RETRY_AFTER_S,
             )
 
+    def require_reach(self, state: RequestState) -> None:
+        """Raise `NoReachError` if no server of the service can be reached."""
+        if state.service in self._reach.unreached_services:
+            raise NoReachError(
+                "no server of the service can be reached", NO_SERVER_RETRY_AFTER_S
+            )
+
+    def _require_other_server(
+        self, state: RequestState, unreachable_ids: set[str]
+    ) -> None:
+        """Raise `NoReachError` if no server that may get a request is reachable."""
+        for server in self._cluster_view.servers.list_usable(state.service):
+            if server.server_id in unreachable_ids or not state.allows_server(server):
+                continue
+            if not self._reach.is_unreached(server.key):
+                return
+        raise NoReachError(
+            "no server of the service can be reached", NO_SERVER_RETRY_AFTER_S
+        )
+
     def require_stream_version(self, state: RequestState) -> None:
         """Raise `RequestRefusedError` if no server can continue a stream."""
         if state.stream_version is None:
@@ -381,7 +415,7 @@
         wait_ends_at = boot_time() + min(MAX_SERVER_WAIT_S, max(0.0, state.time_left_s))
         while True:
             self._refuse_if_paused(state)
-            server = self._chooser.choose(state, inputs, excluded_ids)
+            server = self._choose_reached(state, inputs, excluded_ids)
             if server is not None:
                 return server
             if boot_time() >= wait_ends_at:
@@ -390,6 +424,21 @@
                 )
             await asyncio.sleep(SERVER_POLL_INTERVAL_S)
 
+    def _choose_reached(
+        self, state: RequestState, inputs: StageInputs, excluded_ids: set[str]
+    ) -> Server | None:
+        """Return the best server; an unreached one only if there is no other."""
+        unreached_ids = {
+            server.server_id
+            for server in self._cluster_view.servers.list_usable(state.service)
+            if self._reach.is_unreached(server.key)
+        }
+        if unreached_ids - excluded_ids:
+            server = self._chooser.choose(state, inputs, excluded_ids | unreached_ids)
+            if server is not None:
+                return server
+        return self._chooser.choose(state, inputs, excluded_ids)
+
     def _refuse_if_paused(self, state: RequestState) -> None:
         """Raise `RequestRefusedError` if all servers want no requests for a time."""
         servers = self._cluster_view.servers
@@ -481,7 +530,7 @@
             )
         except ConnectError as error:
             self._health.record_unreachable(server.key, boot_time())
-            raise NotRunError(str(error)) from error
+            raise UnreachableError(str(error)) from error
         reason = ""
         if not await self._limiter.try_acquire(server):
             self._pool.release(server.key, connection)
--- a/packages/persimmonlink-router/src/persimmonlink_router/stage_coordinator_client.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stage_coordinator_client.py
@@ -19,6 +19,7 @@
 
 if TYPE_CHECKING:
     from persimmonlink_router.cluster_membership import ClusterMembership
+    from persimmonlink_router.reach_board import ReachBoard
     from persimmonlink_router.stage_job import StageJob
     from persimmonlink_router.stage_scheduler import StageScheduler
 
@@ -41,11 +42,17 @@
         Membership and channels to the peers.
     scheduler : StageScheduler
         Scheduler of this node, used while it is the coordinator or has no peers.
+    board : ReachBoard
+        Which nodes don't reach which services.
     """
 
     def __init__(
-        self, membership: ClusterMembership, scheduler: StageScheduler
+        self,
+        membership: ClusterMembership,
+        scheduler: StageScheduler,
+        board: ReachBoard,
     ) -> None:
+        self._board = board
         self._membership = membership
         self._scheduler = scheduler
         self._excluded_until_by_node_id: dict[str, float] = {}
@@ -61,7 +68,7 @@
             remaining_job = _subtract_elapsed(job, elapsed_s)
             if remaining_job.deadline_left_s <= 0:
                 return StageOutcome(StageState.FAILED)
-            node_id = self._choose_coordinator()
+            node_id = self._choose_coordinator(job)
             self._coordinator_by_request_id[job.request_id] = node_id
             outcome: StageOutcome | None
             try:
@@ -110,14 +117,23 @@
             self._scheduler.release(request_id)
         return Acknowledgement()
 
-    def _choose_coordinator(self) -> str:
+    def _choose_coordinator(self, job: StageJob) -> str:
+        """Return the coordinator, a node that reaches the stages if there is one."""
         now = boot_time()
         excluded = {
             node_id
             for node_id, until in self._excluded_until_by_node_id.items()
             if until > now
         }
-        return self._membership.choose_coordinator(excluded)
+        services = {need.service for need in job.stages if need.pieces}
+        lacking = {
+            node_id
+            for node_id in self._membership.list_serving_ids()
+            if services & self._board.list_lacking(node_id)
+        }
+        if lacking >= set(self._membership.list_serving_ids()):
+            return self._membership.choose_coordinator(excluded)
+        return self._membership.choose_coordinator(excluded | lacking)
 
     async def _call_coordinator(
         self, node_id: str, job: StageJob
--- a/packages/persimmonlink-router/src/persimmonlink_router/stage_scheduler.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stage_scheduler.py
@@ -227,6 +227,10 @@
         for request in list(self._request_by_id.values()):
             self._transfer_if_idle(request)
 
+    def resume(self) -> None:
+        """Dispatch again after `transfer_requests`."""
+        self.dispatcher.is_stopped = False
+
     def _transfer_if_idle(self, request: _StageRequest) -> None:
         if request.outcome_future.done() or request.chain.pieces_in_flight > 0:
             return
--- a/packages/persimmonlink-router/src/persimmonlink_router/stream_relay.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stream_relay.py
@@ -13,6 +13,7 @@
 from persimmonlink_router.http_messages import strip_hop_by_hop_headers
 from persimmonlink_router.plain_relay import verify_success_response
 from persimmonlink_router.request_state import (
+    NoReachError,
     RequestFailedError,
     RequestHeldError,
     RequestRefusedError,
@@ -55,12 +56,13 @@
     received. Raises `RequestRefusedError` or `RequestFailedError` if that is not
     possible.
     """
-    splitter = EventSplitter()
+    splitter = EventSplitter(state.last_forwarded_id)
     attempt_count = 0
     while True:
         attempt_count += 1
         try:
             sender.require_not_held(state)
+            sender.require_reach(state)
             await sender.pin_resumed_stream(state)
             sender.require_stream_version(state)
             inputs = await _run_stages(state, sender, stages)
@@ -80,6 +82,9 @@
             RequestFailedError,
             RequestRefusedError,
         ) as error:
+            if isinstance(error, NoReachError):
+                state.last_forwarded_id = splitter.last_id
+                raise
             is_final = isinstance(error, RequestHeldError) or not _may_resume(state)
             if is_final or attempt_count >= MAX_ATTEMPTS:
                 raise _to_client_error(state, error) from error
