Ask peers before a server counts as ended

A sound request was held back at all nodes after one node had been cut off five times: an end was taken for certain if a response broke off and the address refused connections, and a node that is cut off from its servers sees just that.

--- a/packages/persimmonlink-router/src/persimmonlink_router/connection_pool.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/connection_pool.py
@@ -6,6 +6,7 @@
 
 from persimmonlink_router.boot_clock import boot_time
 from persimmonlink_router.http_client import ConnectError, HttpClientConnection
+from persimmonlink_router.peer_messages import ReachState
 
 if TYPE_CHECKING:
     from collections.abc import Collection, Hashable
@@ -117,14 +118,16 @@
         self.release(key, connection)
         return head, body
 
-    async def refuses_connections(self, address: str, timeout_s: float) -> bool:
-        """Whether an address refuses a connection; one that hangs doesn't."""
+    async def check_address(self, address: str, timeout_s: float) -> ReachState:
+        """Open a connection to an address and close it; say how that went."""
         try:
             connection = await self.open_connection(address, timeout_s)
         except ConnectError as error:
-            return isinstance(error.__cause__, ConnectionRefusedError)
+            if isinstance(error.__cause__, ConnectionRefusedError):
+                return ReachState.REFUSED
+            return ReachState.UNKNOWN
         connection.close()
-        return False
+        return ReachState.REACHED
 
     def has_idle(self, key: Hashable) -> bool:
         """Whether an idle connection to a server can be reused."""
--- a/packages/persimmonlink-router/src/persimmonlink_router/router.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/router.py
@@ -17,6 +17,7 @@
 from persimmonlink_router.connection_pool import ConnectionPool
 from persimmonlink_router.crash_guard import CrashGuard
 from persimmonlink_router.crash_reports import CrashReporter
+from persimmonlink_router.end_confirmer import EndConfirmer
 from persimmonlink_router.hold_records import HOLD_PREFIX, HoldRecords
 from persimmonlink_router.http_server import HttpServer, RequestLimits
 from persimmonlink_router.metrics import RouterMetrics
@@ -24,6 +25,7 @@
 from persimmonlink_router.peer_messages import (
     Acknowledgement,
     AskPermit,
+    AskReach,
     AskTrial,
     EngineLoad,
     FindStreamVersion,
@@ -32,6 +34,7 @@
     MirrorUpdate,
     PermitReply,
     PrepareStages,
+    ReachReply,
     RecordStreamVersions,
     ReleaseResults,
     ReportCrashes,
@@ -180,8 +183,19 @@
             self.metrics,
         )
         self.membership.facts.attach(self._crash_guard)
+        self._end_confirmer = EndConfirmer(
+            self.membership,
+            self._reach_board,
+            self._reach,
+            self._pool,
+            self.cluster_view,
+            self._rng,
+        )
         end_detector = ServerEndDetector(
-            self._crash_guard.record_server_end, self._pool, self.metrics
+            self._crash_guard.record_server_end,
+            self._pool,
+            self._end_confirmer,
+            self.metrics,
         )
         self._scheduler = StageScheduler(
             self.cluster_view,
@@ -358,6 +372,7 @@
         peers.register(ReportCrashes, Acknowledgement, guard.handle_report)
         relayed = self._request_service.handle_relayed
         peers.register_stream(RelayRequest, RelayPart, relayed)
+        peers.register(AskReach, ReachReply, self._end_confirmer.handle_ask)
         peers.register(AskPermit, PermitReply, self._limiter.handle_ask)
         peers.register(AskTrial, PermitReply, guard.trials.handle_ask)
         peers.register(ShareFacts, SharedFacts, membership.facts.handle_share)
--- a/packages/persimmonlink-router/src/persimmonlink_router/server_ends.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/server_ends.py
@@ -10,11 +10,13 @@
 
 from persimmonlink_router.boot_clock import boot_time
 from persimmonlink_router.crash_evidence import UNKNOWN_ORIGIN, RequestOrigin
+from persimmonlink_router.peer_messages import ReachState
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
 
     from persimmonlink_router.connection_pool import ConnectionPool
+    from persimmonlink_router.end_confirmer import EndConfirmer
     from persimmonlink_router.metrics import RouterMetrics
     from persimmonlink_router.servers import Server, ServerKey
 
@@ -66,8 +68,8 @@
 class ServerEndDetector:
     """Checks each server that broke off a response, once for all its responses.
 
-    A server has ended if its address refuses connections. A server that does not answer
-    at all may as well be cut off from this node.
+    A server has ended if its address refuses connections, and no peer reaches it. One
+    that does not answer at all may as well be cut off from this node.
 
     Parameters
     ----------
@@ -75,6 +77,8 @@
         Called with a server that ended and the requests it broke off.
     pool : ConnectionPool
         Opens the connections that tell it.
+    confirmer : EndConfirmer
+        Asks peers whether they reach the server.
     metrics : RouterMetrics
         Counts the ends of servers.
     """
@@ -83,10 +87,12 @@
         self,
         on_ended: Callable[[Server, Sequence[InterruptedRequest]], None],
         pool: ConnectionPool,
+        confirmer: EndConfirmer,
         metrics: RouterMetrics,
     ) -> None:
         self._on_ended = on_ended
         self._pool = pool
+        self._confirmer = confirmer
         self._metrics = metrics
         self._requests_by_key: dict[ServerKey, list[InterruptedRequest]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
@@ -108,6 +114,9 @@
             has_ended = await self._refuses_connections(server)
             if has_ended:
                 break
+        if has_ended:
+            since = self._requests_by_key[server.key][0].interrupted_at
+            has_ended = await self._confirmer.has_ended(server, since)
         requests = self._requests_by_key.pop(server.key)
         if has_ended:
             self._metrics.count("server_ends_total", f'service="{server.service}"')
@@ -125,7 +134,8 @@
         return await self._refuses_connections(server)
 
     async def _refuses_connections(self, server: Server) -> bool:
-        return await self._pool.refuses_connections(server.address, CHECK_TIMEOUT_S)
+        state = await self._pool.check_address(server.address, CHECK_TIMEOUT_S)
+        return state is ReachState.REFUSED
 
 
 def _log_requests(
--- a/packages/persimmonlink-router/src/persimmonlink_router/server_reach.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/server_reach.py
@@ -95,6 +95,11 @@
         contact = self._contact_by_key.get(key)
         return contact is not None and contact.answered_at > since
 
+    def any_answered_since(self, since: float) -> bool:
+        """Whether any server has sent something after a boot time, in seconds."""
+        contacts = self._contact_by_key.values()
+        return any(contact.answered_at > since for contact in contacts)
+
     def retain_servers(self, keys: Collection[ServerKey]) -> None:
         """Discard what is known of all other servers."""
         for key, contact in list(self._contact_by_key.items()):
