Reserve the ports of links between nodes and servers in tests

The ports come from the reserved range now. Another test still built the coordinators' client without its new argument.

--- a/stand_ins/src/persimmonlink_stand_ins/link.py
+++ b/stand_ins/src/persimmonlink_stand_ins/link.py
@@ -10,7 +10,7 @@
 from persimmonlink_stand_ins.raw_server import HOST, reset_connection
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Callable, Iterable
 
 CHUNK_BYTES = 65536
 # Connections that fill the queue of a listener which accepts none, so that the opening
@@ -33,16 +33,18 @@
     ----------
     target : str
         `IP:PORT` of the server.
+    port : int
+        Port to listen on, which must stay free while the link refuses connections.
     """
 
-    def __init__(self, target: str) -> None:
+    def __init__(self, target: str, port: int) -> None:
         self._target = target
         self._server: asyncio.Server | None = None
         self._blocked: list[socket.socket] = []
         self._writers: set[asyncio.StreamWriter] = set()
         self._may_pass = asyncio.Event()
         self._may_pass.set()
-        self._port = 0
+        self._port = port
 
     @property
     def address(self) -> str:
@@ -52,7 +54,6 @@
     async def start(self) -> None:
         """Start to relay connections."""
         self._server = await asyncio.start_server(self._serve, HOST, self._port)
-        self._port = self._server.sockets[0].getsockname()[1]
 
     async def cut(self, how: Cut) -> None:
         """Cut the link."""
@@ -135,9 +136,16 @@
 
 
 class Links:
-    """The links of some nodes to all servers, opened as they are needed."""
+    """The links of some nodes to all servers, opened as they are needed.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    find_port : callable
+        Returns a free port.
+    """
+
+    def __init__(self, find_port: Callable[[], int]) -> None:
+        self._find_port = find_port
         self._link_by_ends: dict[tuple[int, str], Link] = {}
         self._cut_by_node: dict[int, Cut] = {}
 
@@ -145,7 +153,7 @@
         """Return the link of a node to a server, a new one if there is none."""
         link = self._link_by_ends.get((node, target))
         if link is None:
-            link = Link(target)
+            link = Link(target, self._find_port())
             self._link_by_ends[node, target] = link
             await link.start()
             if node in self._cut_by_node:
@@ -172,6 +180,11 @@
             if node in nodes:
                 await link.mend()
 
+    def list_ports(self) -> list[int]:
+        """Return the ports of all links."""
+        links = self._link_by_ends.values()
+        return [int(link.address.rpartition(":")[2]) for link in links]
+
     async def stop(self) -> None:
         """Close all links."""
         for link in self._link_by_ends.values():
--- a/tests/router/rig.py
+++ b/tests/router/rig.py
@@ -126,7 +126,7 @@
     routers: list[Router]
     settings: list[RouterSettings]
     ids: list[str] = field(default_factory=list)
-    links: Links = field(default_factory=Links)
+    links: Links = field(default_factory=lambda: Links(lambda: find_free_ports(1)[0]))
 
     def count_runs(self, request_id: str) -> int:
         """Return how many runs of a request the servers have recorded."""
@@ -233,6 +233,7 @@
         for router in rig.routers:
             await stop_router(router)
         await rig.links.stop()
+        release_ports(rig.links.list_ports())
         for server in rig.server_by_id.values():
             await server.stop()
         await store.stop()
--- a/tests/router/test_stage_coordinator_client.py
+++ b/tests/router/test_stage_coordinator_client.py
@@ -15,6 +15,7 @@
     PrepareStages,
     ReleaseResults,
 )
+from persimmonlink_router.reach_board import ReachBoard
 from persimmonlink_router.stage_coordinator_client import StageCoordinatorClient
 
 
@@ -44,6 +45,9 @@
     def choose_coordinator(self, excluded) -> str:
         return "peer"
 
+    def list_serving_ids(self) -> list[str]:
+        return ["own", "peer"]
+
     def is_node_alive(self, node_id) -> bool:
         return True
 
@@ -54,8 +58,9 @@
 def test_cancelled_request_releases_its_results_although_the_reply_is_lost():
     async def scenario():
         membership = PeerCoordinatorMembership()
+        board = ReachBoard(lambda: "own", lambda: None)
         task = asyncio.ensure_future(
-            StageCoordinatorClient(membership, None).run(make_job("r1"))
+            StageCoordinatorClient(membership, None, board).run(make_job("r1"))
         )
         messages = membership.coordinator_channel.messages
         await wait_until(lambda: messages)
