--- a/tests/router/test_server_limits.py
+++ b/tests/router/test_server_limits.py
@@ -121,6 +121,29 @@
     run(scenario())
 
 
+@pytest.mark.parametrize("seed", [7, 23])
+@pytest.mark.timeout(60)
+def test_a_limited_server_beside_idle_ones_is_asked_until_it_names_no_limit(seed):
+    async def scenario():
+        async with make_rig(routers=4, servers=3) as rig:
+            await asyncio.sleep(0.5)
+            limited = rig.server_by_id[f"{PLAIN_SERVICE}-0"]
+            limited.rate_limit_per_s = 1.0
+            rng = random.Random(seed)
+            await send_steadily(rig, rng, CONTACT_S, "/look/1", {}, 20.0)
+            limited.received_at.clear()
+            await send_steadily(rig, rng, 8.0, "/look/1", {}, 20.0)
+            most = count_most_in_window(limited.received_at, 0.0)
+            assert len(limited.received_at) >= 4
+            assert most <= BURST_FACTOR * 1.0 * WINDOW_S + SLACK
+            limited.rate_limit_per_s = 0.0
+            await send_steadily(rig, rng, CONTACT_S, "/look/1", {}, 20.0)
+            limits = [router._limiter._limits.count_limited() for router in rig.routers]
+            assert limits == [0, 0, 0, 0]
+
+    run(scenario())
+
+
 @pytest.mark.timeout(60)
 def test_nodes_that_start_and_end_don_t_exceed_the_rate_of_several_servers():
     async def scenario():
