Ask a limited server again once its limit was read long ago

A server that names a limit was ranked behind idle ones as soon as its connections had been closed, got no request, and so could never tell that the limit was gone: 0 requests in 8 s, and limits without end. A server whose limit was read over a second ago, or over the time of one request at its rate, is now chosen first, by one request that its permits allow.

--- a/packages/persimmonlink-router/src/persimmonlink_router/named_limits.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/named_limits.py
@@ -22,6 +22,7 @@
 # A server that names a rate of 0 gets so many requests, as without any no node would
 # learn when it takes some again.
 MIN_RATE_PER_S = 0.1
+MIN_REFRESH_S = 1.0  # Least time between readings for which a server is asked.
 MAX_NOTICES = 128  # Readings that are passed on, the newest.
 
 
@@ -58,6 +59,18 @@
             return None
         return max(limit.rate_per_s, MIN_RATE_PER_S)
 
+    def is_due(self, key: ServerKey, now: float) -> bool:
+        """Whether a server is to be asked again, as its limit was read long ago.
+
+        Servers that are never chosen, beside others without limits, would otherwise
+        keep a limit that they no longer name.
+        """
+        limit = self._limit_by_key.get(key)
+        if limit is None or limit.rate_per_s is None:
+            return False
+        rate_per_s = max(limit.rate_per_s, MIN_RATE_PER_S)
+        return now - limit.read_at > max(MIN_REFRESH_S, 1 / rate_per_s)
+
     def read_age_s(self, key: ServerKey, now: float) -> float:
         """Return the age of what is known of a server's limit, in seconds."""
         limit = self._limit_by_key.get(key)
--- a/packages/persimmonlink-router/src/persimmonlink_router/router.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/router.py
@@ -226,6 +226,7 @@
             self._pool,
             self._health,
             self._cold_limit,
+            self._limiter,
         )
         self._stream_versions = StreamVersions()
         self._version_exchange = StreamVersionExchange(
--- a/packages/persimmonlink-router/src/persimmonlink_router/server_chooser.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/server_chooser.py
@@ -27,6 +27,7 @@
     from persimmonlink_router.request_state import RequestState
     from persimmonlink_router.send_limits import ColdSendLimit
     from persimmonlink_router.server_health import ServerHealth
+    from persimmonlink_router.server_limiter import ServerLimiter
     from persimmonlink_router.servers import Server
 
 PLAIN_RESPONSE_S = 0.04  # Response time of a plain service, by its data sheet.
@@ -68,6 +69,8 @@
         Latency, failures and load of the servers.
     cold_limit : ColdSendLimit
         Limit on sends to cold servers.
+    limiter : ServerLimiter
+        Knows which servers name limits.
     """
 
     def __init__(
@@ -78,6 +81,7 @@
         pool: ConnectionPool,
         health: ServerHealth,
         cold_limit: ColdSendLimit,
+        limiter: ServerLimiter,
     ) -> None:
         self._own_domain = own_domain
         self._cluster_view = cluster_view
@@ -85,6 +89,7 @@
         self._pool = pool
         self._health = health
         self._cold_limit = cold_limit
+        self._limiter = limiter
         self.prompt_cache = PromptCache()
 
     def choose(
@@ -106,6 +111,8 @@
                 rate = service.cold_rate
                 if not self._cold_limit.may_send(server.key, rate, nodes, now):
                     continue
+            if self._limiter.is_reading_due(server):
+                return server
             candidates.append(server)
         if service is not None and service.engine is not None:
             criteria = EngineCriteria(
--- a/packages/persimmonlink-router/src/persimmonlink_router/server_limiter.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/server_limiter.py
@@ -76,6 +76,10 @@
         self._apply_change(server.key, info.rate_limit_per_s, "answer")
         self._membership.facts.spread()
 
+    def is_reading_due(self, server: Server) -> bool:
+        """Whether a server is to get a request, to learn whether it has a limit."""
+        return self._limits.is_due(server.key, boot_time())
+
     async def try_acquire(self, server: Server) -> bool:
         """Return whether a request may be sent now; pause the server if not."""
         rate_per_s = self._limits.find_rate(server.key)
