Show that brittle servers are made to fall

Servers that say that they end over N rejections a second for want of room were overfilled like any other: 4 to 12 falls in 5 s from the contact time on, at six routers and three servers, where the users allow 2; with N = 1 all engines were down for good. Plain, mutating and both kinds of stream fail, with N of 1 and 6; the stages' cases pass, as one node sends to their servers. The stand-in can have slots, a queue and that limit.

--- a/stand_ins/src/persimmonlink_stand_ins/routed_server.py
+++ b/stand_ins/src/persimmonlink_stand_ins/routed_server.py
@@ -146,6 +146,16 @@
         self.fatal_bodies: frozenset[bytes] = frozenset()
         # Requests a second that it says it accepts from all nodes; 0 names none.
         self.rate_limit_per_s = 0.0
+        # Requests that it runs, and that may wait, at once; 0 bounds neither.
+        self.slots = 0
+        self.queue = 0
+        # Rejections a second for want of room at which it ends, which it states as
+        # long as it is over 0.
+        self.brittle_limit = 0
+        self.rejected_at: list[float] = []
+        self._running = 0
+        self._admitted = 0
+        self._has_free_slot = asyncio.Event()
         self.runs: list[Run] = []
         self.pieces: list[dict[str, Any]] = []
         # Pieces with the time of their arrival, also those of calls that failed.
@@ -225,13 +235,43 @@
         if self.faults.endless_bytes:
             await self._send_without_end(request, writer)
             return False
-        if request.target == "/-/stage-run":
-            return await self._run_pieces(request, writer)
         if request.target == "/-/stage-free":
             self.freed_handles += msgspec.json.decode(request.body)["handles"]
             writer.write(encode_response(200, self._state_headers(), b"{}"))
             return True
-        return await self._run(request, writer)
+        if self.slots and self._admitted >= self.slots + self.queue:
+            return await self._reject_for_room(writer)
+        self._admitted += 1
+        try:
+            return await self._run_in_slot(request, writer)
+        finally:
+            self._admitted -= 1
+
+    async def _reject_for_room(self, writer: asyncio.StreamWriter) -> bool:
+        now = time.monotonic()
+        self.rejected_at.append(now)
+        headers = {"Persimmonlink-Not-Executed": "1", **self._state_headers()}
+        writer.write(encode_response(503, headers, b""))
+        recent = [at for at in self.rejected_at if at > now - 1.0]
+        if self.brittle_limit and len(recent) > self.brittle_limit:
+            await self.crash()
+            return False
+        return True
+
+    async def _run_in_slot(
+        self, request: RawRequest, writer: asyncio.StreamWriter
+    ) -> bool:
+        while self.slots and self._running >= self.slots:
+            self._has_free_slot.clear()
+            await self._has_free_slot.wait()
+        self._running += 1
+        try:
+            if request.target == "/-/stage-run":
+                return await self._run_pieces(request, writer)
+            return await self._run(request, writer)
+        finally:
+            self._running -= 1
+            self._has_free_slot.set()
 
     async def _run(self, request: RawRequest, writer: asyncio.StreamWriter) -> bool:
         request_id = request.headers["persimmonlink-request-id"]
@@ -292,6 +332,7 @@
             await self.crash()
             return False
         writer.write("\r\n".join(lines).encode() + b"\r\n\r\n")
+        await asyncio.sleep(self.work_s)
         first_id = int(request.headers.get("last-event-id", "0")) + 1
         if is_fatal:
             await self._crash_in_stream(writer, frame, first_id)
@@ -363,7 +404,7 @@
         items = msgspec.json.decode(request.body)["items"]
         self.batch_sizes.append(len(items))
         self.piece_log += [(time.monotonic(), item) for item in items]
-        await asyncio.sleep(0.02)
+        await asyncio.sleep(max(0.02, self.work_s))
         if self.fatal_bodies & {item.get("key", "").encode() for item in items}:
             await self.crash()
             return False
@@ -385,6 +426,8 @@
             headers["Server-Leaving"] = "1"
         if self.rate_limit_per_s:
             headers["Server-Limit"] = str(self.rate_limit_per_s)
+        if self.brittle_limit:
+            headers["Server-Brittle"] = str(self.brittle_limit)
         return headers
 
 
--- a/tests/router/crashing_servers.py
+++ b/tests/router/crashing_servers.py
@@ -25,6 +25,8 @@
     restart_s: float = 0.4
     work_s: float = 0.03
     version: str = "v1"
+    # Settings of the servers, also of those that start again.
+    settings: dict[str, int] = field(default_factory=dict)
     crashed_at: list[float] = field(default_factory=list)
     _restarts: set[asyncio.Task] = field(default_factory=set)
 
@@ -39,6 +41,8 @@
         server = self.rig.server_by_id[server_id]
         server.fatal_bodies = self.fatal_bodies
         server.work_s = self.work_s
+        for name, value in self.settings.items():
+            setattr(server, name, value)
         server.on_crash = lambda: self._record_crash(server_id)
 
     def list_servers(self) -> list[RoutedServerStandIn]:
@@ -79,7 +83,12 @@
         await asyncio.sleep(self.restart_s)
         next_id = f"{name}+{int(number or 0) + 1}"
         await add_server(
-            self.rig, self.service, next_id, port=port, version=self.version
+            self.rig,
+            self.service,
+            next_id,
+            port=port,
+            version=self.version,
+            slots=self.settings.get("slots", 6),
         )
         self.arm(next_id)
 
