Grant places at brittle servers, for all nodes together

Cause: nothing bounds what all nodes together have in flight at a server; the permits for named rates bound a rate.

A server that has not answered yet is taken to be as the others of its service, since one that has just started again was overfilled before its first answer. What servers say is spread as named limits are, and asked again after a second. Plain, streams and stage calls ask for a place right before they send.

--- a/packages/persimmonlink-router/src/persimmonlink_router/fact_exchange.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/fact_exchange.py
@@ -58,14 +58,20 @@
         suspect_left_s_by_part: dict[str, float] = {}
         limits: list[LimitNotice] = []
         unreached: list[ReachNotice] = []
+        brittle: list[LimitNotice] = []
         for holder in self._holders:
             facts = holder.collect_facts()
             holds += facts.holds
             suspect_left_s_by_part |= facts.suspect_left_s_by_part
             limits += facts.limits
             unreached += facts.unreached
+            brittle += facts.brittle
         return SharedFacts(
-            tuple(holds), suspect_left_s_by_part, tuple(limits), tuple(unreached)
+            tuple(holds),
+            suspect_left_s_by_part,
+            tuple(limits),
+            tuple(unreached),
+            tuple(brittle),
         )
 
     def apply(self, facts: SharedFacts, member: str) -> None:
--- a/packages/persimmonlink-router/src/persimmonlink_router/named_limits.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/named_limits.py
@@ -117,6 +117,14 @@
         ]
         return tuple(notices[-MAX_NOTICES:])
 
+    def list_limited(self) -> list[tuple[ServerKey, float]]:
+        """Return the servers that name a limit, with it."""
+        return [
+            (key, limit.rate_per_s)
+            for key, limit in self._limit_by_key.items()
+            if limit.rate_per_s is not None
+        ]
+
     def count_limited(self) -> int:
         """Return the number of servers that name a limit."""
         limits = self._limit_by_key.values()
--- a/packages/persimmonlink-router/src/persimmonlink_router/peer_messages.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/peer_messages.py
@@ -117,7 +117,7 @@
 
 @dataclass(frozen=True)
 class PermitReply:
-    """Reply to `AskPermit` or `AskTrial`: a permit, or when to ask again.
+    """Reply to `AskPermit`, `AskTrial` or `AskPlace`: a permit, or when to ask again.
 
     Parameters
     ----------
@@ -131,6 +131,47 @@
     wait_s: float
 
 
+@dataclass(frozen=True)
+class AskPlace:
+    """Asks a peer for a place in flight at a server that is brittle.
+
+    Parameters
+    ----------
+    sender : Sender
+        Identity of the asking node.
+    limit : LimitNotice
+        Rejections a second that the server bears, as it has said.
+    slots : int
+        Requests that the server runs at once.
+    lease_s : float
+        Time for which the place is held at most, in seconds.
+    """
+
+    sender: Sender
+    limit: LimitNotice
+    slots: int
+    lease_s: float
+
+
+@dataclass(frozen=True)
+class EndPlace:
+    """Tells a peer that a request which had a place has ended.
+
+    Parameters
+    ----------
+    sender : Sender
+        Node that held the place.
+    server : tuple of str, int and str
+        Id, start time and address of the incarnation.
+    was_rejected : bool
+        Whether the server rejected the request.
+    """
+
+    sender: Sender
+    server: ServerKey
+    was_rejected: bool
+
+
 @dataclass(frozen=True)
 class ReachNotice:
     """What a node says of its way to the servers.
@@ -215,12 +256,15 @@
         Rates that servers have named, and those that they no longer name.
     unreached : tuple of ReachNotice
         Nodes that reach no server of some services, and those that do again.
+    brittle : tuple of LimitNotice
+        Rejections a second that servers bear, which end if they reject more.
     """
 
     holds: tuple[HoldNotice, ...] = ()
     suspect_left_s_by_part: dict[str, float] = field(default_factory=dict)
     limits: tuple[LimitNotice, ...] = ()
     unreached: tuple[ReachNotice, ...] = ()
+    brittle: tuple[LimitNotice, ...] = ()
 
 
 @dataclass(frozen=True)
@@ -396,6 +440,8 @@
 __all__ = (
     "Acknowledgement",
     "AskPermit",
+    "AskPlace",
+    "EndPlace",
     "AskReach",
     "ReachNotice",
     "ReachReply",
--- a/packages/persimmonlink-router/src/persimmonlink_router/router.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/router.py
@@ -25,8 +25,10 @@
 from persimmonlink_router.peer_messages import (
     Acknowledgement,
     AskPermit,
+    AskPlace,
     AskReach,
     AskTrial,
+    EndPlace,
     EngineLoad,
     FindStreamVersion,
     FoundStreamVersion,
@@ -53,6 +55,7 @@
 from persimmonlink_router.server_ends import ServerEndDetector
 from persimmonlink_router.server_health import ServerHealth
 from persimmonlink_router.server_limiter import ServerLimiter
+from persimmonlink_router.server_places import ServerPlaces
 from persimmonlink_router.server_reach import ServerReach
 from persimmonlink_router.server_sender import ServerSender
 from persimmonlink_router.stage_coordinator_client import StageCoordinatorClient
@@ -175,6 +178,10 @@
         self.membership.facts.attach(self._reach_board)
         self._limiter = ServerLimiter(self.membership, self.cluster_view, self.metrics)
         self.membership.facts.attach(self._limiter)
+        self._places = ServerPlaces(
+            self.membership, self.cluster_view, self.metrics, self._reach
+        )
+        self.membership.facts.attach(self._places)
         self._crash_guard = CrashGuard(
             self.membership,
             CrashReporter(self.membership),
@@ -208,6 +215,7 @@
             self._crash_guard,
             end_detector,
             self._reach,
+            self._places,
         )
         self._reach_monitor = ReachMonitor(
             self._reach,
@@ -227,6 +235,7 @@
             self._health,
             self._cold_limit,
             self._limiter,
+            self._places,
         )
         self._stream_versions = StreamVersions()
         self._version_exchange = StreamVersionExchange(
@@ -246,6 +255,7 @@
             self._limiter,
             self.metrics,
             self._reach,
+            self._places,
         )
         self._request_service = RequestService(
             self.cluster_view,
@@ -374,6 +384,8 @@
         relayed = self._request_service.handle_relayed
         peers.register_stream(RelayRequest, RelayPart, relayed)
         peers.register(AskReach, ReachReply, self._end_confirmer.handle_ask)
+        peers.register(AskPlace, PermitReply, self._places.handle_ask)
+        peers.register(EndPlace, Acknowledgement, self._places.handle_end)
         peers.register(AskPermit, PermitReply, self._limiter.handle_ask)
         peers.register(AskTrial, PermitReply, guard.trials.handle_ask)
         peers.register(ShareFacts, SharedFacts, membership.facts.handle_share)
@@ -412,6 +424,7 @@
         self._stream_versions.discard_expired(boot_time())
         self._crash_guard.sweep()
         self._limiter.retain_servers(keys)
+        self._places.retain_servers(keys)
         configuration = self.cluster_view.configuration
         if configuration is not None:
             names = {route.name for route in configuration.routes}
--- a/packages/persimmonlink-router/src/persimmonlink_router/server_chooser.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/server_chooser.py
@@ -28,6 +28,7 @@
     from persimmonlink_router.send_limits import ColdSendLimit
     from persimmonlink_router.server_health import ServerHealth
     from persimmonlink_router.server_limiter import ServerLimiter
+    from persimmonlink_router.server_places import ServerPlaces
     from persimmonlink_router.servers import Server
 
 PLAIN_RESPONSE_S = 0.04  # Response time of a plain service, by its data sheet.
@@ -71,6 +72,8 @@
         Limit on sends to cold servers.
     limiter : ServerLimiter
         Knows which servers name limits.
+    places : ServerPlaces
+        Knows which servers are brittle.
     """
 
     def __init__(
@@ -82,6 +85,7 @@
         health: ServerHealth,
         cold_limit: ColdSendLimit,
         limiter: ServerLimiter,
+        places: ServerPlaces,
     ) -> None:
         self._own_domain = own_domain
         self._cluster_view = cluster_view
@@ -90,6 +94,7 @@
         self._health = health
         self._cold_limit = cold_limit
         self._limiter = limiter
+        self._places = places
         self.prompt_cache = PromptCache()
 
     def choose(
@@ -111,7 +116,8 @@
                 rate = service.cold_rate
                 if not self._cold_limit.may_send(server.key, rate, nodes, now):
                     continue
-            if self._limiter.is_reading_due(server):
+            is_due = self._limiter.is_reading_due(server)
+            if is_due or self._places.is_reading_due(server):
                 return server
             candidates.append(server)
         if service is not None and service.engine is not None:
--- /dev/null
+++ b/packages/persimmonlink-router/src/persimmonlink_router/server_places.py
@@ -0,0 +1,273 @@
+"""Keeps all nodes from overfilling servers that end if they reject too much."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from loguru import logger
+from returns.result import Failure as Err
+
+from persimmonlink_model.rendezvous import choose_owner
+from persimmonlink_router.boot_clock import boot_time
+from persimmonlink_router.named_limits import NamedLimits
+from persimmonlink_router.peer_messages import (
+    Acknowledgement,
+    AskPlace,
+    EndPlace,
+    LimitNotice,
+    PermitReply,
+    SharedFacts,
+)
+from persimmonlink_router.place_counter import RETRY_S, PlaceCounter
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
+
+    from persimmonlink_model.membership import Member
+    from persimmonlink_router.cluster_membership import ClusterMembership
+    from persimmonlink_router.cluster_view import ClusterView
+    from persimmonlink_router.metrics import RouterMetrics
+    from persimmonlink_router.server_reach import ServerReach
+    from persimmonlink_router.servers import Server, ServerKey
+    from persimmonlink_router.wire_messages import ResponseInfo
+
+ASK_TIMEOUT_S = 0.2  # Timeout of a question to the node that grants places.
+END_TIMEOUT_S = 0.5  # Timeout of the message that frees a place.
+# Time after the end of a request by which its place is free if no message frees it.
+PLACE_MARGIN_S = 0.5
+
+
+class Place:
+    """Permission for one request to be in flight at a server.
+
+    Parameters
+    ----------
+    owner : ServerPlaces or None
+        Frees it; None if the server grants its places to anyone.
+    server : Server
+        The server.
+    granter : Member or None
+        Node that granted it; None for this node.
+    """
+
+    def __init__(
+        self, owner: ServerPlaces | None, server: Server, granter: Member | None
+    ) -> None:
+        self._owner = owner
+        self._server = server
+        self._granter = granter
+
+    def end(self, *, was_rejected: bool = False) -> None:
+        """Free the place, once."""
+        if self._owner is None:
+            return
+        self._owner.end_place(self._server, self._granter, was_rejected=was_rejected)
+        self._owner = None
+
+
+class ServerPlaces:
+    """Asks for a place before each request to a server that says it is brittle.
+
+    For each such server one member, the same in the view of all nodes, grants places.
+    A node that can't reach that member keeps to its own fixed share.
+
+    Parameters
+    ----------
+    membership : ClusterMembership
+        Members, and channels to them.
+    cluster_view : ClusterView
+        Records for how long a server is to get no requests.
+    metrics : RouterMetrics
+        Counts places and brittle servers.
+    reach : ServerReach
+        Which servers have answered this node.
+    """
+
+    def __init__(
+        self,
+        membership: ClusterMembership,
+        cluster_view: ClusterView,
+        metrics: RouterMetrics,
+        reach: ServerReach,
+    ) -> None:
+        self._membership = membership
+        self._reach = reach
+        self._cluster_view = cluster_view
+        self._metrics = metrics
+        self._readings = NamedLimits()
+        self._granted = PlaceCounter()
+        self._own_share = PlaceCounter()
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def record_response(self, server: Server, info: ResponseInfo) -> None:
+        """Record what a server's answer says, and pass news on."""
+        if info.is_other_server:
+            return
+        limit = info.max_rejections_per_s
+        if not self._readings.record(server.key, limit, boot_time()):
+            return
+        self._log_change(server.key, limit, "answer")
+        self._membership.facts.spread()
+
+    def find_limit(self, server: Server) -> float | None:
+        """Return the rejections a second over which a server ends, None for any.
+
+        A server that has not answered yet is taken to be as the others of its service.
+        """
+        limit = self._readings.find_rate(server.key)
+        if limit is not None or self._reach.answered_since(server.key, 0.0):
+            return limit
+        limits = [
+            self._readings.find_rate(other.key)
+            for other in self._cluster_view.servers.list_usable(server.service)
+        ]
+        return min((limit for limit in limits if limit is not None), default=None)
+
+    def is_reading_due(self, server: Server) -> bool:
+        """Whether a server is to be asked whether it is still brittle."""
+        return self._readings.is_due(server.key, boot_time())
+
+    async def acquire(self, server: Server, lease_s: float) -> Place | None:
+        """Return a place, or None if there is none; the server is paused then.
+
+        Parameters
+        ----------
+        server : Server
+            The server.
+        lease_s : float
+            Longest time until the request has ended, in seconds.
+        """
+        limit = self.find_limit(server)
+        if limit is None:
+            return Place(None, server, None)
+        is_granted, granter = await self._ask(server, limit, lease_s + PLACE_MARGIN_S)
+        outcome = "granted" if is_granted else "refused"
+        self._metrics.count("server_places_total", f'outcome="{outcome}"')
+        if is_granted:
+            return Place(self, server, granter)
+        self._cluster_view.servers.pause_for_limit(server, boot_time() + RETRY_S)
+        return None
+
+    def end_place(
+        self, server: Server, granter: Member | None, *, was_rejected: bool
+    ) -> None:
+        """Free a place at the node that granted it."""
+        own_id = self._membership.own_member.node_id
+        now = boot_time()
+        if granter is None:
+            self._granted.end(server.key, own_id, now, was_rejected=was_rejected)
+            self._own_share.end(server.key, own_id, now, was_rejected=was_rejected)
+            return
+        message = EndPlace(self._membership.sender, server.key, was_rejected)
+        task = asyncio.get_running_loop().create_task(self._send_end(granter, message))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def handle_ask(self, message: AskPlace) -> PermitReply:
+        """Grant a peer a place, or none."""
+        self._readings.apply_notice(message.limit, boot_time())
+        is_granted = self._grant(
+            message.limit, message.sender.node_id, message.slots, message.lease_s
+        )
+        return PermitReply(is_granted, 0.0 if is_granted else RETRY_S)
+
+    async def handle_end(self, message: EndPlace) -> Acknowledgement:
+        """Free a peer's place."""
+        self._granted.end(
+            message.server,
+            message.sender.node_id,
+            boot_time(),
+            was_rejected=message.was_rejected,
+        )
+        return Acknowledgement()
+
+    def collect_facts(self) -> SharedFacts:
+        """Return what all nodes must know."""
+        return SharedFacts(brittle=self._readings.build_notices(boot_time()))
+
+    def apply_facts(self, facts: SharedFacts, member: str) -> bool:
+        """Apply what a peer knows; return whether any of it is news."""
+        is_news = False
+        for notice in facts.brittle:
+            if self._readings.apply_notice(notice, boot_time()):
+                is_news = True
+                self._log_change(notice.server, notice.rate_per_s, member)
+        return is_news
+
+    def count_brittle(self) -> int:
+        """Return the number of servers that say that they are brittle."""
+        return self._readings.count_limited()
+
+    def describe(self) -> list[dict[str, object]]:
+        """Return the brittle servers, for operators."""
+        now = boot_time()
+        return [
+            {
+                "server": key[0],
+                "max_rejections_per_s": limit,
+                "granted_here": self._granted.find_capacity(key),
+                "held": self._granted.count_held(key, now),
+            }
+            for key, limit in self._readings.list_limited()
+        ]
+
+    def retain_servers(self, keys: Collection[ServerKey]) -> None:
+        """Discard what is known of all other servers."""
+        self._readings.retain(keys, boot_time())
+        self._granted.retain(keys)
+        self._own_share.retain(keys)
+        self._metrics.set_gauge("brittle_servers", self.count_brittle())
+
+    async def _ask(
+        self, server: Server, limit: float, lease_s: float
+    ) -> tuple[bool, Member | None]:
+        own_id = self._membership.own_member.node_id
+        key = server.key
+        now = boot_time()
+        notice = LimitNotice(key, limit, self._readings.read_age_s(key, now))
+        members = self._membership.list_serving_members()
+        member_by_id = {member.node_id: member for member in members}
+        granter_id = choose_owner(
+            "/".join(map(str, key)), list(member_by_id) or [own_id]
+        )
+        if granter_id == own_id:
+            return self._grant(notice, own_id, server.slots, lease_s), None
+        granter = member_by_id[granter_id]
+        message = AskPlace(self._membership.sender, notice, server.slots, lease_s)
+        channel = self._membership.channel(granter.peer_address)
+        reply = await channel.call(message, PermitReply, ASK_TIMEOUT_S)
+        if not isinstance(reply, Err):
+            return reply.unwrap().is_granted, granter
+        share = server.slots // self._membership.count_known_addresses()
+        if not share:
+            return False, None
+        now = boot_time()
+        return self._own_share.ask(key, own_id, share, limit, now, now + lease_s), None
+
+    def _grant(
+        self, notice: LimitNotice, node_id: str, slots: int, lease_s: float
+    ) -> bool:
+        now = boot_time()
+        limit = self._readings.find_rate(notice.server) or notice.rate_per_s or 0.0
+        return self._granted.ask(
+            notice.server, node_id, slots, limit, now, now + lease_s
+        )
+
+    async def _send_end(self, granter: Member, message: EndPlace) -> None:
+        channel = self._membership.channel(granter.peer_address)
+        reply = await channel.call(message, Acknowledgement, END_TIMEOUT_S)
+        if isinstance(reply, Err):
+            # The place is free when its time is over.
+            logger.bind(server=message.server[0], member=granter.node_id).info(
+                "server.place_not_freed"
+            )
+
+    def _log_change(self, key: ServerKey, limit: float | None, source: str) -> None:
+        self._cluster_view.servers.end_limit_pause(key)
+        logger.bind(server=key[0], max_rejections_per_s=limit, source=source).info(
+            "server.brittleness_changed"
+        )
+
+
+__all__ = ("Place", "ServerPlaces")
--- a/packages/persimmonlink-router/src/persimmonlink_router/server_sender.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/server_sender.py
@@ -29,6 +29,7 @@
     estimate_response_s,
 )
 from persimmonlink_router.server_ends import InterruptedRequest
+from persimmonlink_router.server_places import Place
 from persimmonlink_router.servers import Server
 from persimmonlink_router.wire_messages import Dispatch, ResponseInfo
 
@@ -45,6 +46,7 @@
     from persimmonlink_router.server_ends import ServerEndDetector
     from persimmonlink_router.server_health import ServerHealth
     from persimmonlink_router.server_limiter import ServerLimiter
+    from persimmonlink_router.server_places import ServerPlaces
     from persimmonlink_router.server_reach import ServerReach
     from persimmonlink_router.stream_version_exchange import StreamVersionExchange
     from persimmonlink_router.wire_messages import Wire
@@ -80,6 +82,8 @@
         Values parsed from the head.
     sent_at : float
         Boot time at which the request was sent, in seconds.
+    place : Place
+        Permission to be in flight at the server.
     first_event_at : float or None
         Boot time of the first event that was read, in seconds; None before it.
     """
@@ -89,6 +93,7 @@
     head: HttpResponseHead
     info: ResponseInfo
     sent_at: float
+    place: Place
     first_event_at: float | None = None
 
 
@@ -96,6 +101,10 @@
     """A server did not run the request, which may be sent to another server."""
 
 
+class RejectedError(NotRunError):
+    """A server rejected the request."""
+
+
 class UnreachableError(NotRunError):
     """A connection to a server could not be opened."""
 
@@ -135,6 +144,8 @@
         Counts permits.
     reach : ServerReach
         Which servers this node reaches.
+    places : ServerPlaces
+        Keeps brittle servers from rejecting.
     """
 
     def __init__(
@@ -152,6 +163,7 @@
         limiter: ServerLimiter,
         metrics: RouterMetrics,
         reach: ServerReach,
+        places: ServerPlaces,
     ) -> None:
         self._chooser = chooser
         self._cluster_view = cluster_view
@@ -166,6 +178,7 @@
         self._limiter = limiter
         self._metrics = metrics
         self._reach = reach
+        self._places = places
         self.body_budget = ByteBudget(MAX_BUFFERED_BYTES)
 
     async def send(
@@ -339,6 +352,7 @@
             response.head.framing, response.connection.state_text, is_complete
         )
         self._health.record_ended(key)
+        response.place.end()
         if is_complete:
             self._pool.release(key, response.connection)
         else:
@@ -467,11 +481,12 @@
             raise RequestRefusedError(
                 "the retry budget is exhausted", NO_SERVER_RETRY_AFTER_S
             )
-        connection = await self._connect(server, state)
+        connection, place = await self._connect(server, state)
         try:
             self._require_not_held_from(state, server)
         except RequestHeldError:
             self._pool.release(server.key, connection)
+            place.end()
             raise
         now = boot_time()
         dispatch = Dispatch(
@@ -497,11 +512,15 @@
             server.key, state.metadata.prompt_parts
         )
         is_open = False
+        was_rejected = False
         try:
             head, info = await self._send_and_read_head(
                 connection, state, dispatch, now, head_timeout_s
             )
             is_open = True
+        except RejectedError:
+            was_rejected = True
+            raise
         finally:
             self._health.end_response_wait(server.key, now)
             self._reach.record_done(server.key, now)
@@ -512,14 +531,15 @@
                     server.key, state.metadata.prompt_tokens
                 )
                 self._health.record_ended(server.key)
+                place.end(was_rejected=was_rejected)
         state.runs += 1
         state.may_have_run = True
-        return OpenResponse(server, connection, head, info, now)
+        return OpenResponse(server, connection, head, info, now, place)
 
     async def _connect(
         self, server: Server, state: RequestState
-    ) -> HttpClientConnection:
-        """Return a connection after checking that the server may still receive work.
+    ) -> tuple[HttpClientConnection, Place]:
+        """Return a connection and a place, if the server may still receive work.
 
         Raises `NotRunError` if it cannot be reached or may not receive the request.
         """
@@ -535,14 +555,19 @@
         if not await self._limiter.try_acquire(server):
             self._pool.release(server.key, connection)
             raise LimitReachedError("the rate that the server names is reached")
+        place = await self._places.acquire(server, max(0.0, state.time_left_s))
+        if place is None:
+            self._pool.release(server.key, connection)
+            raise LimitReachedError("the server is as busy as it bears")
         if not self._cluster_view.may_send(server) or state.time_left_s <= 0:
             reason = "the server is no longer usable or the request has timed out"
         elif not self._chooser.try_acquire_cold_send(server, state, boot_time()):
             reason = "the send limit of the cold server is reached"
         if reason:
             self._pool.release(server.key, connection)
+            place.end()
             raise NotRunError(reason)
-        return connection
+        return connection, place
 
     async def _send_and_read_head(
         self,
@@ -578,7 +603,7 @@
             raise RequestFailedError(f"{server.server_id}: {error}") from error
         if info.was_not_run or info.is_other_server:
             await self._drain_rejection(connection, server)
-            raise NotRunError(f"rejected with status {head.status}")
+            raise RejectedError(f"rejected with status {head.status}")
         return head, info
 
     async def _drain_rejection(
@@ -610,6 +635,7 @@
                 info = self._wire.parse_response_head(head)
                 self._cluster_view.apply_response(server, info)
                 self._limiter.record_response(server, info)
+                self._places.record_response(server, info)
                 is_unexpected = info.request_id not in ("", state.metadata.request_id)
                 if not is_unexpected:
                     return head, info
--- a/packages/persimmonlink-router/src/persimmonlink_router/stage_calls.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stage_calls.py
@@ -17,6 +17,7 @@
     from persimmonlink_router.cluster_view import ClusterView
     from persimmonlink_router.connection_pool import ConnectionPool
     from persimmonlink_router.server_limiter import ServerLimiter
+    from persimmonlink_router.server_places import ServerPlaces
     from persimmonlink_router.server_reach import ServerReach
     from persimmonlink_router.servers import Server
     from persimmonlink_router.stage_job import StageResult
@@ -46,6 +47,8 @@
         Keeps to the rates that servers name.
     reach : ServerReach
         Which servers this node reaches.
+    places : ServerPlaces
+        Keeps brittle servers from rejecting.
     """
 
     def __init__(
@@ -56,6 +59,7 @@
         servers: StageServers,
         limiter: ServerLimiter,
         reach: ServerReach,
+        places: ServerPlaces,
     ) -> None:
         self._cluster_view = cluster_view
         self._pool = pool
@@ -63,6 +67,7 @@
         self._servers = servers
         self._limiter = limiter
         self._reach = reach
+        self._places = places
         self._tasks: set[asyncio.Task[None]] = set()
         self._pending_releases_by_key: dict[Hashable, list[StageResult]] = {}
 
@@ -86,8 +91,23 @@
         """
         if not await self._limiter.try_acquire(server):
             return None
+        place = await self._places.acquire(server, timeout_s)
+        if place is None:
+            return None
         if not self._cluster_view.may_send(server):
+            place.end()
             return None
+        was_rejected = False
+        try:
+            results = await self._send_batch(server, pieces, timeout_s)
+            was_rejected = results is None
+        finally:
+            place.end(was_rejected=was_rejected)
+        return results
+
+    async def _send_batch(
+        self, server: Server, pieces: Sequence[Piece], timeout_s: float
+    ) -> Sequence[PieceResult] | None:
         call = self._wire.build_batch_request(server, pieces)
         sent_at = boot_time()
         self._reach.record_sent(server.key, sent_at)
@@ -102,6 +122,7 @@
         info = self._wire.parse_response_head(head)
         self._cluster_view.apply_response(server, info)
         self._limiter.record_response(server, info)
+        self._places.record_response(server, info)
         if info.was_not_run or info.is_other_server:
             return None
         if head.status != 200:
--- a/packages/persimmonlink-router/src/persimmonlink_router/stage_scheduler.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stage_scheduler.py
@@ -40,6 +40,7 @@
     from persimmonlink_router.server_ends import ServerEndDetector
     from persimmonlink_router.server_health import ServerHealth
     from persimmonlink_router.server_limiter import ServerLimiter
+    from persimmonlink_router.server_places import ServerPlaces
     from persimmonlink_router.server_reach import ServerReach
     from persimmonlink_router.stage_dispatcher import BatchOutcome
     from persimmonlink_router.stage_job import StageJob
@@ -110,6 +111,8 @@
         Finds out which servers ended while they ran batches.
     reach : ServerReach
         Which servers this node reaches.
+    places : ServerPlaces
+        Keeps brittle servers from rejecting.
     """
 
     def __init__(
@@ -124,13 +127,16 @@
         crash_guard: CrashGuard,
         end_detector: ServerEndDetector,
         reach: ServerReach,
+        places: ServerPlaces,
     ) -> None:
         self._cluster_view = cluster_view
         self._metrics = metrics
         self._crash_guard = crash_guard
         self._budget = budget
         self.servers = StageServers(cluster_view, health)
-        self._calls = StageCalls(cluster_view, pool, wire, self.servers, limiter, reach)
+        self._calls = StageCalls(
+            cluster_view, pool, wire, self.servers, limiter, reach, places
+        )
         self.dispatcher = StageDispatcher(
             cluster_view,
             self.servers,
--- a/packages/persimmonlink-router/src/persimmonlink_router/wire_messages.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/wire_messages.py
@@ -124,6 +124,9 @@
     rate_limit_per_s : float or None
         Requests a second that the server accepts from all nodes together; None if it
         names no limit.
+    max_rejections_per_s : float or None
+        Rejections a second for want of room over which the server ends; None if it
+        names none.
     """
 
     request_id: str
@@ -134,6 +137,7 @@
     is_server_leaving: bool = False
     pause_s: float = 0.0
     rate_limit_per_s: float | None = None
+    max_rejections_per_s: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
