Close connections whose other end is cut off before the bound

A stream that was under way when its node was cut off by hanging went silent: nothing was sent on its connection, so no timeout of TCP ended it, and with bytes under way it took 4 s, more than the 3 s from which a cut counts. The client only saw silence. Connections to servers and the store now have keep-alive probes and a user timeout of 2.5 s, longer than a sound server falls silent; both are set in one place, socket_options.py. http_client.py set the user timeout before and nothing set probes; asyncio sets TCP_NODELAY only, grpclib nothing (its channels between nodes have pings of their own: 2 s, 1 s).

--- a/packages/persimmonlink-router/src/persimmonlink_router/http_client.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/http_client.py
@@ -3,19 +3,17 @@
 from __future__ import annotations
 
 import asyncio
-import socket
 from typing import Any
 
 import h11
 
 from persimmonlink_router.http_messages import Headers, HttpResponseHead
+from persimmonlink_router.socket_options import bound_silence
 
 READ_PAUSE_BYTES = 262144  # Unread bytes at which reading is paused.
 MAX_HEAD_BYTES = 65536  # Largest response head.
 SMALL_BODY_BYTES = 65536  # Part of a body that takes nothing from a budget.
 MAX_INFORMATIONAL_RESPONSES = 8  # Most interim responses before the final one.
-# A connection is closed if sent bytes stay unacknowledged for this time.
-USER_TIMEOUT_MS = 4000
 NEED_DATA: Any = h11.NEED_DATA
 
 
@@ -86,14 +84,13 @@
             raise ConnectError(f"{self.address}: {error!r}") from error
 
     def connection_made(self, transport: Any) -> None:
-        """Disable Nagle's algorithm and limit the time without acknowledgements."""
+        """Set the socket options of all connections to servers and the store."""
         self._transport = transport
         self._is_open = True
         sock = transport.get_extra_info("socket")
         if sock is None:
             return
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+        bound_silence(sock)
 
     def data_received(self, data: bytes) -> None:
         """Receive response bytes; bytes outside an exchange close the connection."""
--- /dev/null
+++ b/packages/persimmonlink-router/src/persimmonlink_router/socket_options.py
@@ -0,0 +1,26 @@
+"""Options of TCP sockets that find out when the other end is gone."""
+
+from __future__ import annotations
+
+import socket
+
+# Time after which a connection without acknowledgements is closed. It is longer than a
+# sound server falls silent, and shorter than nodes may take to notice a cut. Where it is
+# set it also decides when keep-alive probes give up, whatever their count.
+USER_TIMEOUT_MS = 2500
+KEEPALIVE_IDLE_S = 1  # Time without traffic after which probes are sent.
+KEEPALIVE_INTERVAL_S = 1  # Interval of the probes.
+KEEPALIVE_COUNT = 2  # Probes after which a connection is closed.
+
+
+def bound_silence(sock: socket.socket) -> None:
+    """Close a connection whose other end acknowledges nothing, also without traffic."""
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_COUNT)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+
+
+__all__ = ("USER_TIMEOUT_MS", "bound_silence")
