Don't take falls by rejections for ends under a request

A brittle server that falls over because it rejected too much takes what ran on it along, which has nothing to do with that. Three such falls in a row held back whatever ran there each time. A node that was rejected by a brittle server less than 1.5 s before its end no longer reports that end. The test has both sides: the same three ends without rejections do hold the request back.

--- a/packages/persimmonlink-router/src/persimmonlink_router/router.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/router.py
@@ -78,6 +78,8 @@
     from persimmonlink_router.http_messages import Headers
     from persimmonlink_router.http_server import Exchange
     from persimmonlink_router.router_settings import RouterSettings
+    from persimmonlink_router.server_ends import InterruptedRequest
+    from persimmonlink_router.servers import Server
     from persimmonlink_router.store import StoredItem
 
 OWN_PREFIX = "persimmonlink/"  # Prefix of all keys that routers write.
@@ -199,7 +201,7 @@
             self._rng,
         )
         end_detector = ServerEndDetector(
-            self._crash_guard.record_server_end,
+            self._record_server_end,
             self._pool,
             self._end_confirmer,
             self.metrics,
@@ -430,6 +432,16 @@
             names = {route.name for route in configuration.routes}
             self._request_service.retain_routes(names)
 
+    def _record_server_end(
+        self, server: Server, requests: Sequence[InterruptedRequest]
+    ) -> None:
+        """Take the end of a server for evidence, unless rejections explain it."""
+        ended_at = requests[0].interrupted_at
+        if self._places.explains_end(server, ended_at):
+            logger.bind(server=server.server_id).info("server.ended_by_rejections")
+            return
+        self._crash_guard.record_server_end(server, requests)
+
     def _on_reach_change(self) -> None:
         """Tell the other nodes which services this node doesn't reach."""
         unreached = self._reach.unreached_services
--- a/packages/persimmonlink-router/src/persimmonlink_router/server_places.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/server_places.py
@@ -36,6 +36,8 @@
 END_TIMEOUT_S = 0.5  # Timeout of the message that frees a place.
 # Time after the end of a request by which its place is free if no message frees it.
 PLACE_MARGIN_S = 0.5
+# A brittle server that ends so soon after a rejection has ended of that.
+END_WINDOW_S = 1.5
 
 
 class Place:
@@ -98,8 +100,14 @@
         self._readings = NamedLimits()
         self._granted = PlaceCounter()
         self._own_share = PlaceCounter()
+        self._rejected_at_by_key: dict[ServerKey, float] = {}
         self._tasks: set[asyncio.Task[None]] = set()
 
+    def explains_end(self, server: Server, ended_at: float) -> bool:
+        """Whether a brittle server ended as it had just rejected requests."""
+        rejected_at = self._rejected_at_by_key.get(server.key)
+        return rejected_at is not None and ended_at - rejected_at < END_WINDOW_S
+
     def record_response(self, server: Server, info: ResponseInfo) -> None:
         """Record what a server's answer says, and pass news on."""
         if info.is_other_server:
@@ -155,6 +163,8 @@
         """Free a place at the node that granted it."""
         own_id = self._membership.own_member.node_id
         now = boot_time()
+        if was_rejected:
+            self._rejected_at_by_key[server.key] = now
         if granter is None:
             self._granted.end(server.key, own_id, now, was_rejected=was_rejected)
             self._own_share.end(server.key, own_id, now, was_rejected=was_rejected)
@@ -217,6 +227,8 @@
         self._readings.retain(keys, boot_time())
         self._granted.retain(keys)
         self._own_share.retain(keys)
+        for key in set(self._rejected_at_by_key) - set(keys):
+            del self._rejected_at_by_key[key]
         self._metrics.set_gauge("brittle_servers", self.count_brittle())
 
     async def _ask(
--- a/packages/persimmonlink-router/src/persimmonlink_router/socket_options.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/socket_options.py
@@ -5,8 +5,8 @@
 import socket
 
 # Time after which a connection without acknowledgements is closed. It is longer than a
-# sound server falls silent, and shorter than nodes may take to notice a cut. Where it is
-# set it also decides when keep-alive probes give up, whatever their count.
+# sound server falls silent, and shorter than nodes may take to notice a cut. Where it
+# is set it also decides when keep-alive probes give up, whatever their count.
 USER_TIMEOUT_MS = 2500
 KEEPALIVE_IDLE_S = 1  # Time without traffic after which probes are sent.
 KEEPALIVE_INTERVAL_S = 1  # Interval of the probes.
--- a/tests/router/test_brittle_servers.py
+++ b/tests/router/test_brittle_servers.py
@@ -106,6 +106,29 @@
     run(scenario())
 
 
+@pytest.mark.parametrize("has_rejected", [True, False])
+@pytest.mark.timeout(60)
+def test_servers_that_fall_by_rejections_accuse_no_request(has_rejected):
+    async def scenario():
+        async with make_rig(routers=1, servers=SERVER_COUNT) as rig:
+            servers = CrashingServers(rig, PLAIN_SERVICE, frozenset(), work_s=WORK_S)
+            servers.arm_all()
+            router = rig.routers[0]
+            for number in range(3):
+                waiting = asyncio.ensure_future(rig.send_request("/book/1", body=b"x"))
+                await asyncio.sleep(WORK_S / 2)
+                busy = next(s for s in servers.list_live() if s._running)
+                known = router.cluster_view.servers.server_by_id[busy.server_id]
+                if has_rejected:
+                    router._places.end_place(known, None, was_rejected=True)
+                await busy.crash()
+                assert (await waiting).status in (502, 503), number
+                await asyncio.sleep(1.0)
+            assert bool(len(router._crash_guard.holds)) is not has_rejected
+
+    run(scenario())
+
+
 @pytest.mark.timeout(60)
 def test_traffic_comes_back_to_servers_that_are_no_longer_brittle():
     async def scenario():
