Show operators what is held, not reached and brittle

GET /holds lists whole requests with account, path and the software that ended under them; GET /reach the services that a node and its peers don't reach and the requests that peers serve for it; GET /brittle the brittle servers with the places that they are granted. Before, only log lines told so.

--- a/packages/persimmonlink-router/src/persimmonlink_router/operator_api.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/operator_api.py
@@ -1,4 +1,4 @@
-"""HTTP interface of operators: metrics, and the prompts that are held back."""
+"""HTTP interface of operators: metrics, held requests, reach and brittle servers."""
 
 from __future__ import annotations
 
@@ -16,6 +16,8 @@
     from persimmonlink_router.http_server import Exchange
 
 HOLDS_PATH = "/holds"
+REACH_PATH = "/reach"
+BRITTLE_PATH = "/brittle"
 
 
 class OperatorApi:
@@ -26,21 +28,35 @@
     render_metrics : callable
         Returns the metrics as text.
     crash_guard : CrashGuard
-        Knows which prompts are held back.
+        Knows which requests are held back.
+    describe_reach : callable
+        Returns which services this node and its peers do not reach.
+    describe_brittle : callable
+        Returns the servers that end if they reject too much.
     """
 
     def __init__(
-        self, render_metrics: Callable[[], str], crash_guard: CrashGuard
+        self,
+        render_metrics: Callable[[], str],
+        crash_guard: CrashGuard,
+        describe_reach: Callable[[], object],
+        describe_brittle: Callable[[], object],
     ) -> None:
         self._render_metrics = render_metrics
         self._crash_guard = crash_guard
+        self._describe_by_path = {
+            HOLDS_PATH: self._describe_holds,
+            REACH_PATH: describe_reach,
+            BRITTLE_PATH: describe_brittle,
+        }
 
     async def handle(self, exchange: Exchange) -> None:
         """Respond to one request."""
         request = exchange.request
         path = request.path
-        if request.method == b"GET" and path == HOLDS_PATH:
-            await self._respond_json(exchange, self._describe_holds())
+        describe = self._describe_by_path.get(path)
+        if request.method == b"GET" and describe is not None:
+            await self._respond_json(exchange, describe())
             return
         if request.method == b"DELETE" and path.startswith(f"{HOLDS_PATH}/"):
             await self._release(exchange, unquote(path.removeprefix(f"{HOLDS_PATH}/")))
@@ -54,6 +70,9 @@
             {
                 "parts": sorted(hold.cause_ids),
                 "state": "released" if hold.is_released else "held",
+                "account": hold.origin.account,
+                "path": hold.origin.path,
+                "software": sorted(hold.software),
                 "server_ends": hold.server_ends,
                 "decided_by": hold.decided_by,
                 "age_s": round(now - hold.decided_at, 1),
--- a/packages/persimmonlink-router/src/persimmonlink_router/request_forwarder.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/request_forwarder.py
@@ -64,6 +64,10 @@
         self._rng = rng
         self._in_flight_by_node: Counter[str] = Counter()
 
+    def count_by_node(self) -> dict[str, int]:
+        """Return the requests that peers are serving for this node."""
+        return dict(self._in_flight_by_node)
+
     async def forward(self, state: RequestState) -> None:
         """Have a peer serve a request, and pass its response on.
 
--- a/packages/persimmonlink-router/src/persimmonlink_router/router.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/router.py
@@ -259,6 +259,13 @@
             self._reach,
             self._places,
         )
+        self._forwarder = RequestForwarder(
+            self.membership,
+            self._reach_board,
+            self.cluster_view,
+            self.metrics,
+            self._rng,
+        )
         self._request_service = RequestService(
             self.cluster_view,
             adapters.wire,
@@ -266,13 +273,7 @@
             self._coordinator_client,
             self.metrics,
             self._rng,
-            RequestForwarder(
-                self.membership,
-                self._reach_board,
-                self.cluster_view,
-                self.metrics,
-                self._rng,
-            ),
+            self._forwarder,
             lambda: self._is_stopping,
         )
         self._follower = StoreFollower(
@@ -291,7 +292,12 @@
         self._client_server = HttpServer(
             self._request_service.handle, self._client_limits
         )
-        operator_api = OperatorApi(self._render_metrics, self._crash_guard)
+        operator_api = OperatorApi(
+            self._render_metrics,
+            self._crash_guard,
+            self._describe_reach,
+            self._places.describe,
+        )
         self._auxiliary_servers = [
             (
                 settings.listen.readiness,
@@ -508,6 +514,17 @@
         )
         await exchange.respond(200, headers, body)
 
+    def _describe_reach(self) -> dict[str, object]:
+        """Return the services that this node and its peers don't reach."""
+        return {
+            "unreached": self._reach_monitor.describe(),
+            "relays_to": self._forwarder.count_by_node(),
+            "peers": {
+                member.node_id: sorted(self._reach_board.list_lacking(member.node_id))
+                for member in self.membership.list_serving_members()
+            },
+        }
+
     def _list_directory_members(self) -> list[Member]:
         """Return the members that clients are told of.
 
--- a/tests/router/test_operator_api.py
+++ b/tests/router/test_operator_api.py
@@ -8,6 +8,7 @@
 from tests.router.rig import (
     STREAM,
     add_router,
+    connect_by_links,
     make_rig,
     restart_router,
     run,
@@ -17,8 +18,11 @@
 )
 
 from persimmonlink_router.boot_clock import boot_time
+from persimmonlink_router.crash_evidence import RequestOrigin
 from persimmonlink_router.holds import MIN_DECISION_GAP_S, Hold
+from persimmonlink_stand_ins.link import Cut
 
+REQUEST = "request:00ff"
 HELD_S = 60.0  # Time for which the tests hold a part back.
 PROMPT = {**STREAM, "Persimmonlink_Prompt_Prefix": "aa:60,bad:20,own:20"}
 
@@ -62,6 +66,50 @@
     run(scenario())
 
 
+def test_a_held_request_is_listed_with_its_account_path_and_software():
+    async def scenario():
+        async with make_rig(routers=2) as rig:
+            guard = rig.routers[0]._crash_guard
+            now = boot_time()
+            hold = Hold(
+                frozenset([REQUEST]),
+                guard._node_id,
+                now,
+                now + HELD_S,
+                3,
+                software=frozenset(["desk/v1"]),
+                origin=RequestOrigin("acme", "/look/1"),
+            )
+            guard._decide(hold, ())
+            await wait_until(lambda: len(rig.routers[1]._crash_guard.holds))
+            listed = json.loads((await call(rig, 1, "GET", "/holds")).body)[0]
+            assert listed["parts"] == [REQUEST]
+            assert (listed["account"], listed["path"]) == ("acme", "/look/1")
+            assert listed["software"] == ["desk/v1"]
+            assert (await call(rig, 1, "DELETE", f"/holds/{REQUEST}")).status == 200
+
+    run(scenario())
+
+
+def test_a_node_without_a_way_to_the_servers_is_listed_at_all_nodes():
+    async def scenario():
+        async with make_rig(routers=2) as rig:
+            await asyncio.sleep(0.5)
+            connect_by_links(rig, 0)
+            await rig.links.cut([0], Cut.RESET)
+            assert (await rig.send_request("/look/1", "GET")).status == 200
+            own_id = rig.routers[0].membership.own_member.node_id
+            board = rig.routers[1]._reach_board
+            await wait_until(lambda: "desk" in board.list_lacking(own_id))
+            own = json.loads((await call(rig, 0, "GET", "/reach")).body)
+            assert "desk" in [entry["service"] for entry in own["unreached"]]
+            peer = json.loads((await call(rig, 1, "GET", "/reach")).body)
+            assert "desk" in peer["peers"][own_id]
+            assert json.loads((await call(rig, 1, "GET", "/brittle")).body) == []
+
+    run(scenario())
+
+
 def test_a_router_that_starts_learns_of_held_prompts_from_its_peers():
     async def scenario():
         async with make_rig(routers=2) as rig:
