--- a/stand_ins/src/persimmonlink_stand_ins/routed_server.py
+++ b/stand_ins/src/persimmonlink_stand_ins/routed_server.py
@@ -153,6 +153,9 @@
         # long as it is over 0.
         self.brittle_limit = 0
         self.rejected_at: list[float] = []
+        self.fell_at: list[float] = []
+        # Time until which it neither reads nor sends anything.
+        self.silent_until = 0.0
         self._running = 0
         self._admitted = 0
         self._has_free_slot = asyncio.Event()
@@ -220,6 +223,7 @@
         return {**entry, **changes}
 
     async def _handle(self, request: RawRequest, writer: asyncio.StreamWriter) -> bool:
+        await self._wait_while_silent()
         self.received_count += 1
         self.received_at.append(time.monotonic())
         expected = request.headers.get("persimmonlink-expect-instance")
@@ -247,6 +251,9 @@
         finally:
             self._admitted -= 1
 
+    async def _wait_while_silent(self) -> None:
+        await asyncio.sleep(max(0.0, self.silent_until - time.monotonic()))
+
     async def _reject_for_room(self, writer: asyncio.StreamWriter) -> bool:
         now = time.monotonic()
         self.rejected_at.append(now)
@@ -254,6 +261,7 @@
         writer.write(encode_response(503, headers, b""))
         recent = [at for at in self.rejected_at if at > now - 1.0]
         if self.brittle_limit and len(recent) > self.brittle_limit:
+            self.fell_at.append(now)
             await self.crash()
             return False
         return True
@@ -349,6 +357,7 @@
                 if not self.faults.closes_cut_streams_in_order:
                     reset_connection(writer)
                 return False
+            await self._wait_while_silent()
             writer.write(frame(event))
             await writer.drain()
             await asyncio.sleep(EVENT_INTERVAL_S)
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -8,7 +8,12 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from tests.router.rig import STREAM_SERVICE, make_configuration
+from tests.router.rig import (
+    PLAIN_SERVICE,
+    STAGE_SERVICE,
+    STREAM_SERVICE,
+    make_configuration,
+)
 
 from persimmonlink_stand_ins.metadata_store import StoreFaults
 from persimmonlink_stand_ins.routed_server import CrashPoint, ServerFaults
@@ -19,6 +24,8 @@
 
     from tests.router.process_rig import ProcessRig
 
+    from persimmonlink_stand_ins.routed_server import RoutedServerStandIn
+
 SERVER_FAULTS = (
     "rejects_requests",
     "withholds_responses",
@@ -27,10 +34,20 @@
     "duplicates_responses",
     "omits_length",
 )
+FALL_S = 0.1  # Time in which a server that falls by rejections tells so.
 RESTART_S = 0.5  # Time until a server that has ended starts again.
 PLAIN_ONLY_FAULTS = frozenset(("duplicates_responses", "omits_length", "responds_500"))
 
 
+@dataclass(frozen=True)
+class BrittleTime:
+    """A time in which the servers of a service said that they were brittle."""
+
+    service: str
+    named_at: float
+    ended_at: float
+
+
 @dataclass(frozen=True)
 class NamedLimit:
     """A limit that a server named for a time, in requests a second."""
@@ -79,6 +96,7 @@
         self._restarts: set[asyncio.Task[None]] = set()
         self.named_limits: list[NamedLimit] = []
         self.crashed_at: list[float] = []
+        self.brittle_times: list[BrittleTime] = []
         # Times at which each router was last stopped, started or paused.
         self._disturbed_at_by_index: dict[int, list[float]] = {}
 
@@ -129,6 +147,60 @@
             NamedLimit(server_id, rate_per_s, named_at, time.monotonic())
         )
 
+    async def inject_load_fault(self) -> None:
+        """Let the servers of a service be brittle, or one be silent, for a time."""
+        rng = self._trouble_rng
+        injection = rng.choice((self._make_brittle, self._silence_server))
+        self.injected_faults.append(injection.__name__)
+        await injection()
+
+    async def _make_brittle(self) -> None:
+        rng = self._trouble_rng
+        service = rng.choice((PLAIN_SERVICE, STREAM_SERVICE, STAGE_SERVICE))
+        if any(server.brittle_limit for server in self._list_servers(service)):
+            return
+        limit = rng.choice((1, 2, 5))
+        named_at = time.monotonic()
+        for server in self._list_servers(service):
+            server.slots = 1 if service == STAGE_SERVICE else 6
+            server.queue = 3
+            server.brittle_limit = limit
+        await asyncio.sleep(3.0)
+        for server in self._list_servers(service):
+            server.queue = 0
+        await asyncio.sleep(rng.uniform(1.0, 8.0))
+        ended_at = time.monotonic()
+        for server in self._list_servers(service):
+            server.slots = 0
+            server.brittle_limit = 0
+        self.brittle_times.append(BrittleTime(service, named_at, ended_at))
+
+    async def _silence_server(self) -> None:
+        rng = self._trouble_rng
+        server = self._rig.server_by_id[rng.choice(sorted(self._rig.server_by_id))]
+        server.silent_until = time.monotonic() + rng.uniform(0.6, 1.3)
+        await asyncio.sleep(rng.uniform(0.5, 3.0))
+
+    def _list_servers(self, service: str) -> list[RoutedServerStandIn]:
+        return [
+            server
+            for server_id, server in self._rig.server_by_id.items()
+            if server_id.startswith(service)
+        ]
+
+    def arm_plain_servers(self, body: bytes) -> None:
+        """Let all plain servers end under a request, and start again after a time."""
+        for server_id, server in self._rig.server_by_id.items():
+            if not server_id.startswith(PLAIN_SERVICE):
+                continue
+            server.fatal_bodies = frozenset((body,))
+            server.on_crash = lambda name=server_id: self._restart_later(name)
+
+    def _restart_later(self, server_id: str) -> None:
+        task = asyncio.ensure_future(self._restart_server(server_id))
+        self._restarts.add(task)
+        task.add_done_callback(self._restarts.discard)
+
     def arm_engines(self, part_id: str) -> None:
         """Let all engines end on a part of a prompt, and start again after a time."""
         for server_id, server in self._rig.server_by_id.items():
@@ -147,10 +219,10 @@
         self._disturbed_at_by_index.setdefault(index, []).append(time.monotonic())
 
     def _record_crash(self, server_id: str) -> None:
-        self.crashed_at.append(time.monotonic())
-        task = asyncio.ensure_future(self._restart_server(server_id))
-        self._restarts.add(task)
-        task.add_done_callback(self._restarts.discard)
+        server = self._rig.server_by_id[server_id]
+        if not server.fell_at or time.monotonic() - server.fell_at[-1] > FALL_S:
+            self.crashed_at.append(time.monotonic())
+        self._restart_later(server_id)
 
     async def _restart_server(self, server_id: str) -> None:
         self._rig.store.delete(f"servers/{server_id}")
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -17,7 +17,13 @@
 
 import pytest
 from tests.router.process_rig import run_process_rig
-from tests.router.rig import STAGED, STREAM, STREAM_SERVICE, add_server
+from tests.router.rig import (
+    PLAIN_SERVICE,
+    STAGED,
+    STREAM,
+    STREAM_SERVICE,
+    add_server,
+)
 from tests.soak.faults import FaultInjector
 
 SEEDS = (1, 2)
@@ -43,6 +49,10 @@
 STREAM_PREFIXES = ("/claim/", "/list/", "/chain/")
 FATAL_PREFIXES = ("/claim/", "/list/")
 FATAL_PART_ID = "fa7a1"  # Part of prompts on which engines end.
+# A whole request on which plain servers end, and its path.
+FATAL_BODY = b"ends plain servers"
+FATAL_PATH = "/look/1"
+ENDS_BEFORE_REQUEST_BOUND = 3
 FATAL_SHARE = 0.08  # Share of the requests for streams with that part.
 # The users' bounds for such requests, for sound ones, and for limits of servers.
 CONTACT_S = 3.0
@@ -75,6 +85,7 @@
         trouble_rng = random.Random(-2 - 2 * seed)
         injector = FaultInjector(rig, rng, folder, protocol_rng, trouble_rng)
         injector.arm_engines(FATAL_PART_ID)
+        injector.arm_plain_servers(FATAL_BODY)
         injector_tasks = [
             asyncio.ensure_future(inject_faults(injector.inject, rng)) for _ in range(2)
         ]
@@ -86,13 +97,20 @@
         injector_tasks.append(
             asyncio.ensure_future(inject_faults(injector.inject_limit, trouble_rng))
         )
+        injector_tasks.append(
+            asyncio.ensure_future(
+                inject_faults(injector.inject_load_fault, trouble_rng)
+            )
+        )
         sent = await send_requests(rig, rng, trouble_rng)
         await asyncio.gather(*injector_tasks)
         responses = await asyncio.gather(*(request.task for request in sent))
         context = f"seed {seed}: {Counter(injector.injected_faults)}"
         check_responses(rig, sent, responses, context)
         check_fatal_prompts(rig, injector, sent, responses, context)
+        check_fatal_requests(rig, injector, sent, context)
         check_named_limits(rig, injector, sent, context)
+        check_brittle_times(rig, injector, context)
         # All routers must recover soon after the last fault.
         for index in range(ROUTER_COUNT):
             await rig.wait_until_ready(index)
@@ -133,8 +151,12 @@
         if is_fatal:
             prompt = f"aa:30,{FATAL_PART_ID}:30,own{len(sent)}:40"
             headers = {**headers, "Persimmonlink_Prompt_Prefix": prompt}
+        body = b"" if method == "GET" else request_id.encode()
+        if path == FATAL_PATH and trouble_rng.random() < FATAL_SHARE:
+            is_fatal = True
+            method, body = "POST", FATAL_BODY
         task = asyncio.ensure_future(
-            send_one(rig, path, method, node, request_id, headers)
+            send_one(rig, path, method, node, request_id, headers, body)
         )
         sent.append(
             SentRequest(request_id, path, node, time.monotonic(), is_fatal, task)
@@ -143,7 +165,7 @@
     return sent
 
 
-async def send_one(rig, path, method, node, request_id, headers):
+async def send_one(rig, path, method, node, request_id, headers, body):
     try:
         async with asyncio.timeout(DEADLINE_MS / 1000 + 8):
             response = await rig.send_request(
@@ -151,7 +173,7 @@
                 method,
                 node=node,
                 request_id=request_id,
-                body=b"" if method == "GET" else request_id.encode(),
+                body=body,
                 deadline_ms=DEADLINE_MS,
                 **headers,
             )
@@ -286,6 +308,54 @@
         )
 
 
+def check_fatal_requests(rig, injector, sent, context: str) -> None:
+    """Check that a request that ends servers is held back after three ends."""
+    plain_ids = [i for i in rig.server_by_id if i.startswith(PLAIN_SERVICE)]
+    runs = [
+        (at, seen)
+        for server_id in plain_ids
+        for at, seen in list_all_runs(rig, [server_id])
+        if seen.body == FATAL_BODY
+    ]
+    runs.sort(key=lambda entry: entry[0])
+    if len(runs) < ENDS_BEFORE_REQUEST_BOUND:
+        return
+    bound_at = runs[ENDS_BEFORE_REQUEST_BOUND - 1][0] + CONTACT_S
+    late = [
+        seen.request_id
+        for at, seen in list_calm_runs(rig, injector, sent, plain_ids)
+        if at > bound_at and seen.body == FATAL_BODY
+    ]
+    assert len(late) <= MAX_LATER_REQUESTS, f"{context}: {late} after {bound_at}"
+
+
+def check_brittle_times(rig, injector, context: str) -> None:
+    """Check that brittle servers did not fall more often than allowed."""
+    for brittle in injector.brittle_times:
+        servers = [
+            server
+            for server_id, server in rig.server_by_id.items()
+            if server_id.startswith(brittle.service)
+        ]
+        falls = sum(
+            1
+            for server in servers
+            for at in server.fell_at
+            if brittle.named_at + CONTACT_S < at < brittle.ended_at
+        )
+        allowed = 2 + len(servers) // 10
+        assert falls <= allowed, f"{context}: {brittle}: {falls} falls"
+
+
+def list_all_runs(rig, server_ids):
+    """Return the times of all runs at some servers."""
+    return [
+        (seen.started_at, seen)
+        for server_id in server_ids
+        for seen in rig.server_by_id[server_id].runs
+    ]
+
+
 def check_named_limits(rig, injector, sent, context: str) -> None:
     """Check that all nodes together kept to the limits that servers named."""
     for limit in injector.named_limits:
