Let a node coordinate stages while no node reaches their servers

Read again: a coordinator that reached no server of one stage service passed on all its jobs, also those of other services, and refused new ones. While all servers of a service are down that is so at every node in turn, and each job failed after four of them. A node now leaves the stages to others only while another one may reach the service. A request that may have run at a peer is no longer told as not run there. Reach is looked at in full only while something is unreached, which keeps its cost from growing with the servers.

--- a/packages/persimmonlink-router/src/persimmonlink_router/named_limits.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/named_limits.py
@@ -48,6 +48,9 @@
     def __init__(self) -> None:
         self._limit_by_key: dict[ServerKey, NamedLimit] = {}
 
+    def __len__(self) -> int:
+        return len(self._limit_by_key)
+
     def find_rate(self, key: ServerKey) -> float | None:
         """Return the rate for all nodes together, in requests a second.
 
--- a/packages/persimmonlink-router/src/persimmonlink_router/reach_monitor.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/reach_monitor.py
@@ -61,15 +61,18 @@
     def tick(self) -> None:
         """Start the checks that are due, and announce what has changed."""
         now = boot_time()
-        servers_by_service = self._list_servers()
-        for servers in servers_by_service.values():
-            for server in self._reach.list_silent(servers, now):
+        servers = self._cluster_view.servers
+        for key in self._reach.list_silent(now):
+            server = servers.server_by_id.get(key[0])
+            if server is not None and server.key == key:
                 self._start_check(server)
+        if not self._reach.has_unreached:
+            return
         for service in self._reach.unreached_services:
             if now - self._checked_at_by_service.get(service, 0.0) < CHECK_INTERVAL_S:
                 continue
             self._checked_at_by_service[service] = now
-            for server in self._choose_checked(servers_by_service.get(service, [])):
+            for server in self._choose_checked(servers.list_usable(service)):
                 self._start_check(server)
         self.refresh()
 
--- a/packages/persimmonlink-router/src/persimmonlink_router/request_service.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/request_service.py
@@ -208,6 +208,8 @@
                     "held_requests_total", f'route="{state.route.name}"'
                 )
             reply = LocalReply(503, str(error), error.retry_after_s)
+            if isinstance(error, NoReachError) and state.may_have_run:
+                reply = LocalReply(502, str(error))
         except RequestFailedError as error:
             reply = LocalReply(error.status, str(error))
         except (ClientDisconnectedError, h11.LocalProtocolError):
@@ -387,6 +389,8 @@
     exchange = state.exchange
     if not isinstance(exchange, RelayedExchange) or exchange.has_started:
         return False
+    if state.may_have_run:
+        return False
     await exchange.refuse(RelayRefusal.NO_REACH)
     return True
 
--- a/packages/persimmonlink-router/src/persimmonlink_router/router.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/router.py
@@ -421,6 +421,8 @@
             self._follower.refresh()
         self._crash_guard.tick()
         self._reach_monitor.tick()
+        if self._reach.unreached_services:
+            self._update_coordination()
 
     def _sweep(self) -> None:
         keys = {s.key for s in self.cluster_view.servers.server_by_id.values()}
@@ -450,11 +452,25 @@
 
     def _on_reach_change(self) -> None:
         """Tell the other nodes which services this node doesn't reach."""
-        unreached = self._reach.unreached_services
-        self._reach_board.update_own(unreached)
+        self._reach_board.update_own(self._reach.unreached_services)
+        self._update_coordination()
+
+    def _update_coordination(self) -> None:
+        """Leave the stages to other nodes while only these reach their servers."""
         if self._is_stopping:
             return
-        if any(self._is_stage_service(service) for service in unreached):
+        unreached = {
+            service
+            for service in self._reach.unreached_services
+            if self._is_stage_service(service)
+        }
+        own_id = self.membership.own_member.node_id
+        has_other = any(
+            not unreached & self._reach_board.list_lacking(node_id)
+            for node_id in self.membership.list_serving_ids()
+            if node_id != own_id
+        )
+        if unreached and has_other:
             self._scheduler.transfer_requests()
         else:
             self._scheduler.resume()
--- a/packages/persimmonlink-router/src/persimmonlink_router/server_places.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/server_places.py
@@ -123,6 +123,8 @@
 
         A server that has not answered yet is taken to be as the others of its service.
         """
+        if not len(self._readings):
+            return None
         limit = self._readings.find_rate(server.key)
         if limit is not None or self._reach.answered_since(server.key, 0.0):
             return limit
--- a/packages/persimmonlink-router/src/persimmonlink_router/server_reach.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/server_reach.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Collection, Iterable, Mapping, Sequence
+    from collections.abc import Collection, Mapping, Sequence
 
     from persimmonlink_router.servers import Server, ServerKey
 
@@ -18,7 +18,6 @@
 
 @dataclass(slots=True)
 class _Contact:
-    is_unreached: bool = False
     answered_at: float = 0.0
     checked_at: float = 0.0
     waiting_since: deque[float] = field(default_factory=deque)
@@ -35,22 +34,23 @@
 
     def __init__(self) -> None:
         self._contact_by_key: dict[ServerKey, _Contact] = {}
+        self._unreached_keys: set[ServerKey] = set()
         self.unreached_services: frozenset[str] = frozenset()
 
     def record_connected(self, key: ServerKey) -> None:
         """Record a new connection to a server."""
-        self._find(key).is_unreached = False
+        self._unreached_keys.discard(key)
 
     def record_unreachable(self, key: ServerKey) -> None:
         """Record that a connection to a server could not be opened."""
-        self._find(key).is_unreached = True
+        self._unreached_keys.add(key)
 
     def record_answer(self, server: Server, now: float) -> None:
         """Record that a server sent something."""
         contact = self._find(server.key)
         contact.answered_at = now
         if server.service not in self.unreached_services:
-            contact.is_unreached = False
+            self._unreached_keys.discard(server.key)
 
     def record_sent(self, key: ServerKey, now: float) -> None:
         """Record a request that now waits for its response."""
@@ -64,8 +64,12 @@
 
     def is_unreached(self, key: ServerKey) -> bool:
         """Whether the last connection to a server failed."""
-        contact = self._contact_by_key.get(key)
-        return contact is not None and contact.is_unreached
+        return key in self._unreached_keys
+
+    @property
+    def has_unreached(self) -> bool:
+        """Whether any server or service is unreached."""
+        return bool(self._unreached_keys or self.unreached_services)
 
     def update(self, servers_by_service: Mapping[str, Sequence[Server]]) -> None:
         """Decide which services are unreached, given the usable servers of each."""
@@ -75,19 +79,18 @@
             if servers and all(self.is_unreached(server.key) for server in servers)
         )
 
-    def list_silent(self, servers: Iterable[Server], now: float) -> list[Server]:
+    def list_silent(self, now: float) -> list[ServerKey]:
         """Return the servers to check, as requests wait and nothing was sent."""
         silent = []
-        for server in servers:
-            contact = self._contact_by_key.get(server.key)
-            if contact is None or not contact.waiting_since:
+        for key, contact in self._contact_by_key.items():
+            if not contact.waiting_since:
                 continue
             quiet_since = max(contact.waiting_since[0], contact.answered_at)
             is_checked = now - contact.checked_at < STALL_CHECK_INTERVAL_S
             if now - quiet_since < STALL_S or is_checked:
                 continue
             contact.checked_at = now
-            silent.append(server)
+            silent.append(key)
         return silent
 
     def answered_since(self, key: ServerKey, since: float) -> bool:
@@ -105,6 +108,7 @@
         for key, contact in list(self._contact_by_key.items()):
             if key not in keys and not contact.waiting_since:
                 del self._contact_by_key[key]
+        self._unreached_keys &= set(keys)
 
     def _find(self, key: ServerKey) -> _Contact:
         return self._contact_by_key.setdefault(key, _Contact())
--- a/packages/persimmonlink-router/src/persimmonlink_router/server_sender.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/server_sender.py
@@ -442,6 +442,8 @@
         self, state: RequestState, inputs: StageInputs, excluded_ids: set[str]
     ) -> Server | None:
         """Return the best server; an unreached one only if there is no other."""
+        if not self._reach.has_unreached:
+            return self._chooser.choose(state, inputs, excluded_ids)
         unreached_ids = {
             server.server_id
             for server in self._cluster_view.servers.list_usable(state.service)
