--- a/tests/adapter/test_http_wire.py
+++ b/tests/adapter/test_http_wire.py
@@ -149,3 +149,13 @@
 def test_a_leaving_server_is_recognized(value, is_leaving):
     head = HttpResponseHead(200, ((b"server-leaving", value),))
     assert WIRE.parse_response_head(head).is_server_leaving is is_leaving
+
+
+@pytest.mark.parametrize(
+    ("text", "expected"), [(b"3", 3.0), (b"0", 0.0), (b"x", None), (b"-1", None)]
+)
+def test_the_rejections_that_a_server_bears_are_read(text, expected):
+    head = HttpResponseHead(503, ((b"server-brittle", text),))
+    info = WIRE.parse_response_head(head)
+    assert info.max_rejections_per_s == expected
+    assert info.rate_limit_per_s is None
