Keep the evidence of ends when the nodes that have it stop

Cause: reports go to one member of each failure domain. Where there is one domain that is one member, and all that it knew goes with it.

Fix: at least three members combine, whatever the number of domains; each keeps what peers reported, ends and responses together, for a minute, as the observers do; and all who have reports pass them on as soon as another member combines. Present members get nothing twice, so the usual number of messages stays as it was with three domains or more. Ends are named by server and causes, so that several copies count once. Kept reports are bounded (4,096).

Still lost: ends seen by a node that stops within 20 ms, before it reports them, and all of it if every node that has it stops at once.

--- a/packages/persimmonlink-router/src/persimmonlink_router/crash_guard.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/crash_guard.py
@@ -146,9 +146,15 @@
     async def handle_report(self, message: ReportCrashes) -> Acknowledgement:
         """Combine a peer's report with what is known."""
         now = boot_time()
-        self._record_ends([read_report(crash, now) for crash in message.crashes])
-        for cause_id, age_s in message.served_age_s_by_part.items():
-            self._clear(cause_id, now - age_s)
+        ends = [read_report(crash, now) for crash in message.crashes]
+        served_at_by_cause = {
+            cause_id: now - age_s
+            for cause_id, age_s in message.served_age_s_by_part.items()
+        }
+        self._reporter.keep_reports(ends, served_at_by_cause)
+        self._record_ends(ends)
+        for cause_id, served_at in served_at_by_cause.items():
+            self._clear(cause_id, served_at)
         return Acknowledgement()
 
     def collect_facts(self) -> SharedFacts:
@@ -198,7 +204,8 @@
             self._apply_notice(notice, "store")
 
     def tick(self) -> None:
-        """Decide on the evidence, and end what is no longer in force."""
+        """Decide on the evidence, and report it to those that combine it now."""
+        self._reporter.tick()
         if self._evidence.has_candidates and self._reporter.is_keeper:
             self._judge(boot_time())
 
--- a/packages/persimmonlink-router/src/persimmonlink_router/crash_reports.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/crash_reports.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING, Protocol
+from typing import TYPE_CHECKING, Protocol, TypeAlias
 
 from loguru import logger
 from returns.result import Failure as Err
@@ -28,6 +28,11 @@
 REPORT_TIMEOUT_S = 0.5  # Timeout of a message.
 REPORT_LIFETIME_S = 60.0  # Reports are also sent to members that keep them later.
 MAX_REPORTS = 256  # Reports in a message, the newest.
+MAX_KEPT_REPORTS = 4096  # Reports that are kept for later members, the newest.
+# Members that combine the reports, if the cluster has so many.
+MIN_KEEPERS = 3
+
+EndKey: TypeAlias = "tuple[str, frozenset[str]]"
 
 
 class PeerDirectory(Protocol):
@@ -51,7 +56,8 @@
     """Sends reports to one member of each failure domain, again if one fails.
 
     Each of these members has all reports of all nodes, so that any of them can tell
-    which requests had a cause in common with those under which servers ended.
+    which requests had a cause in common with those under which servers ended. They keep
+    the reports of peers, and pass them on to the members that take the place of others.
 
     Parameters
     ----------
@@ -61,10 +67,11 @@
 
     def __init__(self, peers: PeerDirectory) -> None:
         self._peers = peers
-        self._ends: list[ServerEnd] = []
+        self._end_by_key: dict[EndKey, ServerEnd] = {}
         self._served_at_by_cause: dict[str, float] = {}
-        self._sent_ends_by_node_id: dict[str, set[ServerEnd]] = {}
+        self._sent_ends_by_node_id: dict[str, set[EndKey]] = {}
         self._sent_served_at_by_node_id: dict[str, dict[str, float]] = {}
+        self._keeper_ids: tuple[str, ...] = ()
         self._task: asyncio.Task[None] | None = None
 
     @property
@@ -75,7 +82,9 @@
 
     def add_ends(self, ends: Sequence[ServerEnd]) -> None:
         """Report ends of servers under requests of this node."""
-        self._ends.extend(ends)
+        for end in ends:
+            self._end_by_key.setdefault(_build_key(end), end)
+        self._discard_excess()
         self.flush()
 
     def add_served(self, cause_id: str, served_at: float) -> None:
@@ -83,28 +92,68 @@
         self._served_at_by_cause[cause_id] = served_at
         self.flush()
 
+    def keep_reports(
+        self, ends: Sequence[ServerEnd], served_at_by_cause: dict[str, float]
+    ) -> None:
+        """Keep what a peer reported for the members that combine reports later.
+
+        The present ones get it from the peer.
+        """
+        for end in ends:
+            key = _build_key(end)
+            if key in self._end_by_key:
+                continue
+            self._end_by_key[key] = end
+            for node_id in self._keeper_ids:
+                self._sent_ends_by_node_id.setdefault(node_id, set()).add(key)
+        for cause_id, served_at in served_at_by_cause.items():
+            if self._served_at_by_cause.get(cause_id, NEVER) >= served_at:
+                continue
+            self._served_at_by_cause[cause_id] = served_at
+            for node_id in self._keeper_ids:
+                sent = self._sent_served_at_by_node_id.setdefault(node_id, {})
+                sent[cause_id] = served_at
+        self._discard_excess()
+
+    def tick(self) -> None:
+        """Report to members that have begun to combine the reports."""
+        if not self._end_by_key and not self._served_at_by_cause:
+            return
+        keeper_ids = tuple(member.node_id for member in self.list_keepers())
+        if keeper_ids == self._keeper_ids:
+            return
+        self._keeper_ids = keeper_ids
+        self.flush()
+
     def flush(self) -> None:
         """Send what is unsent, unless that is being done."""
-        if not self._ends and not self._served_at_by_cause:
+        if not self._end_by_key and not self._served_at_by_cause:
             return
         if self._task is None or self._task.done():
             self._task = asyncio.get_running_loop().create_task(self._send_all())
 
     def discard_expired(self, now: float) -> None:
         """Discard the reports that are older than `REPORT_LIFETIME_S`."""
-        self._ends = [e for e in self._ends if now - e.ended_at < REPORT_LIFETIME_S]
+        self._end_by_key = {
+            key: end
+            for key, end in self._end_by_key.items()
+            if now - end.ended_at < REPORT_LIFETIME_S
+        }
         self._served_at_by_cause = {
             cause_id: served_at
             for cause_id, served_at in self._served_at_by_cause.items()
             if now - served_at < REPORT_LIFETIME_S
         }
-        kept = set(self._ends)
         for node_id, sent in list(self._sent_ends_by_node_id.items()):
-            self._sent_ends_by_node_id[node_id] = sent & kept
+            self._sent_ends_by_node_id[node_id] = sent & self._end_by_key.keys()
 
     def list_keepers(self) -> list[Member]:
         """Return the members that combine the reports, in the same order at all."""
-        return choose_keepers(self._peers.list_serving_members(), 1)
+        return choose_keepers(self._peers.list_serving_members(), 1, MIN_KEEPERS)
+
+    def _discard_excess(self) -> None:
+        while len(self._end_by_key) > MAX_KEPT_REPORTS:
+            del self._end_by_key[next(iter(self._end_by_key))]
 
     async def _send_all(self) -> None:
         await asyncio.sleep(REPORT_DELAY_S)
@@ -122,31 +171,36 @@
         now = boot_time()
         sent = self._sent_ends_by_node_id.setdefault(member.node_id, set())
         sent_served = self._sent_served_at_by_node_id.setdefault(member.node_id, {})
-        ends = [end for end in self._ends if end not in sent][-MAX_REPORTS:]
+        keys = [key for key in self._end_by_key if key not in sent][-MAX_REPORTS:]
         served = {
             cause_id: served_at
             for cause_id, served_at in self._served_at_by_cause.items()
             if sent_served.get(cause_id) != served_at
         }
-        if not ends and not served:
+        if not keys and not served:
             return
         message = ReportCrashes(
             self._peers.sender,
-            tuple(_build_report(end, now) for end in ends),
+            tuple(_build_report(self._end_by_key[key], now) for key in keys),
             {cause_id: now - served_at for cause_id, served_at in served.items()},
         )
         channel = self._peers.channel(member.peer_address)
         reply = await channel.call(message, Acknowledgement, REPORT_TIMEOUT_S)
         if isinstance(reply, Err):
             # The next flush sends them again.
-            logger.bind(member=member.node_id, reports=len(ends)).info(
+            logger.bind(member=member.node_id, reports=len(keys)).info(
                 "prompt.report_failed"
             )
             return
-        sent.update(ends)
+        sent.update(keys)
         sent_served.update(served)
 
 
+def _build_key(end: ServerEnd) -> EndKey:
+    """Return what reports of the same end have in common."""
+    return end.server, end.cause_ids
+
+
 def _build_report(end: ServerEnd, now: float) -> CrashReport:
     is_known = end.sent_at != NEVER
     return CrashReport(
--- a/tests/router/test_fatal_prompt_parts.py
+++ b/tests/router/test_fatal_prompt_parts.py
@@ -190,9 +190,7 @@
             rng = random.Random(21)
             engines = await run_engines(rig, fatal, CrashPoint.AFTER_HEAD)
             sending = asyncio.ensure_future(
-                send_mixed(
-                    rig, rng, 11.0, fatal, "/claim/1", 0.3, with_restarts=True
-                )
+                send_mixed(rig, rng, 11.0, fatal, "/claim/1", 0.3, with_restarts=True)
             )
             await asyncio.sleep(4.0)
             loop = asyncio.get_running_loop()
--- a/tests/router/test_fatal_requests.py
+++ b/tests/router/test_fatal_requests.py
@@ -22,6 +22,7 @@
     stop_router,
 )
 
+from persimmonlink_router.keepers import choose_keepers
 from persimmonlink_stand_ins.link import Cut
 
 ROUTER_COUNT = 6
@@ -143,6 +144,35 @@
     run(scenario())
 
 
+@pytest.mark.timeout(60)
+def test_ends_still_count_when_the_nodes_that_know_of_them_stop_again_and_again():
+    async def scenario():
+        async with make_rig(routers=ROUTER_COUNT, servers=SERVER_COUNT) as rig:
+            await asyncio.sleep(0.5)
+            servers = CrashingServers(rig, PLAIN_SERVICE, frozenset([BAD]))
+            servers.arm_all()
+            for number in range(8):
+                combining = find_combining_node(rig)
+                observing = (combining + 1 + number % 2) % ROUTER_COUNT
+                await rig.send_request("/look/1", node=observing, body=BAD)
+                # Time to check the server's end and to report it.
+                await asyncio.sleep(0.4)
+                for index in (observing, combining):
+                    await stop_router(rig.routers[index])
+                    await restart_router(rig, index)
+                await asyncio.sleep(1.6)
+            late = count_late_sends(servers)
+            assert late <= MAX_LATER_SENDS, f"{late}, {len(servers.crashed_at)} ends"
+
+    run(scenario())
+
+
+def find_combining_node(rig) -> int:
+    """Return the index of the first of the nodes that combine the reports of ends."""
+    members = [router.membership.own_member for router in rig.routers]
+    return members.index(choose_keepers(members, 1)[0])
+
+
 @pytest.mark.timeout(60)
 def test_a_request_asked_for_everywhere_goes_on_while_servers_end_for_other_reasons():
     async def scenario():
