Run a suspect one at a time also where its evidence is unknown

The member that grants permits for a request under which servers have ended decides on its own evidence. One that has just taken this role, or restarted, and has none, granted all, although every node knows by its peers' word that the request is a suspect: a burst of it would end as many servers as it reaches.

One response frees a busy innocent request again.

Evidence: test_a_node_without_the_evidence_grants_one_permit_for_a_suspect failed before (two permits at once); the other two cases show that a response of a peer or of the node itself ends the permits.

--- a/packages/persimmonlink-router/src/persimmonlink_router/crash_guard.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/crash_guard.py
@@ -82,6 +82,7 @@
         self._evidence = CrashEvidence()
         self._served_parts = ServedCauses()
         self._served_requests = ServedCauses()
+        self._cleared = ServedCauses()
         self._runs = ServerRuns()
         self.holds = Holds()
         self.trials = TrialPermits(peers, reporter, self._needs_trial)
@@ -242,8 +243,12 @@
         """Whether servers ended under a request that was not served since."""
         if self._evidence.count_ends(cause_id) >= ENDS_TO_SUSPECT:
             return True
-        is_held = self.find_hold([cause_id]) is not None
-        return is_held and cause_id not in self._served_in_trial_at
+        if self.find_hold([cause_id]) is not None:
+            return cause_id not in self._served_in_trial_at
+        # The evidence may have gone with other nodes; one response is as good as it.
+        served_since = boot_time() - SUSPICION_S
+        is_cleared = self._cleared.was_served_since(cause_id, served_since)
+        return cause_id in self._suspect_until_by_cause and not is_cleared
 
     def _judge(self, now: float) -> None:
         for verdict in self._evidence.judge(now):
@@ -317,6 +322,7 @@
         self._reporter.add_served(cause_id, served_at)
 
     def _clear(self, cause_id: str, served_at: float) -> None:
+        self._cleared.record([cause_id], served_at)
         if self.find_hold([cause_id]) is not None:
             self._served_in_trial_at[cause_id] = served_at
         count = self._evidence.record_served(cause_id, served_at)
