Keep no decision in the store that was released or is over

What callers saw: requests that an operator had let go on could be held back again, after all nodes had restarted, or for ten minutes more.

Cause: a node that couldn't reach the store wrote its decision whenever the store came back: over a release by another node, and with the whole ten minutes, also when these were over. Nodes that had dropped it by then took it for news.

Fix: a decision is written with what is left of it, under a lease of that time, and not at all once it is over; and the node that made a decision writes a peer's release of it as well, in place of its own unwritten decision or over the written one. That is one more write a release.

--- a/packages/persimmonlink-router/src/persimmonlink_router/crash_guard.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/crash_guard.py
@@ -182,11 +182,15 @@
 
     def _apply_notice(self, notice: HoldNotice, source: str) -> bool:
         """Apply a decision of a peer or the store; return whether it is news."""
+        is_own = self.holds.was_decided_by(self._node_id, notice.part_ids)
         hold = self.holds.add_notice(notice, boot_time())
         if hold is None:
             return False
         if hold.is_released:
             self._evidence.forget(hold.cause_ids)
+            if is_own:
+                # This node may have written its decision later than the release.
+                self._records.save(hold)
         self._log_decision("hold_confirmed", hold, source)
         return True
 
--- a/packages/persimmonlink-router/src/persimmonlink_router/hold_records.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/hold_records.py
@@ -10,6 +10,7 @@
 from loguru import logger
 from xxhash import xxh3_64_hexdigest
 
+from persimmonlink_router.boot_clock import boot_time
 from persimmonlink_router.holds import HOLD_S, build_notice
 from persimmonlink_router.peer_messages import HoldNotice
 from persimmonlink_router.store import LeaseExpiredError, StoreUnavailableError
@@ -65,9 +66,12 @@
 
     async def _write_all(self) -> None:
         for key, hold in list(self._unsaved_by_key.items()):
-            notice = replace(build_notice(hold, hold.decided_at), left_s=HOLD_S)
+            notice = build_notice(hold, boot_time())
+            if notice.left_s <= 0:
+                del self._unsaved_by_key[key]
+                continue
             try:
-                lease = await self._store.grant_lease(HOLD_S)
+                lease = await self._store.grant_lease(notice.left_s)
                 value = msgspec.json.encode(notice)
                 await self._store.put_with_lease(key, value, lease)
             except (StoreUnavailableError, LeaseExpiredError) as error:
--- a/packages/persimmonlink-router/src/persimmonlink_router/holds.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/holds.py
@@ -120,6 +120,11 @@
         )
         return hold if self.add(hold) else None
 
+    def was_decided_by(self, node_id: str, cause_ids: Iterable[str]) -> bool:
+        """Whether the known decision on exactly these causes is one of a node."""
+        known = self._hold_by_causes.get(frozenset(cause_ids))
+        return known is not None and known.decided_by == node_id
+
     def find(self, cause_ids: Iterable[str], now: float) -> Hold | None:
         """Return a decision that holds a request with these causes back, or None.
 
--- a/tests/router/test_crash_guard.py
+++ b/tests/router/test_crash_guard.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from types import SimpleNamespace
+from typing import TYPE_CHECKING
 
 from persimmonlink_model.membership import Member
 from persimmonlink_peers.message import Sender
@@ -12,19 +13,26 @@
 from persimmonlink_router.metrics import RouterMetrics
 from persimmonlink_router.peer_messages import AskTrial, ReportCrashes, SharedFacts
 
+if TYPE_CHECKING:
+    from persimmonlink_router.hold_records import HoldRecords
+
 CAUSE = "request:1"
 PEER = Sender("n1", "1")
 SUSPICION = SharedFacts((), {CAUSE: 10.0})
 
 
-def make_guard() -> CrashGuard:
+def make_guard(records: HoldRecords | None = None) -> CrashGuard:
     own = Member("own", "1", "a", "", "")
     peers = SimpleNamespace(
         sender=Sender("own", "1"), list_serving_members=lambda: [own]
     )
-    records = SimpleNamespace(save=lambda _: None, flush=lambda: None)
+    no_records = SimpleNamespace(save=lambda _: None, flush=lambda: None)
     return CrashGuard(
-        peers, CrashReporter(peers), records, lambda: None, RouterMetrics()
+        peers,
+        CrashReporter(peers),
+        records or no_records,
+        lambda: None,
+        RouterMetrics(),
     )
 
 
