Let the stand-in of endless responses yield to the event loop

Cause: the stand-in wrote 64 KB and drained, again and again; draining doesn't yield while the socket takes all, so each of 24 responses filled its socket's buffers at once. One turn of the loop, which the router under test shares, took up to 4 s, longer than the requests' deadline of 3 s.

The test, its bounds and its deadline are unchanged.

--- a/stand_ins/src/persimmonlink_stand_ins/routed_server.py
+++ b/stand_ins/src/persimmonlink_stand_ins/routed_server.py
@@ -392,6 +392,8 @@
             writer.write(repeated)
             self.endless_bytes_sent += len(repeated)
             await writer.drain()
+            # Draining alone doesn't yield while the socket takes all.
+            await asyncio.sleep(0)
 
     async def _crash_in_stream(
         self,
