Count the ends of brittle servers after rejections as weaker evidence

What callers saw: a request that ends its servers, on servers that had just rejected others, ended them without end: 5 late sends of 3 allowed and 13 ends in 11 s in test_a_request_that_ends_servers_right_after_rejections_reaches_no_more.

Cause: an end of a brittle server less than 1.5 s after a rejection was no evidence at all, since the rejections may have caused it. Brittle servers under load reject all the time.

Fix: such an end is doubtful evidence. It makes a whole request a suspect, which runs one at a time from its second end on, and holds it after five ends instead of three, all kinds together. A sound request that ran on falling servers is cleared by its next response, as it was, and three falls in a row still hold nothing (test_servers_that_fall_by_rejections_accuse_no_request). Parts of prompts take no part in it. An older node reads such a report as a certain end.

--- a/packages/persimmonlink-router/src/persimmonlink_router/crash_evidence.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/crash_evidence.py
@@ -14,13 +14,15 @@
 from persimmonlink_router.request_fingerprint import is_fingerprint
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Iterable, Sequence
 
 ENDS_TO_SUSPECT = 2  # Ends from which other nodes are asked for responses.
 ENDS_TO_HOLD = 4  # Ends from which a prompt part is held back.
 # The same for a whole request. It is rarer than a part, so that fewer servers end for
 # other reasons while they run it.
 ENDS_TO_HOLD_REQUEST = 3
+# More ends are needed with those that something else may have caused.
+MORE_DOUBTFUL_ENDS = 2
 # Time in which responses that clear a cause may arrive from other nodes.
 HOLD_DELAY_S = 0.4
 # Ends closer together count once, because servers that end together have one cause.
@@ -68,6 +70,8 @@
         Service and software version of the server, empty if unknown.
     origin : RequestOrigin
         Where the request came from.
+    is_doubtful : bool
+        Whether something else may have ended the server.
     """
 
     server: str
@@ -76,6 +80,7 @@
     sent_at: float = NEVER
     software: str = ""
     origin: RequestOrigin = UNKNOWN_ORIGIN
+    is_doubtful: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -127,7 +132,7 @@
             count = _count_distinct(cause_id, ends)
             if before < ENDS_TO_SUSPECT <= count:
                 suspects.append(cause_id)
-            if count >= _count_ends_to_hold(cause_id):
+            if _has_enough_ends(cause_id, ends):
                 self._reached_at_by_cause.setdefault(cause_id, now)
         self._discard_excess()
         return suspects
@@ -144,7 +149,7 @@
         ends = self._ends_by_cause[cause_id]
         kept = [end for end in ends if end.ended_at > served_at]
         self._ends_by_cause[cause_id] = kept
-        if _count_distinct(cause_id, kept) < _count_ends_to_hold(cause_id):
+        if not _has_enough_ends(cause_id, kept):
             self._reached_at_by_cause.pop(cause_id, None)
         return len(ends) - len(kept)
 
@@ -233,7 +238,7 @@
             if len(kept) == len(ends) and kept:
                 continue
             self._ends_by_cause[cause_id] = kept
-            if _count_distinct(cause_id, kept) < _count_ends_to_hold(cause_id):
+            if not _has_enough_ends(cause_id, kept):
                 self._reached_at_by_cause.pop(cause_id, None)
             if not kept:
                 self.forget([cause_id])
@@ -247,6 +252,15 @@
     return ENDS_TO_HOLD_REQUEST if is_fingerprint(cause_id) else ENDS_TO_HOLD
 
 
+def _has_enough_ends(cause_id: str, ends: Sequence[ServerEnd]) -> bool:
+    """Whether so many servers ended that a cause is held back."""
+    needed = _count_ends_to_hold(cause_id)
+    certain = [end for end in ends if not end.is_doubtful]
+    if _count_distinct(cause_id, certain) >= needed:
+        return True
+    return _count_distinct(cause_id, ends) >= needed + MORE_DOUBTFUL_ENDS
+
+
 def _keep_newest(cause_id: str, ends: list[ServerEnd], count: int) -> list[ServerEnd]:
     """Return the newest ends that count as at most `count`."""
     kept: list[ServerEnd] = []
@@ -285,6 +299,7 @@
     "ENDS_TO_HOLD",
     "ENDS_TO_HOLD_REQUEST",
     "ENDS_TO_SUSPECT",
+    "MORE_DOUBTFUL_ENDS",
     "UNKNOWN_ORIGIN",
     "CrashEvidence",
     "RequestOrigin",
--- a/packages/persimmonlink-router/src/persimmonlink_router/crash_guard.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/crash_guard.py
@@ -115,9 +115,16 @@
                 self._reporter.add_served(cause_id, now)
 
     def record_server_end(
-        self, server: Server, requests: Sequence[InterruptedRequest]
+        self,
+        server: Server,
+        requests: Sequence[InterruptedRequest],
+        *,
+        is_doubtful: bool = False,
     ) -> None:
-        """Record a server that ended, with the requests of this node that it ran."""
+        """Record a server that ended, with the requests of this node that it ran.
+
+        If something else may have ended it, only whole requests may be the cause.
+        """
         name = self._runs.name_ended_run(server, requests)
         ends = []
         for request in requests:
@@ -127,7 +134,8 @@
             part_ids = [
                 part_id
                 for part_id in request.part_ids
-                if not self._served_parts.was_served_since(part_id, served_since)
+                if not is_doubtful
+                and not self._served_parts.was_served_since(part_id, served_since)
             ]
             ends.append(
                 ServerEnd(
@@ -137,6 +145,7 @@
                     request.sent_at,
                     server.software,
                     request.origin,
+                    is_doubtful,
                 )
             )
         if not ends:
--- a/packages/persimmonlink-router/src/persimmonlink_router/crash_reports.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/crash_reports.py
@@ -211,6 +211,7 @@
         end.software,
         end.origin.account,
         end.origin.path,
+        end.is_doubtful,
     )
 
 
@@ -223,6 +224,7 @@
         NEVER if report.sent_age_s is None else now - report.sent_age_s,
         report.software,
         RequestOrigin(report.account, report.path),
+        report.is_doubtful,
     )
 
 
--- a/packages/persimmonlink-router/src/persimmonlink_router/peer_messages.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/peer_messages.py
@@ -296,6 +296,8 @@
         Client account of the request, empty if unknown.
     path : str
         Path of the request, empty if unknown.
+    is_doubtful : bool
+        Whether something else may have ended the server.
     """
 
     server: str
@@ -305,6 +307,7 @@
     software: str = ""
     account: str = ""
     path: str = ""
+    is_doubtful: bool = False
 
 
 @dataclass(frozen=True)
--- a/packages/persimmonlink-router/src/persimmonlink_router/router.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/router.py
@@ -443,12 +443,12 @@
     def _record_server_end(
         self, server: Server, requests: Sequence[InterruptedRequest]
     ) -> None:
-        """Take the end of a server for evidence, unless rejections explain it."""
+        """Take the end of a server for evidence, a weaker one after rejections."""
         ended_at = requests[0].interrupted_at
-        if self._places.explains_end(server, ended_at):
-            logger.bind(server=server.server_id).info("server.ended_by_rejections")
-            return
-        self._crash_guard.record_server_end(server, requests)
+        is_doubtful = self._places.explains_end(server, ended_at)
+        if is_doubtful:
+            logger.bind(server=server.server_id).info("server.ended_after_rejections")
+        self._crash_guard.record_server_end(server, requests, is_doubtful=is_doubtful)
 
     def _on_reach_change(self) -> None:
         """Tell the other nodes which services this node doesn't reach."""
--- a/tests/router/test_brittle_servers.py
+++ b/tests/router/test_brittle_servers.py
@@ -16,6 +16,7 @@
     make_rig,
     run,
 )
+from tests.router.test_fatal_requests import BAD, MAX_LATER_SENDS, count_late_sends
 
 ROUTER_COUNT = 6
 SERVER_COUNT = 3
@@ -129,6 +130,37 @@
     run(scenario())
 
 
+@pytest.mark.timeout(60)
+def test_a_request_that_ends_servers_right_after_rejections_reaches_no_more():
+    async def scenario():
+        async with make_rig(routers=ROUTER_COUNT, servers=4) as rig:
+            await asyncio.sleep(0.5)
+            servers = CrashingServers(rig, PLAIN_SERVICE, frozenset([BAD]))
+            servers.arm_all()
+            rng = random.Random(25)
+            loop = asyncio.get_running_loop()
+            ends_at = loop.time() + 11.0
+            sent = []
+            while loop.time() < ends_at:
+                for router in rig.routers:
+                    for server in router.cluster_view.servers.list_usable(
+                        PLAIN_SERVICE
+                    ):
+                        router._places.end_place(server, None, was_rejected=True)
+                node = rng.randrange(ROUTER_COUNT)
+                sent.append(
+                    asyncio.ensure_future(
+                        rig.send_request("/look/1", node=node, body=BAD)
+                    )
+                )
+                await asyncio.sleep(rng.expovariate(8.0))
+            await asyncio.gather(*sent)
+            late = count_late_sends(servers, BAD)
+            assert late <= MAX_LATER_SENDS, f"{late}, {len(servers.crashed_at)} ends"
+
+    run(scenario())
+
+
 @pytest.mark.timeout(60)
 def test_traffic_comes_back_to_servers_that_are_no_longer_brittle():
     async def scenario():
--- a/tests/router/test_crash_evidence.py
+++ b/tests/router/test_crash_evidence.py
@@ -11,6 +11,7 @@
 from persimmonlink_router.crash_evidence import (
     ENDS_TO_HOLD,
     ENDS_TO_HOLD_REQUEST,
+    MORE_DOUBTFUL_ENDS,
     CrashEvidence,
     ServerEnd,
 )
@@ -112,6 +113,26 @@
     assert evidence.judge(last_at + LATER_S)[0].cause_ids == {REQUEST}
 
 
+def test_more_ends_accuse_a_request_if_something_else_may_have_caused_them():
+    evidence = CrashEvidence()
+    causes = frozenset([REQUEST])
+    for index in range(ENDS_TO_HOLD_REQUEST + MORE_DOUBTFUL_ENDS):
+        assert not evidence.judge(index + LATER_S)
+        end = ServerEnd(f"s{index}", causes, index, is_doubtful=True)
+        evidence.record_end(end, index)
+    assert evidence.judge(index + LATER_S)[0].cause_ids == causes
+
+
+def test_doubtful_ends_are_no_substitute_for_a_certain_one():
+    evidence = CrashEvidence()
+    last_at = record_ends(evidence, [REQUEST], ENDS_TO_HOLD_REQUEST - 1)
+    end = ServerEnd("other", frozenset([REQUEST]), last_at + 1, is_doubtful=True)
+    evidence.record_end(end, end.ended_at)
+    assert not evidence.judge(end.ended_at + LATER_S)
+    record_ends(evidence, [REQUEST], 1, last_at + 2, "certain")
+    assert evidence.judge(last_at + 2 + LATER_S)
+
+
 def test_a_request_that_is_repeated_at_once_ends_each_server_on_its_own():
     evidence = CrashEvidence()
     for index in range(3):
