Look for other combining members twice a second, not ten times

Choosing the combining members ranks all members; it was done with each tick while a node had reports of the last minute.

--- a/packages/persimmonlink-router/src/persimmonlink_router/crash_reports.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/crash_reports.py
@@ -31,6 +31,7 @@
 MAX_KEPT_REPORTS = 4096  # Reports that are kept for later members, the newest.
 # Members that combine the reports, if the cluster has so many.
 MIN_KEEPERS = 3
+KEEPER_CHECK_INTERVAL_S = 0.5  # Interval of looking for other such members.
 
 EndKey: TypeAlias = "tuple[str, frozenset[str]]"
 
@@ -72,6 +73,7 @@
         self._sent_ends_by_node_id: dict[str, set[EndKey]] = {}
         self._sent_served_at_by_node_id: dict[str, dict[str, float]] = {}
         self._keeper_ids: tuple[str, ...] = ()
+        self._checked_at = NEVER
         self._task: asyncio.Task[None] | None = None
 
     @property
@@ -119,6 +121,10 @@
         """Report to members that have begun to combine the reports."""
         if not self._end_by_key and not self._served_at_by_cause:
             return
+        now = boot_time()
+        if now - self._checked_at < KEEPER_CHECK_INTERVAL_S:
+            return
+        self._checked_at = now
         keeper_ids = tuple(member.node_id for member in self.list_keepers())
         if keeper_ids == self._keeper_ids:
             return
--- a/tests/router/test_crash_reports.py
+++ b/tests/router/test_crash_reports.py
@@ -12,6 +12,7 @@
 from persimmonlink_router.boot_clock import boot_time
 from persimmonlink_router.crash_evidence import ServerEnd
 from persimmonlink_router.crash_reports import (
+    KEEPER_CHECK_INTERVAL_S,
     MIN_KEEPERS,
     REPORT_LIFETIME_S,
     CrashReporter,
@@ -88,6 +89,7 @@
         await asyncio.sleep(SEND_S)
         assert peers.count_ends("n2") == 1
         peers.members = [make_member(n) for n in ("n1", "n3", "own")]
+        await asyncio.sleep(KEEPER_CHECK_INTERVAL_S)
         reporter.tick()
         await asyncio.sleep(SEND_S)
         assert peers.count_ends("n1") == 1
