Keep the software versions of streams through the loss of all nodes

Callers whose streams had broken off as all nodes were killed took them up again and got, with 200 and to the end, a text joined from two software versions: nodes that have just started saw one version only, since the servers of the other had left, and took it for the one that had begun the stream. Where both versions still served, all such streams were refused instead.

Change: two members save in the store which versions of a service serve, and while there are several, which of them began each stream. A node that has not read these values yet doesn't guess. Members that become keepers of records get those that others may have had alone. A stream that its client takes up has its stages before new ones of its kind; it ranked behind all of them, and was refused while they filled the stages.

--- a/packages/persimmonlink-router/src/persimmonlink_router/request_state.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/request_state.py
@@ -22,6 +22,8 @@
     from persimmonlink_router.servers import Server
 
 DEFAULT_DEADLINE_S = 30.0  # Deadline of requests that state none.
+# Ranks that a resumed stream is ahead of a new one of the same priority.
+RESUMED_STREAM_PRIORITY_LEAD = 1
 
 
 class RequestRefusedError(Exception):
@@ -181,6 +183,11 @@
         """Whether it begins a stream that its client may take up again."""
         return self.route.is_resumable and not self.metadata.last_event_id
 
+    @property
+    def is_resumed_by_client(self) -> bool:
+        """Whether the client has events of the stream and takes it up after them."""
+        return bool(self.metadata.last_event_id)
+
     @property
     def cause_ids(self) -> tuple[str, ...]:
         """Ids of what may end the servers that run the request."""
@@ -228,10 +235,10 @@
         """Time until the first event is due by the route's objective, in seconds.
 
         A request that may have run before and a client retry have missed the
-        objective. They get the time until the client leaves, a client retry only
-        `CLIENT_RETRY_OBJECTIVE_SHARE` of it.
+        objective, as has a stream that its client takes up. They get the time until the
+        client leaves, a client retry only `CLIENT_RETRY_OBJECTIVE_SHARE` of it.
         """
-        if self.runs:
+        if self.runs or self.is_resumed_by_client:
             return self.event_time_left_s
         if self.is_client_retry:
             return CLIENT_RETRY_OBJECTIVE_SHARE * self.event_time_left_s
@@ -239,7 +246,13 @@
 
     @property
     def stage_priority(self) -> int:
-        """Priority among requests waiting for stages, 0 being the most urgent."""
+        """Priority among requests waiting for stages; the lowest number goes first.
+
+        A stream that its client takes up goes before new ones of its kind: it has the
+        least time left, and would be refused as long as these fill the stages.
+        """
+        if self.is_resumed_by_client:
+            return self.priority - RESUMED_STREAM_PRIORITY_LEAD
         if self.is_client_retry:
             return self.priority + CLIENT_RETRY_PRIORITY_OFFSET
         return self.priority
--- a/packages/persimmonlink-router/src/persimmonlink_router/router.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/router.py
@@ -65,6 +65,11 @@
 from persimmonlink_router.store_follower import MemberRegistration, StoreFollower
 from persimmonlink_router.store_mirror import StoreMirror
 from persimmonlink_router.stream_version_exchange import StreamVersionExchange
+from persimmonlink_router.stream_version_saver import (
+    CHECK_INTERVAL_S,
+    StreamVersionSaver,
+    is_saved_version,
+)
 from persimmonlink_router.stream_versions import StreamVersions
 from persimmonlink_router.timers import LoopTimerService
 from persimmonlink_router.wire_messages import Wire
@@ -241,7 +246,14 @@
         )
         self._stream_versions = StreamVersions()
         self._version_exchange = StreamVersionExchange(
-            self.membership, self.cluster_view, self._stream_versions
+            self.membership, self.cluster_view, self._stream_versions, self._mirror
+        )
+        self.stream_version_saver = StreamVersionSaver(
+            self.membership,
+            self.cluster_view,
+            self._stream_versions,
+            adapters.store,
+            self.metrics,
         )
         self._sender = ServerSender(
             self._chooser,
@@ -323,6 +335,9 @@
         self._timers.every(TICK_INTERVAL_S, self._tick, "tick")
         self._timers.every(SWEEP_INTERVAL_S, self._sweep, "sweep")
         self._timers.every(DISPATCH_INTERVAL_S, self._scheduler.tick, "stages")
+        self._timers.every(
+            CHECK_INTERVAL_S, self.stream_version_saver.tick, "stream-versions"
+        )
         self._spawn(self._follower.run(), "store-follower")
         self._spawn(self.membership.run_heartbeats(), "heartbeats")
         self._spawn(self._register(), "registration")
@@ -432,6 +447,7 @@
         self._chooser.retain_servers(keys)
         self._scheduler.servers.discard_absent(keys)
         self._stream_versions.discard_expired(boot_time())
+        self._version_exchange.sweep()
         self._crash_guard.sweep()
         self._limiter.retain_servers(keys)
         self._places.retain_servers(keys)
@@ -486,6 +502,9 @@
         if item.key.startswith(HOLD_PREFIX):
             self._crash_guard.apply_store_item(item)
             return
+        if is_saved_version(item.key):
+            self.stream_version_saver.apply_store_item(item)
+            return
         self.cluster_view.apply(item)
 
     def _on_view_change(self) -> None:
--- a/packages/persimmonlink-router/src/persimmonlink_router/servers.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/servers.py
@@ -130,15 +130,28 @@
         These are the versions of its servers now, also of those that are draining, and
         of those that left in the last `VERSION_MEMORY_S`.
         """
-        versions = {
-            server.software_version
-            for server in self.server_by_id.values()
-            if server.service == service
+        return sorted(self.list_version_ages(service, now))
+
+    def list_version_ages(self, service: str, now: float) -> dict[str, float]:
+        """Return the recent versions with the time since they left, in seconds.
+
+        That time is 0 for the versions of servers that are present.
+        """
+        age_s_by_version = {
+            version: max(0.0, now - left_at)
+            for (left_service, version), left_at in self._left_at_by_version.items()
+            if left_service == service and now - left_at < VERSION_MEMORY_S
         }
-        for (left_service, version), left_at in self._left_at_by_version.items():
-            if left_service == service and now - left_at < VERSION_MEMORY_S:
-                versions.add(version)
-        return sorted(versions)
+        for server in self.server_by_id.values():
+            if server.service == service:
+                age_s_by_version[server.software_version] = 0.0
+        return age_s_by_version
+
+    def record_served_until(self, service: str, version: str, until: float) -> None:
+        """Record that a version served until a boot time, in seconds, or longer."""
+        key = (service, version)
+        known = self._left_at_by_version.get(key, until)
+        self._left_at_by_version[key] = max(known, until)
 
     def _record_left(self, server: Server, now: float) -> None:
         """Record that a server of its version left, and forget older records."""
--- a/packages/persimmonlink-router/src/persimmonlink_router/stream_version_exchange.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stream_version_exchange.py
@@ -23,10 +23,14 @@
     from persimmonlink_model.membership import Member
     from persimmonlink_router.cluster_membership import ClusterMembership
     from persimmonlink_router.cluster_view import ClusterView
+    from persimmonlink_router.store_mirror import StoreMirror
     from persimmonlink_router.stream_versions import StreamVersions
 
 RECORD_TIMEOUT_S = 0.5  # Timeout of a message that records versions at a peer.
 FIND_TIMEOUT_S = 0.25  # Timeout of a message that asks a peer for a version.
+# Members that keep the records at least, also where there is only one failure domain.
+MIN_KEEPERS = 2
+MAX_RESENT = 4000  # Records that a member gets as it becomes a keeper.
 # Members of each failure domain that are asked if the first ones don't know a version:
 # the first one may have changed since the stream began.
 MAX_ASKED_PER_DOMAIN = 3
@@ -47,6 +51,8 @@
         Known servers and their versions.
     versions : StreamVersions
         Records that this node keeps.
+    mirror : StoreMirror
+        Local copy of the store.
     """
 
     def __init__(
@@ -54,32 +60,56 @@
         membership: ClusterMembership,
         cluster_view: ClusterView,
         versions: StreamVersions,
+        mirror: StoreMirror,
     ) -> None:
+        self._mirror = mirror
         self._membership = membership
         self._cluster_view = cluster_view
         self._versions = versions
+        self._keeper_ids: set[str] = set()
         self._unsent_by_node_id: dict[str, dict[str, str]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
 
     def record(self, request_id: str, version: str) -> None:
         """Record the version to which a request is sent, here and at the keepers."""
         self._versions.record(request_id, version, boot_time())
-        keepers = self._membership.list_serving_members()
-        for member in choose_keepers(keepers, 1):
-            if member.node_id == self._membership.own_member.node_id:
-                continue
-            if member.node_id in self._unsent_by_node_id:
-                self._unsent_by_node_id[member.node_id][request_id] = version
-                continue
-            self._unsent_by_node_id[member.node_id] = {request_id: version}
-            task = asyncio.get_running_loop().create_task(self._send_records(member))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+        for member in self._list_keepers():
+            self._queue(member, {request_id: version})
+
+    def sweep(self) -> None:
+        """Give members that have become keepers what the others may have had alone."""
+        keepers = self._list_keepers()
+        added = [m for m in keepers if m.node_id not in self._keeper_ids]
+        self._keeper_ids = {member.node_id for member in keepers}
+        unsaved = self._versions.list_unsaved(boot_time(), MAX_RESENT)
+        if not unsaved:
+            return
+        for member in added:
+            self._queue(member, unsaved)
+
+    def _list_keepers(self) -> list[Member]:
+        """Return the other members that keep the records of this node."""
+        serving = self._membership.list_serving_members()
+        own_id = self._membership.own_member.node_id
+        keepers = choose_keepers(serving, 1, MIN_KEEPERS)
+        return [member for member in keepers if member.node_id != own_id]
+
+    def _queue(self, member: Member, version_by_request_id: dict[str, str]) -> None:
+        """Send records to a member soon, with others that wait for the last message."""
+        if member.node_id in self._unsent_by_node_id:
+            self._unsent_by_node_id[member.node_id].update(version_by_request_id)
+            return
+        self._unsent_by_node_id[member.node_id] = dict(version_by_request_id)
+        task = asyncio.get_running_loop().create_task(self._send_records(member))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
 
     async def find(self, request_id: str, service: str) -> str | None:
         """Return the version at which a stream has to go on, or None if unknown.
 
-        A stream that no node knows goes on if only one version has served lately.
+        What the nodes know goes before what the store has saved, which may be older.
+        A stream that neither knows goes on if only one version has served lately, also
+        before all nodes were lost.
 
         Parameters
         ----------
@@ -94,14 +124,19 @@
         servers = self._cluster_view.servers
         recent = set(servers.list_recent_versions(service, boot_time()))
         live = self._membership.list_live_members()
-        first = choose_keepers(live, 1)
+        first = choose_keepers(live, 1, MIN_KEEPERS)
         asked = choose_keepers(live, MAX_ASKED_PER_DOMAIN)
         for members in (first, [member for member in asked if member not in first]):
             for reply in await self._ask(members, request_id, service):
                 if reply.version is not None:
                     return reply.version
                 recent.update(reply.recent_versions)
-        version = recent.pop() if len(recent) == 1 else None
+        saved = self._versions.find_saved(request_id)
+        if saved is not None:
+            return saved
+        # A node that hasn't read all that was saved can't tell what served before.
+        is_certain = self._mirror.revision > 0 and len(recent) == 1
+        version = recent.pop() if is_certain else None
         logger.bind(resumes=request_id, service=service, version=version).info(
             "stream.origin_unknown"
         )
--- a/packages/persimmonlink-router/src/persimmonlink_router/stream_versions.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stream_versions.py
@@ -2,16 +2,31 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
+
 # Longer than any client waits for a stream, with all its attempts.
 RECORD_LIFETIME_S = 60.0
 
 
+@dataclass(frozen=True, slots=True)
+class _SavedVersion:
+    version: str
+    revision: int
+    read_at: float
+
+
 class StreamVersions:
-    """Remembers for a time at which server software version each stream began."""
+    """Remembers for a time at which server software version each stream began.
+
+    What the nodes record themselves is kept apart from what the store has saved: a
+    request may have been sent to another version since.
+    """
 
     def __init__(self) -> None:
         self._version_by_request_id: dict[str, str] = {}
         self._recorded_at_by_request_id: dict[str, float] = {}
+        self._unsaved_ids: dict[str, None] = {}
+        self._saved_by_request_id: dict[str, _SavedVersion] = {}
 
     def __len__(self) -> int:
         return len(self._version_by_request_id)
@@ -28,6 +43,8 @@
         now : float
             Boot time, in seconds.
         """
+        if self._version_by_request_id.get(request_id) != version:
+            self._unsaved_ids[request_id] = None
         self._version_by_request_id[request_id] = version
         # Inserted anew, so that the order is that of the times.
         self._recorded_at_by_request_id.pop(request_id, None)
@@ -37,6 +54,47 @@
         """Return the version at which a stream began, or None if it is unknown."""
         return self._version_by_request_id.get(request_id)
 
+    def find_saved(self, request_id: str) -> str | None:
+        """Return the version of a stream as the store has it, or None."""
+        saved = self._saved_by_request_id.get(request_id)
+        return None if saved is None else saved.version
+
+    def record_saved(
+        self, request_id: str, version: str, revision: int, now: float
+    ) -> None:
+        """Record what the store has; the value of the latest revision counts."""
+        known = self._saved_by_request_id.pop(request_id, None)
+        saved = _SavedVersion(version, revision, now)
+        if known is not None and known.revision > revision:
+            saved = known
+        self._saved_by_request_id[request_id] = saved
+        if self._version_by_request_id.get(request_id) == saved.version:
+            self._unsaved_ids.pop(request_id, None)
+
+    def list_unsaved(self, recorded_before: float, limit: int) -> dict[str, str]:
+        """Return the versions that the store lacks, by request, the first ones.
+
+        Parameters
+        ----------
+        recorded_before : float
+            Boot time until which they were recorded, in seconds.
+        limit : int
+            Largest number of versions.
+        """
+        unsaved: dict[str, str] = {}
+        for request_id in self._unsaved_ids:
+            if len(unsaved) >= limit:
+                break
+            if self._recorded_at_by_request_id[request_id] <= recorded_before:
+                unsaved[request_id] = self._version_by_request_id[request_id]
+        return unsaved
+
+    def mark_saved(self, version_by_request_id: dict[str, str]) -> None:
+        """Record that the store has these versions."""
+        for request_id, version in version_by_request_id.items():
+            if self._version_by_request_id.get(request_id) == version:
+                self._unsaved_ids.pop(request_id, None)
+
     def discard_expired(self, now: float) -> None:
         """Discard the records older than `RECORD_LIFETIME_S`."""
         expired = []
@@ -47,6 +105,14 @@
         for request_id in expired:
             del self._recorded_at_by_request_id[request_id]
             del self._version_by_request_id[request_id]
+            self._unsaved_ids.pop(request_id, None)
+        outdated = []
+        for request_id, saved in self._saved_by_request_id.items():
+            if now - saved.read_at < RECORD_LIFETIME_S:
+                break
+            outdated.append(request_id)
+        for request_id in outdated:
+            del self._saved_by_request_id[request_id]
 
 
 __all__ = ("RECORD_LIFETIME_S", "StreamVersions")
--- a/tests/router/test_request_state.py
+++ b/tests/router/test_request_state.py
@@ -2,13 +2,16 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import TYPE_CHECKING, cast
 
 import pytest
+from tests.router.chains import SPEC, make_job
 
 from persimmonlink_router.boot_clock import boot_time
 from persimmonlink_router.configuration import RequestKind, Route, Target
 from persimmonlink_router.request_state import RequestState
+from persimmonlink_router.stage_admission import Lane, ServiceLoad, decide_admission
 from persimmonlink_router.wire_messages import RequestMetadata
 
 if TYPE_CHECKING:
@@ -51,3 +54,35 @@
     assert client_retry.stage_priority > 9 >= state.stage_priority
     assert client_retry.objective_left_s > state.objective_left_s
     assert client_retry.objective_left_s < client_retry.event_time_left_s
+
+
+def resume(state: RequestState) -> RequestState:
+    """Return the state of a request that takes the stream of another one up."""
+    return replace(state, metadata=replace(state.metadata, last_event_id=b"7"))
+
+
+def test_a_resumed_stream_ranks_before_new_ones():
+    state = make_state()
+    resumed = resume(make_state())
+    resumed.is_client_retry = True
+    assert resumed.stage_priority < state.stage_priority
+    assert resumed.objective_left_s > state.objective_left_s
+
+
+def test_a_resumed_stream_is_admitted_while_new_ones_fill_the_stages():
+    def decide(state: RequestState) -> Lane:
+        job = replace(
+            make_job(),
+            priority=state.stage_priority,
+            objective_left_s=state.objective_left_s,
+            deadline_left_s=state.event_time_left_s,
+        )
+        # New requests that fill the stages for longer than their objective.
+        load = ServiceLoad(SPEC, 3, {0: 300}, 0, 0.0, {0: 15.0})
+        return decide_admission(job, {"stage": load}, is_over_share=False).lane
+
+    new, retry, resumed = make_state(), make_state(), resume(make_state())
+    retry.is_client_retry = resumed.is_client_retry = True
+    assert decide(new) is not Lane.ON_TIME
+    assert decide(retry) is Lane.REFUSED
+    assert decide(resumed) is Lane.ON_TIME
