Believe no response that a server sends once more on a kept connection

Callers were told 503, not run, for requests that a server was running, and such a request ran at a second server as well: a rejection without a request id, or one with the id of a request that was sent again, counted as that of the request on the connection. Results of a stage call that came once more were taken for those of the next call on the connection, and went on as inputs of another stage.

A whole answer that comes once more was skipped before and is so now.

Change: a rejection counts if it names this request and that one wasn't rejected on this connection before; without an id it counts as the first response of a connection only. Else the request may have run, and its caller gets 502. Stage calls carry no id, so results that came on the connection before end it, as does a response without any result, after which the right one may still come.

persimmonlinkd isn't changed: it opens a connection for each call that must not be repeated.

Cost: a rejected stage call closes its connection.

--- a/packages/persimmonlink-router/src/persimmonlink_router/http_client.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/http_client.py
@@ -72,6 +72,9 @@
         self._request: h11.Request | None = None
         self.idle_since = 0.0
         self.idle_limit_s: float | None = None
+        self.was_used = False
+        # Request that was rejected last on this connection, empty for none.
+        self.rejected_request_id = ""
 
     async def connect(self, timeout_s: float) -> None:
         """Open the connection; raise `ConnectError` if that fails."""
@@ -245,6 +248,7 @@
             self.close()
             return False
         self._h11.start_next_cycle()
+        self.was_used = True
         self.idle_since = now
         return True
 
--- a/packages/persimmonlink-router/src/persimmonlink_router/server_sender.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/server_sender.py
@@ -583,7 +583,7 @@
 
         Raises `NotRunError` only if the server states that it did not run the request
         or another server answered at its address, and `RequestFailedError` if the
-        response is lost or late.
+        response is lost or late, or a rejection may belong to an earlier request.
         """
         server = dispatch.server
         request = state.exchange.request
@@ -603,10 +603,23 @@
                 ) from error
             self._record_interrupted_request(state, server, sent_at)
             raise RequestFailedError(f"{server.server_id}: {error}") from error
-        if info.was_not_run or info.is_other_server:
-            await self._drain_rejection(connection, server)
-            raise RejectedError(f"rejected with status {head.status}")
-        return head, info
+        if not info.was_not_run and not info.is_other_server:
+            return head, info
+        request_id = state.metadata.request_id
+        if not _is_rejection_of(request_id, info, connection):
+            connection.close()
+            state.runs += 1
+            state.may_have_run = True
+            self._health.record_failure(server.key, boot_time())
+            logger.bind(
+                request=request_id, server=server.server_id, status=head.status
+            ).warning("response.doubtful_rejection")
+            raise RequestFailedError(
+                f"{server.server_id}: a rejection may belong to an earlier request"
+            )
+        connection.rejected_request_id = request_id
+        await self._drain_rejection(connection, server)
+        raise RejectedError(f"rejected with status {head.status}")
 
     async def _drain_rejection(
         self, connection: HttpClientConnection, server: Server
@@ -651,6 +664,18 @@
         )
 
 
+def _is_rejection_of(
+    request_id: str, info: ResponseInfo, connection: HttpClientConnection
+) -> bool:
+    """Whether a rejection is certain not to be one sent once more for another send.
+
+    One that names no request is certain only as the first response of a connection.
+    """
+    if info.request_id != request_id:
+        return not connection.was_used
+    return connection.rejected_request_id != request_id
+
+
 def _build_held_error(hold: Hold) -> RequestHeldError:
     causes = ", ".join(sorted(hold.cause_ids))
     what = causes if hold.is_on_request else f"requests with prompt part {causes}"
--- a/packages/persimmonlink-router/src/persimmonlink_router/stage_calls.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stage_calls.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+from collections import deque
 from typing import TYPE_CHECKING
+from weakref import WeakKeyDictionary
 
 from loguru import logger
 
@@ -16,17 +18,24 @@
 
     from persimmonlink_router.cluster_view import ClusterView
     from persimmonlink_router.connection_pool import ConnectionPool
+    from persimmonlink_router.http_client import HttpClientConnection
     from persimmonlink_router.server_limiter import ServerLimiter
     from persimmonlink_router.server_places import ServerPlaces
     from persimmonlink_router.server_reach import ServerReach
     from persimmonlink_router.servers import Server
     from persimmonlink_router.stage_job import StageResult
     from persimmonlink_router.stage_servers import StageServers
-    from persimmonlink_router.wire_messages import Piece, PieceResult, Wire
+    from persimmonlink_router.wire_messages import (
+        OutboundRequest,
+        Piece,
+        PieceResult,
+        Wire,
+    )
 
 RELEASE_DELAY_S = 0.01  # Delay in which releases for a server join the same call.
 MAX_RELEASE_WAIT_S = 4.0  # Results that wait longer for their release expire.
 RELEASE_TIMEOUT_S = 1.0  # Timeout of a call that releases results.
+MAX_KNOWN_HANDLES = 256  # Latest results of a connection that are remembered.
 MAX_BODY_BYTES = 1048576  # Largest response body accepted from a stage server.
 
 
@@ -68,6 +77,9 @@
         self._limiter = limiter
         self._reach = reach
         self._places = places
+        self._handles_by_connection: WeakKeyDictionary[
+            HttpClientConnection, deque[str]
+        ] = WeakKeyDictionary()
         self._tasks: set[asyncio.Task[None]] = set()
         self._pending_releases_by_key: dict[Hashable, list[StageResult]] = {}
 
@@ -113,12 +125,39 @@
         self._reach.record_sent(server.key, sent_at)
         try:
             async with asyncio.timeout(timeout_s):
-                head, body = await self._pool.exchange(
-                    server.key, server.address, call, MAX_BODY_BYTES
-                )
-            self._reach.record_answer(server, boot_time())
+                connection = await self._pool.acquire(server.key, server.address)
+                try:
+                    results = await self._exchange(
+                        connection, server, call, len(pieces)
+                    )
+                except BaseException:
+                    connection.close()
+                    raise
         finally:
             self._reach.record_done(server.key, sent_at)
+        if results is not None and any(result.handle for result in results):
+            self._pool.release(server.key, connection)
+        else:
+            # It may be an earlier response, after which that of this call comes.
+            connection.close()
+        return results
+
+    async def _exchange(
+        self,
+        connection: HttpClientConnection,
+        server: Server,
+        call: OutboundRequest,
+        piece_count: int,
+    ) -> Sequence[PieceResult] | None:
+        """Send a batch on a connection; return its results, None for a rejection.
+
+        Raises `ConnectionLostError` for results that came before on the connection:
+        responses of stage servers don't name the call that they answer.
+        """
+        connection.send(call.method, call.target, call.headers, call.body)
+        head = await connection.read_head()
+        body = await connection.read_body(MAX_BODY_BYTES)
+        self._reach.record_answer(server, boot_time())
         info = self._wire.parse_response_head(head)
         self._cluster_view.apply_response(server, info)
         self._limiter.record_response(server, info)
@@ -127,7 +166,15 @@
             return None
         if head.status != 200:
             raise ConnectionLostError(f"{server.address}: status {head.status}")
-        return self._wire.parse_batch_response(body, len(pieces))
+        results = self._wire.parse_batch_response(body, piece_count)
+        handles = [result.handle for result in results if result.handle]
+        earlier = self._handles_by_connection.setdefault(
+            connection, deque(maxlen=MAX_KNOWN_HANDLES)
+        )
+        if len(set(handles)) < len(handles) or not set(handles).isdisjoint(earlier):
+            raise ConnectionLostError(f"{server.address}: results came once more")
+        earlier.extend(handles)
+        return results
 
     def release(self, results: Sequence[StageResult]) -> None:
         """Release results, those of one server in one call."""
--- a/stand_ins/src/persimmonlink_stand_ins/routed_server.py
+++ b/stand_ins/src/persimmonlink_stand_ins/routed_server.py
@@ -6,7 +6,8 @@
 import time
 from dataclasses import dataclass, field
 from enum import StrEnum
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, cast
+from weakref import WeakKeyDictionary
 
 import msgspec
 
@@ -22,6 +23,7 @@
     from persimmonlink_stand_ins.raw_server import RawRequest
 
 EVENT_INTERVAL_S = 0.02
+MAX_RECORDED_BYTES = 65536  # Response after which nothing more is remembered of it.
 
 
 class EndlessBytes(StrEnum):
@@ -67,6 +69,11 @@
         Omits the seal header, which signs the response for its request.
     duplicates_responses : bool
         Sends each response twice.
+    repeats_earlier_responses : bool
+        Sends what it sent for the last request on a connection, releases apart, once
+        more before it handles the next one.
+    names_no_request : bool
+        Omits the request id from rejections.
     omits_length : bool
         Sends neither a length nor chunks; the end of the connection delimits the
         response.
@@ -91,6 +98,8 @@
     responds_500: bool = False
     omits_seal: bool = False
     duplicates_responses: bool = False
+    repeats_earlier_responses: bool = False
+    names_no_request: bool = False
     omits_length: bool = False
     cuts_streams_after: int = 0
     cut_event_bytes: int = 8
@@ -117,6 +126,32 @@
         return tuple(item.partition(":")[0] for item in prompt.split(","))
 
 
+class _RecordingWriter:
+    """Writer of a connection that remembers what the last request was sent."""
+
+    def __init__(self, writer: asyncio.StreamWriter) -> None:
+        self._writer = writer
+        self.earlier = b""
+        self.current = b""
+
+    def begin_request(self) -> None:
+        """Keep what was sent for the last request apart."""
+        self.earlier, self.current = self.current, b""
+
+    def write(self, data: bytes) -> None:
+        """Write and remember bytes."""
+        if len(self.current) < MAX_RECORDED_BYTES:
+            self.current += data
+        self._writer.write(data)
+
+    def repeat_earlier(self) -> None:
+        """Write what was sent for the last request once more."""
+        self._writer.write(self.earlier)
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._writer, name)
+
+
 class RoutedServerStandIn:
     """One incarnation of a server; records what it ran.
 
@@ -174,7 +209,10 @@
         self.has_crashed = False
         self.endless_bytes_sent = 0
         self.on_crash: Callable[[], None] | None = None
-        self._server = RawServer(self._handle)
+        self._recorders: WeakKeyDictionary[asyncio.StreamWriter, _RecordingWriter] = (
+            WeakKeyDictionary()
+        )
+        self._server = RawServer(self._handle_recorded)
 
     @property
     def address(self) -> str:
@@ -225,6 +263,19 @@
         }
         return {**entry, **changes}
 
+    async def _handle_recorded(
+        self, request: RawRequest, writer: asyncio.StreamWriter
+    ) -> bool:
+        if request.target == "/-/stage-free":
+            return await self._handle(request, writer)
+        recorder = self._recorders.get(writer)
+        if recorder is None:
+            recorder = self._recorders[writer] = _RecordingWriter(writer)
+        recorder.begin_request()
+        if self.faults.repeats_earlier_responses:
+            recorder.repeat_earlier()
+        return await self._handle(request, cast("asyncio.StreamWriter", recorder))
+
     async def _handle(self, request: RawRequest, writer: asyncio.StreamWriter) -> bool:
         await self._wait_while_silent()
         self.received_count += 1
@@ -234,7 +285,11 @@
             writer.write(encode_response(421, {}, b""))
             return True
         if self.faults.rejects_requests:
-            headers = {"Persimmonlink-Not-Executed": "1", **self._state_headers()}
+            headers = {
+                "Persimmonlink-Not-Executed": "1",
+                **self._name_request(request),
+                **self._state_headers(),
+            }
             if self.faults.retry_after_s:
                 headers["Retry-After"] = str(self.faults.retry_after_s)
             writer.write(encode_response(503, headers, b""))
@@ -247,7 +302,7 @@
             writer.write(encode_response(200, self._state_headers(), b"{}"))
             return True
         if self.slots and self._admitted >= self.slots + self.queue:
-            return await self._reject_for_room(writer)
+            return await self._reject_for_room(request, writer)
         self._admitted += 1
         try:
             return await self._run_in_slot(request, writer)
@@ -257,10 +312,23 @@
     async def _wait_while_silent(self) -> None:
         await asyncio.sleep(max(0.0, self.silent_until - time.monotonic()))
 
-    async def _reject_for_room(self, writer: asyncio.StreamWriter) -> bool:
+    def _name_request(self, request: RawRequest) -> dict[str, str]:
+        """Return the header by which a rejection names its request."""
+        request_id = request.headers.get("persimmonlink-request-id")
+        if request_id is None or self.faults.names_no_request:
+            return {}
+        return {"Persimmonlink-Request-Id": request_id}
+
+    async def _reject_for_room(
+        self, request: RawRequest, writer: asyncio.StreamWriter
+    ) -> bool:
         now = time.monotonic()
         self.rejected_at.append(now)
-        headers = {"Persimmonlink-Not-Executed": "1", **self._state_headers()}
+        headers = {
+            "Persimmonlink-Not-Executed": "1",
+            **self._name_request(request),
+            **self._state_headers(),
+        }
         writer.write(encode_response(503, headers, b""))
         recent = [at for at in self.rejected_at if at > now - 1.0]
         if self.brittle_limit and len(recent) > self.brittle_limit:
