Let outages of the store cost no more calls than calm, and versions fewer writes

Cause: fixed intervals of 0.2 s in two loops that knew nothing of each other. Now the follower alone tries, at intervals that grow from 0.5 to 2 s; the registration waits until the follower has contact. After a failure a watch returns at once, so that a silent store is found to serve again within 2 s of it, a second before nodes must act on changes.

--- a/packages/persimmonlink-router/src/persimmonlink_router/router.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/router.py
@@ -62,6 +62,7 @@
 from persimmonlink_router.stage_outcome import StageOutcome
 from persimmonlink_router.stage_scheduler import DISPATCH_INTERVAL_S, StageScheduler
 from persimmonlink_router.store import MetadataStore
+from persimmonlink_router.store_backoff import StoreBackoff
 from persimmonlink_router.store_follower import MemberRegistration, StoreFollower
 from persimmonlink_router.store_mirror import StoreMirror
 from persimmonlink_router.stream_version_exchange import StreamVersionExchange
@@ -294,11 +295,14 @@
             self._mirror,
             self.cluster_view,
             self.membership.peak_node_count,
+            StoreBackoff(self._rng),
         )
         self._registration = MemberRegistration(
             adapters.store,
             lambda: self.membership.own_member,
             self.membership.mark_registered,
+            lambda: self.cluster_view.is_in_contact,
+            StoreBackoff(self._rng),
         )
         self._client_limits = RequestLimits()
         self._client_server = HttpServer(
--- a/packages/persimmonlink-router/src/persimmonlink_router/store_follower.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/store_follower.py
@@ -23,6 +23,7 @@
     from persimmonlink_model.membership import Member
     from persimmonlink_router.cluster_view import ClusterView
     from persimmonlink_router.store import ItemPage, MetadataStore, StoredItem
+    from persimmonlink_router.store_backoff import StoreBackoff
     from persimmonlink_router.store_mirror import StoreMirror
 
 # Time that a watch waits for a change. Servers write more often, so a watch that takes
@@ -33,8 +34,10 @@
 # take effect.
 MAX_WATCH_PAUSE_S = 1.0
 SMALL_CLUSTER_NODES = 24  # Largest cluster with the shortest pause.
-REFRESH_WATCH_S = 0.001  # Time that the watch after a suspension waits for a change.
-RETRY_INTERVAL_S = 0.2  # Interval of retries while the store does not answer.
+# Time that the watch after a suspension, or after a failed one, waits for a change.
+REFRESH_WATCH_S = 0.001
+# Interval of looking whether the store answers this node again.
+CONTACT_POLL_INTERVAL_S = 0.1
 LEASE_TTL_S = 4.0  # Shorter than a dead node may remain listed in the directory.
 # Short enough for a second renewal before the lease expires if the first times out.
 LEASE_RENEWAL_INTERVAL_S = 1.4
@@ -56,6 +59,8 @@
         Records contact with the store and its loss.
     count_nodes : callable
         Returns the number of nodes that call the store.
+    backoff : StoreBackoff
+        Pauses while the store fails calls.
     """
 
     def __init__(
@@ -65,7 +70,9 @@
         mirror: StoreMirror,
         cluster_view: ClusterView,
         count_nodes: Callable[[], int],
+        backoff: StoreBackoff,
     ) -> None:
+        self._backoff = backoff
         self._store = store
         self._prefixes = prefixes
         self._mirror = mirror
@@ -85,6 +92,7 @@
         """Follow the store until cancelled; list again after lost history."""
         revision = 0
         while True:
+            started_at = boot_time()
             try:
                 if revision == 0:
                     revision = await self._read_all()
@@ -92,6 +100,7 @@
                 if page is None:
                     continue
                 self._apply_page(page)
+                self._backoff.record_success()
                 revision = max(revision, page.revision)
             except HistoryLostError as error:
                 self._is_restored |= isinstance(error, StoreRestoredError)
@@ -102,13 +111,14 @@
                 continue
             except StoreUnavailableError as error:
                 self._cluster_view.record_contact_loss(boot_time(), str(error))
-                await asyncio.sleep(RETRY_INTERVAL_S)
+                await self._pause(self._backoff.next_pause_s(boot_time() - started_at))
                 continue
             await self._pause(choose_watch_pause_s(self._count_nodes()))
 
     async def _read_changes(self, revision: int) -> ItemPage | None:
         """Return the changes after a revision; None if a refresh ended the wait."""
-        wait_s = REFRESH_WATCH_S if self._refresh_due.is_set() else WATCH_WAIT_S
+        is_urgent = self._refresh_due.is_set() or not self._cluster_view.is_in_contact
+        wait_s = REFRESH_WATCH_S if is_urgent else WATCH_WAIT_S
         self._refresh_due.clear()
         call = self._store.watch("", revision, wait_s)
         watch = asyncio.get_running_loop().create_task(call)
@@ -181,6 +191,11 @@
         Returns the current member record of this node.
     on_registered : callable
         Called with the revision at which the entry was written.
+    may_call : callable
+        Returns whether the store answers this node, as its follower knows; without
+        that, a call would only add to the load of the store.
+    backoff : StoreBackoff
+        Pauses while the store fails calls.
     """
 
     def __init__(
@@ -188,7 +203,11 @@
         store: MetadataStore,
         get_member: Callable[[], Member],
         on_registered: Callable[[int], None],
+        may_call: Callable[[], bool],
+        backoff: StoreBackoff,
     ) -> None:
+        self._may_call = may_call
+        self._backoff = backoff
         self._store = store
         self._get_member = get_member
         self._on_registered = on_registered
@@ -198,14 +217,20 @@
     async def run(self) -> None:
         """Keep the entry and its lease until `deregister` is called."""
         while not self._is_deregistering:
+            if not self._may_call():
+                await asyncio.sleep(CONTACT_POLL_INTERVAL_S)
+                continue
+            started_at = boot_time()
             try:
                 await self._renew()
+                self._backoff.record_success()
             except LeaseExpiredError:
                 self._lease = 0
                 continue
             except StoreUnavailableError as error:
                 logger.bind(error=str(error)).debug("registration.failed")
-                await asyncio.sleep(RETRY_INTERVAL_S)
+                spent_s = boot_time() - started_at
+                await asyncio.sleep(self._backoff.next_pause_s(spent_s))
                 continue
             await asyncio.sleep(LEASE_RENEWAL_INTERVAL_S)
 
--- a/packages/persimmonlink-router/src/persimmonlink_router/stream_version_saver.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stream_version_saver.py
@@ -30,7 +30,7 @@
 # than a saved version takes to come back in a watch.
 TAKEOVER_DELAY_S = 2.5
 MAX_SAVED_AT_ONCE = 8000  # Streams in one value of the store.
-REFRESH_INTERVAL_S = 30.0  # Interval of saving unchanged versions of services.
+REFRESH_INTERVAL_S = 180.0  # Interval of saving unchanged versions of services.
 LEASE_REUSE_S = 15.0  # Time in which values are written under the same lease.
 # Values outlast the records by the time in which their lease is reused.
 LEASE_TTL_S = RECORD_LIFETIME_S + REFRESH_INTERVAL_S + LEASE_REUSE_S
@@ -106,6 +106,8 @@
         self._sequence = 0
         self._saved_services: dict[str, list[str]] = {}
         self._saved_services_at = 0.0
+        self._changed_services: dict[str, list[str]] = {}
+        self._services_changed_at = 0.0
 
     @property
     def rank(self) -> int | None:
@@ -131,17 +133,29 @@
         if any(len(age_s_by_version) > 1 for age_s_by_version in ages.values()):
             recorded_before = now - rank * TAKEOVER_DELAY_S
             unsaved = self._versions.list_unsaved(recorded_before, MAX_SAVED_AT_ONCE)
-        names = {service: sorted(by_version) for service, by_version in ages.items()}
-        is_due = now - self._saved_services_at >= REFRESH_INTERVAL_S
-        if names == self._saved_services and not is_due and not unsaved:
+        names = _list_names(ages)
+        are_services_due = self._are_services_due(names, rank, now)
+        if not are_services_due and not unsaved:
             return
-        if names == self._saved_services and not is_due:
+        if not are_services_due:
             ages = {}
         # Each write ends the watches that wait, so there is one in their pause at most.
         self._next_save_at = now + choose_watch_pause_s(self._members.peak_node_count())
         loop = asyncio.get_running_loop()
         self._task = loop.create_task(self._save(ages, names, unsaved))
 
+    def _are_services_due(
+        self, names: dict[str, list[str]], rank: int, now: float
+    ) -> bool:
+        """Whether this node is to save the versions of the services."""
+        if names != self._changed_services:
+            self._changed_services = names
+            self._services_changed_at = now
+        delay_s = rank * TAKEOVER_DELAY_S
+        if names != self._saved_services:
+            return now - self._services_changed_at >= delay_s
+        return now - self._saved_services_at >= REFRESH_INTERVAL_S + delay_s
+
     def apply_store_item(self, item: StoredItem) -> None:
         """Apply what a node has saved."""
         if item.value is None:
@@ -156,11 +170,21 @@
         except (msgspec.MsgspecError, UnicodeDecodeError) as error:
             logger.bind(key=item.key, error=str(error)).warning("store.entry_invalid")
             return
+        ages = services.age_s_by_version_by_service
+        if self._is_from_serving_member(item.key):
+            # That member saves them again in time.
+            self._saved_services = _list_names(ages)
+            self._saved_services_at = now
         directory = self._cluster_view.servers
-        for service, age_s_by_version in services.age_s_by_version_by_service.items():
+        for service, age_s_by_version in ages.items():
             for version, age_s in age_s_by_version.items():
                 directory.record_served_until(service, version, now - max(0.0, age_s))
 
+    def _is_from_serving_member(self, key: str) -> bool:
+        node_id = key.removeprefix(SERVICE_PREFIX)
+        serving = self._members.list_serving_members()
+        return any(member.node_id == node_id for member in serving)
+
     def _apply_streams(
         self, streams: SavedStreamVersions, revision: int, now: float
     ) -> None:
@@ -229,6 +253,11 @@
         await self._store.put_with_lease(key, msgspec.json.encode(value), self._lease)
 
 
+def _list_names(ages: dict[str, dict[str, float]]) -> dict[str, list[str]]:
+    """Return the versions of each service, sorted."""
+    return {service: sorted(by_version) for service, by_version in ages.items()}
+
+
 def _group_by_version(version_by_request_id: dict[str, str]) -> dict[str, list[str]]:
     grouped: dict[str, list[str]] = {}
     for request_id, version in version_by_request_id.items():
--- a/stand_ins/src/persimmonlink_stand_ins/metadata_store.py
+++ b/stand_ins/src/persimmonlink_stand_ins/metadata_store.py
@@ -156,6 +156,14 @@
         self._expire_leases()
         return set(self._item_by_key)
 
+    def list_keys_written(self, prefix: str) -> list[str]:
+        """Return the key of each write that the history has, in order."""
+        return [
+            event["key"]
+            for event in self._history
+            if event["key"].startswith(prefix) and "tombstone" not in event
+        ]
+
     def expire_all_leases(self) -> None:
         """Expire all leases, as an outage of the store may."""
         for lease in self._lease_by_id.values():
--- /dev/null
+++ b/tests/router/test_store_outage_calls.py
@@ -0,0 +1,101 @@
+"""Calls to the store while it fails: few, and soon right again after it."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+import pytest
+from tests.router.rig import make_configuration, make_rig, run, wait_until
+
+from persimmonlink_router.store_backoff import (
+    FIRST_INTERVAL_S,
+    MAX_INTERVAL_S,
+    StoreBackoff,
+)
+from persimmonlink_stand_ins.metadata_store import StoreFaults
+
+NODES = 3
+OUTAGE_S = 10.0
+# Calls a second that a node makes while the store serves and servers change.
+CALM_CALLS_PER_S = 0.75
+# Shortest time after an outage from which nodes must act on changes.
+CHANGE_S = 3.0
+
+FAULTS = [
+    StoreFaults(status=503),
+    StoreFaults(status=429),
+    StoreFaults(never_responds=True),
+    StoreFaults(drops_responses=True),
+]
+
+
+@pytest.mark.parametrize("faults", FAULTS, ids=["503", "429", "silent", "lost"])
+def test_an_outage_costs_no_more_calls_than_calm(faults):
+    async def scenario():
+        async with make_rig(routers=NODES) as rig:
+            await asyncio.sleep(0.5)
+            rig.store.faults = faults
+            rig.store.called_paths.clear()
+            await asyncio.sleep(OUTAGE_S)
+            renewals = [p for p in rig.store.called_paths if "kv-keep" in p]
+            calls = len(rig.store.called_paths) - 0.9 * len(renewals)
+            assert calls <= CALM_CALLS_PER_S * OUTAGE_S * NODES
+
+    run(scenario())
+
+
+@pytest.mark.parametrize("faults", FAULTS[:3], ids=["503", "429", "silent"])
+def test_all_nodes_have_a_change_soon_after_an_outage(faults):
+    async def scenario():
+        async with make_rig(routers=NODES) as rig:
+            rig.store.faults = faults
+            await asyncio.sleep(6.0)
+            rig.store.faults = StoreFaults()
+            rig.store.put("op/config", make_configuration(8))
+            await wait_until(
+                lambda: all(
+                    router.cluster_view.configuration.version == 8
+                    for router in rig.routers
+                ),
+                CHANGE_S,
+            )
+
+    run(scenario())
+
+
+def test_all_nodes_are_registered_again_after_an_outage_that_ended_their_leases():
+    async def scenario():
+        async with make_rig(routers=NODES) as rig:
+            await wait_until(lambda: count_registered(rig) == NODES)
+            rig.store.faults = StoreFaults(status=503)
+            await asyncio.sleep(5.0)
+            rig.store.expire_all_leases()
+            rig.store.faults = StoreFaults()
+            await wait_until(lambda: count_registered(rig) == NODES, 4.0)
+
+    run(scenario())
+
+
+def count_registered(rig) -> int:
+    keys = rig.store.list_keys()
+    return sum(1 for key in keys if key.startswith("persimmonlink/nodes/"))
+
+
+def test_intervals_grow_and_begin_anew_after_a_success():
+    backoff = StoreBackoff(random.Random(1))
+    pauses = [backoff.next_pause_s(0.0) for _ in range(6)]
+    assert pauses[0] <= FIRST_INTERVAL_S < pauses[-1] <= MAX_INTERVAL_S
+    backoff.record_success()
+    assert backoff.next_pause_s(0.0) <= FIRST_INTERVAL_S
+
+
+def test_the_time_of_a_slow_failure_is_part_of_the_interval():
+    slow, fast = StoreBackoff(random.Random(1)), StoreBackoff(random.Random(1))
+    for _ in range(4):
+        assert 0 < slow.next_pause_s(5.0) < fast.next_pause_s(0.0)
+
+
+def test_intervals_of_several_nodes_differ():
+    pauses = {StoreBackoff(random.Random(seed)).next_pause_s(0.0) for seed in range(8)}
+    assert len(pauses) == 8
--- a/tests/router/test_stream_versions_after_total_loss.py
+++ b/tests/router/test_stream_versions_after_total_loss.py
@@ -286,3 +286,21 @@
             assert [key for key in keys if key.startswith(VERSION_PREFIX)]
 
     run(scenario())
+
+
+def test_one_member_saves_the_versions_of_services_while_they_stay():
+    async def scenario():
+        async with make_rig(routers=3) as rig:
+            for router in rig.routers:
+                await wait_until(
+                    lambda router=router: (
+                        len(router.membership.list_serving_members()) == 3
+                    )
+                )
+            await asyncio.sleep(4.0)
+            saved = rig.store.list_keys_written(VERSION_PREFIX)
+            assert 1 <= len(saved) <= 2
+            await asyncio.sleep(4.0)
+            assert rig.store.list_keys_written(VERSION_PREFIX) == saved
+
+    run(scenario())
