Keep following the store, heartbeats and registration after an unexpected error

An unexpected error in one of the three loops ended it for good, with one line in the log: the node went on serving with what it knew then, never learned of a change again, or was no longer listed.

--- a/packages/persimmonlink-router/src/persimmonlink_router/router.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/router.py
@@ -76,7 +76,7 @@
 from persimmonlink_router.wire_messages import Wire
 
 if TYPE_CHECKING:
-    from collections.abc import Coroutine, Sequence
+    from collections.abc import Callable, Coroutine, Sequence
     from typing import Any
 
     from persimmonlink_model.membership import Member
@@ -90,6 +90,7 @@
 
 OWN_PREFIX = "persimmonlink/"  # Prefix of all keys that routers write.
 TICK_INTERVAL_S = 0.1  # Interval of the check for a suspension of the VM.
+LOOP_RESTART_PAUSE_S = 0.5  # Pause after an unexpected error in a loop.
 SWEEP_INTERVAL_S = 1.0  # Interval of closing idle connections and discarding old state.
 DIRECTORY_TTL_S = 1.0  # Clients cache responses up to three times as long.
 DIRECTORY_EXPIRY_WAIT_S = 3.5  # Clients may use old directory responses this long.
@@ -342,9 +343,9 @@
         self._timers.every(
             CHECK_INTERVAL_S, self.stream_version_saver.tick, "stream-versions"
         )
-        self._spawn(self._follower.run(), "store-follower")
-        self._spawn(self.membership.run_heartbeats(), "heartbeats")
-        self._spawn(self._register(), "registration")
+        self._spawn_loop(self._follower.run, "store-follower")
+        self._spawn_loop(self.membership.run_heartbeats, "heartbeats")
+        self._spawn_loop(self._register, "registration")
         logger.bind(
             domain=self._settings.domain,
             member=self.membership.own_member.node_id,
@@ -430,6 +431,12 @@
         self.membership.mark_configured(self.cluster_view.configuration.version)
         await self._registration.run()
 
+    def _spawn_loop(
+        self, work: Callable[[], Coroutine[Any, Any, None]], name: str
+    ) -> None:
+        """Run a loop that the node can't do without; an error doesn't end it."""
+        self._spawn(_run_again_on_error(work, name), name)
+
     def _spawn(self, coroutine: Coroutine[Any, Any, Any], name: str) -> None:
         task = asyncio.get_running_loop().create_task(coroutine, name=name)
         task.add_done_callback(_log_task_failure)
@@ -597,6 +604,19 @@
         return metrics.to_text()
 
 
+async def _run_again_on_error(
+    work: Callable[[], Coroutine[Any, Any, None]], name: str
+) -> None:
+    """Run a coroutine to its end, again from the start after an unexpected error."""
+    while True:
+        try:
+            await work()
+            return
+        except Exception:
+            logger.bind(task=name).exception("task.failed")
+            await asyncio.sleep(LOOP_RESTART_PAUSE_S)
+
+
 def _log_task_failure(task: asyncio.Task[Any]) -> None:
     if task.cancelled():
         return
--- a/stand_ins/src/persimmonlink_stand_ins/routed_server.py
+++ b/stand_ins/src/persimmonlink_stand_ins/routed_server.py
@@ -23,6 +23,7 @@
     from persimmonlink_stand_ins.raw_server import RawRequest
 
 EVENT_INTERVAL_S = 0.02
+DRIP_INTERVAL_S = 0.1
 MAX_RECORDED_BYTES = 65536  # Response after which nothing more is remembered of it.
 
 
@@ -86,6 +87,9 @@
         Closes the connection of a cut stream in order instead of resetting it.
     ends_after_response : bool
         Ends with the first plain response that has no length.
+    drips_streams_after : int
+        Events after which a stream goes on with single bytes of the next event, at
+        `DRIP_INTERVAL_S`, without ever ending it; 0 for none.
     endless_bytes : EndlessBytes
         What it sends without end, until the node closes the connection.
     """
@@ -105,6 +109,7 @@
     cut_event_bytes: int = 8
     closes_cut_streams_in_order: bool = False
     ends_after_response: bool = False
+    drips_streams_after: int = 0
     endless_bytes: EndlessBytes = EndlessBytes.NONE
 
 
@@ -176,6 +181,7 @@
         self.work_s = 0.0
         # Time to the first event of a stream, and time of a stage call, in seconds.
         self.first_event_s = 0.0
+        self.event_interval_s = EVENT_INTERVAL_S
         self.stage_call_s = 0.02
         # Parts of prompts on which it ends, and where in the response it does.
         self.fatal_part_ids: frozenset[str] = frozenset()
@@ -428,10 +434,15 @@
                 if not self.faults.closes_cut_streams_in_order:
                     reset_connection(writer)
                 return False
+            if 0 < self.faults.drips_streams_after < event_id:
+                while True:
+                    writer.write(frame(b"x"))
+                    await writer.drain()
+                    await asyncio.sleep(DRIP_INTERVAL_S)
             await self._wait_while_silent()
             writer.write(frame(event))
             await writer.drain()
-            await asyncio.sleep(EVENT_INTERVAL_S)
+            await asyncio.sleep(self.event_interval_s)
         writer.write(frame(b""))
         return not self.faults.omits_length
 
--- /dev/null
+++ b/tests/router/test_unexpected_errors.py
@@ -0,0 +1,57 @@
+"""An unexpected error ends neither a node's loops nor the node."""
+
+from __future__ import annotations
+
+import pytest
+from tests.router.rig import make_configuration, make_rig, run, wait_until
+
+
+class UnexpectedError(Exception):
+    """An error that no part of the router expects."""
+
+
+def fail_once(owner, name: str) -> list[str]:
+    """Let the next call of a method fail; return the calls from that one on."""
+    method = getattr(owner, name)
+    calls: list[str] = []
+
+    def call(*args, **kwargs):
+        calls.append(name)
+        if len(calls) == 1:
+            raise UnexpectedError(name)
+        return method(*args, **kwargs)
+
+    setattr(owner, name, call)
+    return calls
+
+
+@pytest.mark.parametrize("name", ["apply", "advance"])
+def test_a_node_follows_the_store_after_an_unexpected_error(name):
+    async def scenario():
+        async with make_rig() as rig:
+            router = rig.routers[0]
+            calls = fail_once(router._mirror, name)
+            rig.store.put("op/config", make_configuration(2))
+            await wait_until(lambda: calls)
+            rig.store.put("op/config", make_configuration(3))
+            await wait_until(lambda: router.cluster_view.configuration.version == 3)
+
+    run(scenario())
+
+
+def test_a_node_sends_heartbeats_after_an_unexpected_error():
+    async def scenario():
+        async with make_rig() as rig:
+            calls = fail_once(rig.routers[0].membership, "_expire_stale_state")
+            await wait_until(lambda: len(calls) >= 3)
+
+    run(scenario())
+
+
+def test_a_node_stays_registered_after_an_unexpected_error():
+    async def scenario():
+        async with make_rig() as rig:
+            calls = fail_once(rig.routers[0]._registration, "_renew")
+            await wait_until(lambda: len(calls) >= 3, 8.0)
+
+    run(scenario())
