--- a/packages/persimmonlink-router/src/persimmonlink_router/server_sender.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/server_sender.py
@@ -23,6 +23,11 @@
     RequestRefusedError,
     ResponseEnd,
 )
+from persimmonlink_router.response_head_reader import (
+    NotRunError,
+    RejectedError,
+    ResponseHeadReader,
+)
 from persimmonlink_router.server_chooser import (
     NO_INPUTS,
     StageInputs,
@@ -57,11 +62,7 @@
 # Retry-After if no server may continue a stream, or no node knows which ones may.
 NO_VERSION_RETRY_AFTER_S = 0.5
 MAX_REJECTIONS = 4  # A request that more servers than this reject is refused.
-REJECTION_BODY_TIMEOUT_S = 0.2  # Longest wait for the body of a rejection.
 MAX_BUFFERED_BYTES = 50331648  # Largest size of all responses that are buffered.
-MAX_UNEXPECTED_RESPONSES = 4  # Responses to other requests that are skipped.
-MAX_UNEXPECTED_BODY_BYTES = 1048576  # Largest body of such a response.
-MAX_REJECTION_BODY_BYTES = 65536  # Largest body of a rejection that is read.
 # Longest idle time of connections that carry requests which must not run twice.
 NON_REPEATABLE_MAX_IDLE_S = 2.0
 
@@ -97,14 +98,6 @@
     first_event_at: float | None = None
 
 
-class NotRunError(Exception):
-    """A server did not run the request, which may be sent to another server."""
-
-
-class RejectedError(NotRunError):
-    """A server rejected the request."""
-
-
 class UnreachableError(NotRunError):
     """A connection to a server could not be opened."""
 
@@ -169,7 +162,6 @@
         self._cluster_view = cluster_view
         self._membership = membership
         self._pool = pool
-        self._wire = wire
         self._health = health
         self._budget = budget
         self._stream_versions = stream_versions
@@ -179,6 +171,16 @@
         self._metrics = metrics
         self._reach = reach
         self._places = places
+        self._head_reader = ResponseHeadReader(
+            cluster_view,
+            pool,
+            wire,
+            health,
+            limiter,
+            reach,
+            places,
+            self._record_interrupted_request,
+        )
         self.body_budget = ByteBudget(MAX_BUFFERED_BYTES)
 
     async def send(
@@ -516,7 +518,7 @@
         is_open = False
         was_rejected = False
         try:
-            head, info = await self._send_and_read_head(
+            head, info = await self._head_reader.send(
                 connection, state, dispatch, now, head_timeout_s
             )
             is_open = True
@@ -571,110 +573,6 @@
             raise NotRunError(reason)
         return connection, place
 
-    async def _send_and_read_head(
-        self,
-        connection: HttpClientConnection,
-        state: RequestState,
-        dispatch: Dispatch,
-        sent_at: float,
-        head_timeout_s: float | None,
-    ) -> tuple[HttpResponseHead, ResponseInfo]:
-        """Send the request and read the head of the response.
-
-        Raises `NotRunError` only if the server states that it did not run the request
-        or another server answered at its address, and `RequestFailedError` if the
-        response is lost or late, or a rejection may belong to an earlier request.
-        """
-        server = dispatch.server
-        request = state.exchange.request
-        headers = self._wire.build_request_headers(request, dispatch)
-        try:
-            connection.send(request.method, request.target, headers, request.body)
-            head, info = await self._read_head(
-                server, connection, state, head_timeout_s
-            )
-        except (ConnectionLostError, TimeoutError) as error:
-            state.runs += 1
-            state.may_have_run = True
-            self._health.record_failure(server.key, boot_time())
-            if isinstance(error, TimeoutError):
-                raise RequestFailedError(
-                    f"{server.server_id}: no response in time", 504
-                ) from error
-            self._record_interrupted_request(state, server, sent_at)
-            raise RequestFailedError(f"{server.server_id}: {error}") from error
-        if not info.was_not_run and not info.is_other_server:
-            return head, info
-        request_id = state.metadata.request_id
-        if not _is_rejection_of(request_id, info, connection):
-            connection.close()
-            state.runs += 1
-            state.may_have_run = True
-            self._health.record_failure(server.key, boot_time())
-            logger.bind(
-                request=request_id, server=server.server_id, status=head.status
-            ).warning("response.doubtful_rejection")
-            raise RequestFailedError(
-                f"{server.server_id}: a rejection may belong to an earlier request"
-            )
-        connection.rejected_request_id = request_id
-        await self._drain_rejection(connection, server)
-        raise RejectedError(f"rejected with status {head.status}")
-
-    async def _drain_rejection(
-        self, connection: HttpClientConnection, server: Server
-    ) -> None:
-        """Read the body of a rejection, so that the connection can be kept."""
-        try:
-            async with asyncio.timeout(REJECTION_BODY_TIMEOUT_S):
-                await connection.read_body(MAX_REJECTION_BODY_BYTES)
-        except (ConnectionLostError, TimeoutError):
-            # The rejection stays valid; only the connection is lost.
-            return
-        self._pool.release(server.key, connection)
-
-    async def _read_head(
-        self,
-        server: Server,
-        connection: HttpClientConnection,
-        state: RequestState,
-        head_timeout_s: float | None,
-    ) -> tuple[HttpResponseHead, ResponseInfo]:
-        timeout_s = state.time_left_s
-        if head_timeout_s is not None:
-            timeout_s = min(timeout_s, head_timeout_s)
-        async with asyncio.timeout(timeout_s):
-            for _ in range(MAX_UNEXPECTED_RESPONSES + 1):
-                head = await connection.read_head()
-                self._reach.record_answer(server, boot_time())
-                info = self._wire.parse_response_head(head)
-                self._cluster_view.apply_response(server, info)
-                self._limiter.record_response(server, info)
-                self._places.record_response(server, info)
-                is_unexpected = info.request_id not in ("", state.metadata.request_id)
-                if not is_unexpected:
-                    return head, info
-                logger.bind(
-                    request=state.metadata.request_id, other=info.request_id
-                ).warning("response.unexpected")
-                await connection.read_body(MAX_UNEXPECTED_BODY_BYTES)
-                connection.skip_response()
-        raise ConnectionLostError(
-            f"{server.server_id}: too many responses to other requests"
-        )
-
-
-def _is_rejection_of(
-    request_id: str, info: ResponseInfo, connection: HttpClientConnection
-) -> bool:
-    """Whether a rejection is certain not to be one sent once more for another send.
-
-    One that names no request is certain only as the first response of a connection.
-    """
-    if info.request_id != request_id:
-        return not connection.was_used
-    return connection.rejected_request_id != request_id
-
 
 def _build_held_error(hold: Hold) -> RequestHeldError:
     causes = ", ".join(sorted(hold.cause_ids))
