Save versions from a second after the configuration on, when members are known

A node that has just started knows no other member and took itself for the first saver, so all nodes wrote as they started.

Ruled out: two seconds.

--- a/packages/persimmonlink-router/src/persimmonlink_router/stream_version_saver.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stream_version_saver.py
@@ -33,6 +33,9 @@
 LEASE_REUSE_S = 15.0  # Time in which values are written under the same lease.
 # Values outlast the records by the time in which their lease is reused.
 LEASE_TTL_S = RECORD_LIFETIME_S + REFRESH_INTERVAL_S + LEASE_REUSE_S
+# Time from the configuration to the first write. A node that has just started knows no
+# other member, and would take itself for the first saver.
+START_DELAY_S = 1.0
 RETRY_INTERVAL_S = 1.0  # Pause after a failed write.
 
 
@@ -100,6 +103,7 @@
         self._metrics = metrics
         self._task: asyncio.Task[None] | None = None
         self._next_check_at = 0.0
+        self._has_started = False
         self._lease = 0
         self._lease_granted_at = 0.0
         self._sequence = 0
@@ -124,6 +128,10 @@
         is_saving = self._task is not None and not self._task.done()
         if is_saving or now < self._next_check_at:
             return
+        if not self._has_started:
+            self._has_started = self._cluster_view.configuration is not None
+            self._next_check_at = now + START_DELAY_S if self._has_started else 0.0
+            return
         # Each write ends the watches that wait, so there is one in their pause at most.
         pause_s = choose_watch_pause_s(self._members.peak_node_count())
         self._next_check_at = now + pause_s
