Save no versions while the store fails

In an outage that begins before anything was saved, the members that save tried again each second, beside the follower. They had passed before, as savers had written within half a second of their start.

Now the follower alone tries, as the registration already does. The tests of outages and of versions pass (20 tests, once).

--- a/packages/persimmonlink-router/src/persimmonlink_router/stream_version_saver.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stream_version_saver.py
@@ -128,6 +128,9 @@
         is_saving = self._task is not None and not self._task.done()
         if is_saving or now < self._next_check_at:
             return
+        if not self._cluster_view.is_in_contact:
+            # The follower alone tries until the store answers again.
+            return
         if not self._has_started:
             self._has_started = self._cluster_view.configuration is not None
             self._next_check_at = now + START_DELAY_S if self._has_started else 0.0
