--- a/tests/router/test_store_follower.py
+++ b/tests/router/test_store_follower.py
@@ -10,7 +10,7 @@
 from hypothesis import strategies as st
 from tests.router.rig import make_rig, run
 
-from persimmonlink_router.store_follower import choose_watch_pause_s
+from persimmonlink_router.store_intervals import choose_watch_pause_s
 from persimmonlink_stand_ins.metadata_store import StoreFaults
 
 SHORTEST_DRAIN_S = 2.0  # Shortest time in which a drain must take effect.
