--- a/packages/persimmonlink-interfaces/src/persimmonlink_interfaces/plain_client.py
+++ b/packages/persimmonlink-interfaces/src/persimmonlink_interfaces/plain_client.py
@@ -90,6 +90,9 @@
         finally:
             if not call.repeatable:
                 pool.close()
+        if response.status != _HTTP_OK:
+            # A rejection names no call: sent once more, it would be that of the next.
+            self._pools.drop(address)
         elapsed_s = time.monotonic() - started_at
         return _parse_response(response, data, call, elapsed_s).map(
             lambda output: _emit_text(output, on_text)
