--- a/packages/persimmonlink-router/src/persimmonlink_router/router.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/router.py
@@ -15,6 +15,7 @@
 from persimmonlink_router.cluster_membership import MEMBER_PREFIX, ClusterMembership
 from persimmonlink_router.cluster_view import ClusterView, EntryReader
 from persimmonlink_router.connection_pool import ConnectionPool
+from persimmonlink_router.counted_store import CountedStore
 from persimmonlink_router.crash_guard import CrashGuard
 from persimmonlink_router.crash_reports import CrashReporter
 from persimmonlink_router.end_confirmer import EndConfirmer
@@ -154,6 +155,7 @@
         self._rng = random.Random()
         limits = settings.limits
         self.metrics = RouterMetrics()
+        self._store = CountedStore(adapters.store, self.metrics)
         self._timers = LoopTimerService()
         self._tasks: list[asyncio.Task[Any]] = []
         self._is_stopping = False
@@ -198,7 +200,7 @@
         self._crash_guard = CrashGuard(
             self.membership,
             CrashReporter(self.membership),
-            HoldRecords(adapters.store),
+            HoldRecords(self._store),
             self.membership.facts.spread,
             self.metrics,
         )
@@ -259,7 +261,7 @@
             self.cluster_view,
             self._stream_versions,
             self._mirror,
-            adapters.store,
+            self._store,
             self.metrics,
         )
         self._sender = ServerSender(
@@ -296,7 +298,7 @@
             lambda: self._is_stopping,
         )
         self._follower = StoreFollower(
-            adapters.store,
+            self._store,
             (*adapters.reader.prefixes, OWN_PREFIX),
             self._mirror,
             self.cluster_view,
@@ -304,7 +306,7 @@
             StoreBackoff(self._get_outage_interval_s, self._rng),
         )
         self._registration = MemberRegistration(
-            adapters.store,
+            self._store,
             lambda: self.membership.own_member,
             self.membership.mark_registered,
             lambda: self.cluster_view.is_in_contact,
--- a/tests/router/test_store_calls_at_size.py
+++ b/tests/router/test_store_calls_at_size.py
@@ -7,6 +7,7 @@
 from types import SimpleNamespace
 from typing import TYPE_CHECKING, Any, cast
 
+import msgspec
 import pytest
 from tests.router.chains import make_server
 
@@ -19,7 +20,10 @@
     choose_outage_interval_s,
     choose_watch_pause_s,
 )
-from persimmonlink_router.stream_version_saver import StreamVersionSaver
+from persimmonlink_router.stream_version_saver import (
+    MAX_SAVED_STREAMS,
+    StreamVersionSaver,
+)
 from persimmonlink_router.stream_versions import StreamVersions
 
 if TYPE_CHECKING:
@@ -81,14 +85,28 @@
 
     def __init__(self) -> None:
         self.keys: list[str] = []
+        self.values: list[bytes] = []
 
     async def grant_lease(self, ttl_s: float) -> int:
         return 1
 
     async def put_with_lease(self, key: str, value: bytes, lease: int) -> int:
         self.keys.append(key)
+        self.values.append(value)
         return 1
 
+    def take_streams(self) -> list[str]:
+        """Return the streams that were written since the last call."""
+        values, self.values = self.values, []
+        return [
+            request_id
+            for value in values
+            for ids in msgspec.json.decode(value)
+            .get("request_ids_by_version", {})
+            .values()
+            for request_id in ids
+        ]
+
 
 def make_saver(own: Member, known: list[Member], store: CountingStore, revision: int):
     """Return the saver of a node that knows some members."""
@@ -168,3 +186,25 @@
         assert saver.rank is None
 
     asyncio.run(scenario())
+
+
+def test_no_more_streams_are_saved_than_all_nodes_keep():
+    async def scenario():
+        own = make_members(1, random.Random(0))[0][1]
+        store = CountingStore()
+        saver = make_saver(own, [own], store, revision=1)
+        directory = saver._cluster_view.servers
+        directory.update(
+            make_server("s2", service="engines", software_version="v2"), 0.0
+        )
+        for number in range(MAX_SAVED_STREAMS + 10):
+            saver._versions.record(f"r{number}", "v1", 0.0)
+        for _ in range(6):
+            saver._next_check_at = 0.0
+            saver.tick()
+            await saver._task
+            for request_id in list(store.take_streams()):
+                saver._versions.record_saved(request_id, "v1", 1, 0.0)
+        assert saver._versions.count_saved() == MAX_SAVED_STREAMS
+
+    asyncio.run(scenario())
