Review, case 1: a broken-off stream without length looks complete

A worker that leaves is gone 2 s after its notice while it runs streams with neither length nor chunks. The router takes the end of their connections for the end of the answers, so clients get complete responses that lack events (ORDER).

--- /dev/null
+++ b/review/shared/__init__.py
@@ -0,0 +1,1 @@
+"""Routers as processes, stand-ins and clients for the cases of the review."""
