--- a/review/shared/worker.py
+++ b/review/shared/worker.py
@@ -8,6 +8,8 @@
 
 import asyncio
 import json
+import os
+import random
 import sys
 import time
 from dataclasses import dataclass
@@ -32,6 +34,8 @@
         File to which it adds a line for each step of a run.
     events : int
         Events of a stream.
+    event_spread : int
+        Largest random number of events that are added to them.
     event_bytes : int
         Size of the text of an event.
     event_interval_s : float
@@ -46,12 +50,15 @@
         Pause after each of them, in seconds.
     is_unframed : bool
         Whether responses have neither a length nor chunks.
+    fatal_target : str
+        Path and query of requests that end the worker; empty for none.
     """
 
     id: str
     port: int
     runs_path: str
     events: int = 10
+    event_spread: int = 0
     event_bytes: int = 40
     event_interval_s: float = 0.05
     first_event_s: float = 0.1
@@ -59,6 +66,7 @@
     body_parts: int = 1
     part_interval_s: float = 0.0
     is_unframed: bool = False
+    fatal_target: str = ""
 
 
 class Worker:
@@ -118,10 +126,10 @@
         if request is None:
             return False
         headers = {k.decode(): v.decode() for k, v in request.headers}
-        return await self._answer(headers, writer)
+        return await self._answer(request.target.decode(), headers, writer)
 
     async def _answer(
-        self, headers: dict[str, str], writer: asyncio.StreamWriter
+        self, target: str, headers: dict[str, str], writer: asyncio.StreamWriter
     ) -> bool:
         request_id = headers.get("persimmonlink-request-id", "")
         named = [f"Persimmonlink-Request-Id: {request_id}"]
@@ -130,7 +138,10 @@
             lines = ["HTTP/1.1 421 Misdirected", *named, "Content-Length: 0"]
             writer.write(_encode_head(lines))
             return True
-        self._record("run", request_id)
+        self._record("run", request_id, target=target)
+        if target == self._options.fatal_target:
+            self._record("crash", request_id, target=target)
+            os._exit(1)
         seal = f"Persimmonlink-Response-Seal: {self._options.id}.{request_id}"
         lines = ["HTTP/1.1 200 OK", *named, seal]
         try:
@@ -154,8 +165,9 @@
         writer.write(_encode_head(lines))
         await asyncio.sleep(options.first_event_s)
         text = "x" * options.event_bytes
-        for number in range(1, options.events + 1):
-            event = f"id: {number}\ndata: {number} of {options.events} {text}\n\n"
+        events = options.events + random.randint(0, options.event_spread)
+        for number in range(1, events + 1):
+            event = f"id: {number}\ndata: {number} of {events} {text}\n\n"
             self._write(writer, event.encode())
             await writer.drain()
             if number % 10 == 0:
