--- a/review/shared/worker.py
+++ b/review/shared/worker.py
@@ -10,6 +10,9 @@
 import json
 import os
 import random
+import signal
+import socket
+import struct
 import sys
 import time
 from dataclasses import dataclass
@@ -18,6 +21,7 @@
 
 HOST = "127.0.0.1"
 READ_BYTES = 65536
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER: on, for 0 seconds.
 
 
 @dataclass(frozen=True)
@@ -50,6 +54,11 @@
         Pause after each of them, in seconds.
     is_unframed : bool
         Whether responses have neither a length nor chunks.
+    work_s : float
+        Time that a plain response takes, in seconds.
+    lost_share : float
+        Share of plain responses that are lost, as the connection is reset, from
+        SIGUSR1 to SIGUSR2.
     fatal_target : str
         Path and query of requests that end the worker; empty for none.
     """
@@ -66,6 +75,8 @@
     body_parts: int = 1
     part_interval_s: float = 0.0
     is_unframed: bool = False
+    work_s: float = 0.0
+    lost_share: float = 0.0
     fatal_target: str = ""
 
 
@@ -80,12 +91,19 @@
 
     def __init__(self, options: Options) -> None:
         self._options = options
+        self._is_losing = False
 
     async def serve(self) -> None:
         """Listen until the process ends."""
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGUSR1, self._set_losing, True)
+        loop.add_signal_handler(signal.SIGUSR2, self._set_losing, False)
         server = await asyncio.start_server(self._handle, HOST, self._options.port)
         await server.serve_forever()
 
+    def _set_losing(self, is_losing: bool) -> None:
+        self._is_losing = is_losing
+
     def _record(self, step: str, request_id: str, **details: object) -> None:
         line = {"at": time.time(), "step": step, "request": request_id, **details}
         with open(self._options.runs_path, "a", encoding="utf-8") as file:
@@ -185,6 +203,12 @@
 
     async def _respond(self, lines: list[str], writer: asyncio.StreamWriter) -> None:
         options = self._options
+        await asyncio.sleep(options.work_s)
+        if self._is_losing and random.random() < options.lost_share:
+            sock = writer.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+            writer.transport.abort()
+            raise ConnectionResetError
         if not options.is_unframed:
             lines = [*lines, f"Content-Length: {options.body_bytes}"]
         writer.write(_encode_head(lines))
