--- a/review/shared/worker.py
+++ b/review/shared/worker.py
@@ -21,6 +21,7 @@
 
 HOST = "127.0.0.1"
 READ_BYTES = 65536
+CHUNKS_AT_ONCE = 4096
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER: on, for 0 seconds.
 
 
@@ -59,6 +60,8 @@
     lost_share : float
         Share of plain responses that are lost, as the connection is reset, from
         SIGUSR1 to SIGUSR2.
+    is_endless : bool
+        Whether streams are single bytes without end, each in a chunk of its own.
     fatal_target : str
         Path and query of requests that end the worker; empty for none.
     """
@@ -77,6 +80,7 @@
     is_unframed: bool = False
     work_s: float = 0.0
     lost_share: float = 0.0
+    is_endless: bool = False
     fatal_target: str = ""
 
 
@@ -182,6 +186,9 @@
             lines.append("Transfer-Encoding: chunked")
         writer.write(_encode_head(lines))
         await asyncio.sleep(options.first_event_s)
+        while options.is_endless:
+            writer.write(b"1\r\nx\r\n" * CHUNKS_AT_ONCE)
+            await writer.drain()
         text = "x" * options.event_bytes
         events = options.events + random.randint(0, options.event_spread)
         for number in range(1, events + 1):
