--- a/review/2/case.py
+++ b/review/2/case.py
@@ -4,12 +4,11 @@
 
 import asyncio
 import itertools
-import os
 import sys
 import time
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from shared.client import ClientConnection
 from shared.deployment import (
@@ -21,7 +20,10 @@
     build_route,
     run_deployment,
 )
-from shared.record import Record
+from shared.runner import run_case
+
+if TYPE_CHECKING:
+    from shared.record import Record
 
 FOLDER = Path(__file__).resolve().parent
 ROUTERS = 3
@@ -83,14 +85,18 @@
         name = router.process.name
         self.sent_by_id[request_id] = Sent(request_id, name, time.time())
         connection = ClientConnection(*router.address("front"))
+        status = 0
         try:
             async with asyncio.timeout(CLIENT_PATIENCE_S):
                 await connection.connect()
                 await connection.send("POST", f"/adjust/{request_id}", headers)
-                response = await connection.receive()
+                status = (await connection.receive()).status
+        except (OSError, TimeoutError):
+            # Status 0 stands for no answer.
+            pass
         finally:
             connection.close()
-        self.statuses[response.status] = self.statuses.get(response.status, 0) + 1
+        self.statuses[status] = self.statuses.get(status, 0) + 1
 
 
 async def write_unreadable(deployment: Deployment) -> None:
@@ -161,18 +167,5 @@
         return judge(deployment, clients, acknowledged_at)
 
 
-def main() -> int:
-    """Play the case and write its record."""
-    record = Record(FOLDER / "record.txt")
-    has_trouble = os.environ.get("TROUBLE", "1") != "0"
-    try:
-        return asyncio.run(play(record, has_trouble=has_trouble))
-    except (OSError, TimeoutError) as error:
-        record.write(f"the case could not run: {error!r}")
-        return 2
-    finally:
-        record.close()
-
-
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(run_case(FOLDER, play))
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -3,13 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-import os
 import signal
 import sys
 import time
 from dataclasses import dataclass, field
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from shared.client import ClientConnection, Response
 from shared.deployment import (
@@ -22,7 +21,10 @@
     build_route,
     run_deployment,
 )
-from shared.record import Record
+from shared.runner import run_case
+
+if TYPE_CHECKING:
+    from shared.record import Record
 
 FOLDER = Path(__file__).resolve().parent
 ROUTERS = 8
@@ -170,18 +172,5 @@
     return 1 if cut else 0
 
 
-def main() -> int:
-    """Play the case and write its record."""
-    record = Record(FOLDER / "record.txt")
-    has_trouble = os.environ.get("TROUBLE", "1") != "0"
-    try:
-        return asyncio.run(play(record, has_trouble=has_trouble))
-    except (OSError, TimeoutError) as error:
-        record.write(f"the case could not run: {error!r}")
-        return 2
-    finally:
-        record.close()
-
-
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(run_case(FOLDER, play))
--- a/review/build.sh
+++ b/review/build.sh
@@ -6,4 +6,4 @@
 cd "$(dirname "$0")/.."
 test -d target/deps
 python3 -m compileall -q stand_ins/src review/shared
-PYTHONPATH="target/deps:stand_ins/src:review" python3 -c "import shared.deployment, shared.worker"
+PYTHONPATH="target/deps:stand_ins/src:review" python3 -c "import shared.runner, shared.deployment, shared.worker"
