Move tasks, directory, status and the list of peer messages out of the router

Code is moved, not changed. Router builds its parts and controls their lifecycle; background_tasks.py runs loops again after an error, client_directory.py tells clients where to connect, router_status.py renders metrics and reach, and peer_handlers.py says which part serves which message of peers.

--- a/packages/persimmonlink-router/src/persimmonlink_router/router.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/router.py
@@ -6,12 +6,14 @@
 import random
 import uuid
 from dataclasses import dataclass, replace
-from typing import TYPE_CHECKING, Protocol
+from typing import TYPE_CHECKING
 
 from loguru import logger
 
 from persimmonlink_peers.peer_server import PeerServer
+from persimmonlink_router.background_tasks import BackgroundTasks
 from persimmonlink_router.boot_clock import boot_time
+from persimmonlink_router.client_directory import ClientDirectory, DirectoryWire
 from persimmonlink_router.cluster_membership import MEMBER_PREFIX, ClusterMembership
 from persimmonlink_router.cluster_view import ClusterView, EntryReader
 from persimmonlink_router.connection_pool import ConnectionPool
@@ -23,34 +25,17 @@
 from persimmonlink_router.http_server import HttpServer, RequestLimits
 from persimmonlink_router.metrics import RouterMetrics
 from persimmonlink_router.operator_api import OperatorApi
-from persimmonlink_router.peer_messages import (
-    Acknowledgement,
-    AskPermit,
-    AskPlace,
-    AskReach,
-    AskTrial,
-    EndPlace,
-    EngineLoad,
-    FindStreamVersion,
-    FoundStreamVersion,
-    MirrorPull,
-    MirrorUpdate,
-    PermitReply,
-    PrepareStages,
-    ReachReply,
-    RecordStreamVersions,
-    ReleaseResults,
-    ReportCrashes,
-    RouterHeartbeat,
-    RouterMember,
-    SharedFacts,
-    ShareFacts,
+from persimmonlink_router.peer_handlers import (
+    register_membership,
+    register_requests,
+    register_server_state,
 )
+from persimmonlink_router.peer_messages import EngineLoad, RouterMember
 from persimmonlink_router.reach_board import ReachBoard
 from persimmonlink_router.reach_monitor import ReachMonitor
-from persimmonlink_router.relay_messages import RelayPart, RelayRequest
 from persimmonlink_router.request_forwarder import RequestForwarder
 from persimmonlink_router.request_service import RequestService
+from persimmonlink_router.router_status import RouterStatus
 from persimmonlink_router.send_limits import ColdSendLimit, RetryBudget
 from persimmonlink_router.server_chooser import ServerChooser
 from persimmonlink_router.server_ends import ServerEndDetector
@@ -60,7 +45,6 @@
 from persimmonlink_router.server_reach import ServerReach
 from persimmonlink_router.server_sender import ServerSender
 from persimmonlink_router.stage_coordinator_client import StageCoordinatorClient
-from persimmonlink_router.stage_outcome import StageOutcome
 from persimmonlink_router.stage_scheduler import DISPATCH_INTERVAL_S, StageScheduler
 from persimmonlink_router.store import MetadataStore
 from persimmonlink_router.store_backoff import StoreBackoff
@@ -77,12 +61,9 @@
 from persimmonlink_router.wire_messages import Wire
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Coroutine, Sequence
-    from typing import Any
+    from collections.abc import Sequence
 
-    from persimmonlink_model.membership import Member
     from persimmonlink_model.result_code import ResultCode
-    from persimmonlink_router.http_messages import Headers
     from persimmonlink_router.http_server import Exchange
     from persimmonlink_router.router_settings import RouterSettings
     from persimmonlink_router.server_ends import InterruptedRequest
@@ -91,11 +72,6 @@
 
 OWN_PREFIX = "persimmonlink/"  # Prefix of all keys that routers write.
 TICK_INTERVAL_S = 0.1  # Interval of the check for a suspension of the VM.
-LOOP_RESTART_PAUSE_S = 0.5  # Pause after an unexpected error in a loop, the first one.
-# Longest such pause: a loop that fails again and again must not list the store so often
-# that all nodes together overload it.
-MAX_LOOP_RESTART_PAUSE_S = 30.0
-LOOP_RECOVERY_S = 60.0  # Time without an error after which the pause is short again.
 SWEEP_INTERVAL_S = 1.0  # Interval of closing idle connections and discarding old state.
 DIRECTORY_TTL_S = 1.0  # Clients cache responses up to three times as long.
 DIRECTORY_EXPIRY_WAIT_S = 3.5  # Clients may use old directory responses this long.
@@ -103,23 +79,6 @@
 # the process is killed.
 STOP_MARGIN_S = 0.4
 STOP_POLL_INTERVAL_S = 0.05  # Interval of checking whether all requests have ended.
-DIRECTORY_TTL_S = 1.0  # Clients cache responses up to three times as long.
-DIRECTORY_EXPIRY_WAIT_S = 3.5  # Clients may use old directory responses this long.
-# Part of the time limit for a stop that is reserved to exit after the drain, before
-# the process is killed.
-STOP_MARGIN_S = 0.4
-STOP_POLL_INTERVAL_S = 0.05  # Interval of checking whether all requests have ended.
-MAX_DIRECTORY_ADDRESSES = 64  # Most addresses in a directory response.
-
-
-class DirectoryWire(Protocol):
-    """Format of the responses that tell clients where to connect."""
-
-    def build_directory_response(
-        self, addresses: Sequence[str], ttl_s: float
-    ) -> tuple[Headers, bytes]:
-        """Return headers and body of a response that lists addresses."""
-        ...
 
 
 @dataclass(frozen=True)
@@ -163,7 +122,7 @@
         self.metrics = RouterMetrics()
         self._store = CountedStore(adapters.store, self.metrics)
         self._timers = LoopTimerService()
-        self._tasks: list[asyncio.Task[Any]] = []
+        self._tasks = BackgroundTasks()
         self._is_stopping = False
         self._reach = ServerReach()
         self._pool = ConnectionPool(self._reach)
@@ -322,12 +281,31 @@
         self._client_server = HttpServer(
             self._request_service.handle, self._client_limits
         )
+        status = RouterStatus(
+            self.metrics,
+            self.membership,
+            self.cluster_view,
+            self._reach_board,
+            self._reach_monitor,
+            self._forwarder,
+            self._pool,
+            self._scheduler.dispatcher,
+            self._client_server,
+        )
         operator_api = OperatorApi(
-            self._render_metrics,
+            status.render_metrics,
             self._crash_guard,
-            self._describe_reach,
+            status.describe_reach,
             self._places.describe,
         )
+        directory = ClientDirectory(
+            self.membership,
+            self.cluster_view,
+            self._reach_board,
+            adapters.directory,
+            lambda: min(DIRECTORY_TTL_S, self._settings.limits.directory_ttl_s),
+            self._rng,
+        )
         self._auxiliary_servers = [
             (
                 settings.listen.readiness,
@@ -335,7 +313,7 @@
             ),
             (
                 settings.listen.directory,
-                HttpServer(self._respond_directory, RequestLimits()),
+                HttpServer(directory.handle, RequestLimits()),
             ),
             (
                 settings.listen.metrics,
@@ -353,9 +331,9 @@
         self._timers.every(TICK_INTERVAL_S, self._tick, "tick")
         self._timers.every(SWEEP_INTERVAL_S, self._sweep, "sweep")
         self._timers.every(DISPATCH_INTERVAL_S, self._scheduler.tick, "stages")
-        self._spawn_loop(self._follower.run, "store-follower")
-        self._spawn_loop(self.membership.run_heartbeats, "heartbeats")
-        self._spawn_loop(self._register, "registration")
+        self._tasks.spawn_loop(self._follower.run, "store-follower")
+        self._tasks.spawn_loop(self.membership.run_heartbeats, "heartbeats")
+        self._tasks.spawn_loop(self._register, "registration")
         logger.bind(
             domain=self._settings.domain,
             member=self.membership.own_member.node_id,
@@ -372,7 +350,7 @@
         self._client_server.is_stopping = True
         self.membership.mark_leaving()
         self._scheduler.transfer_requests()
-        self._spawn(self._registration.deregister(), "leave")
+        self._tasks.spawn(self._registration.deregister(), "leave")
         limit_s = self._settings.limits.stop_s - STOP_MARGIN_S
         while (spent_s := boot_time() - started) < limit_s:
             is_busy = (
@@ -402,31 +380,25 @@
         self._client_server.close()
         for _, server in self._auxiliary_servers:
             server.close()
-        for task in self._tasks:
-            task.cancel()
+        self._tasks.cancel()
         self.membership.close()
 
     async def _start_peers(self) -> None:
         peers = self._peer_server
-        membership = self.membership
-        stages = self._coordinator_client
-        peers.register(RouterHeartbeat, RouterHeartbeat, membership.handle_heartbeat)
-        peers.register(MirrorPull, MirrorUpdate, membership.handle_pull)
-        peers.register(PrepareStages, StageOutcome, stages.handle_prepare)
-        peers.register(ReleaseResults, Acknowledgement, stages.handle_release)
-        versions = self._version_exchange
-        peers.register(RecordStreamVersions, Acknowledgement, versions.handle_record)
-        peers.register(FindStreamVersion, FoundStreamVersion, versions.handle_find)
-        guard = self._crash_guard
-        peers.register(ReportCrashes, Acknowledgement, guard.handle_report)
-        relayed = self._request_service.handle_relayed
-        peers.register_stream(RelayRequest, RelayPart, relayed)
-        peers.register(AskReach, ReachReply, self._end_confirmer.handle_ask)
-        peers.register(AskPlace, PermitReply, self._places.handle_ask)
-        peers.register(EndPlace, Acknowledgement, self._places.handle_end)
-        peers.register(AskPermit, PermitReply, self._limiter.handle_ask)
-        peers.register(AskTrial, PermitReply, guard.trials.handle_ask)
-        peers.register(ShareFacts, SharedFacts, membership.facts.handle_share)
+        register_membership(peers, self.membership)
+        register_requests(
+            peers,
+            self._request_service,
+            self._coordinator_client,
+            self._version_exchange,
+        )
+        register_server_state(
+            peers,
+            self._crash_guard,
+            self._end_confirmer,
+            self._places,
+            self._limiter,
+        )
         host, _, port = self._settings.listen.peers.rpartition(":")
         await peers.start(host, int(port))
 
@@ -444,17 +416,6 @@
     def _get_outage_interval_s(self) -> float:
         return choose_outage_interval_s(self.membership.peak_node_count())
 
-    def _spawn_loop(
-        self, work: Callable[[], Coroutine[Any, Any, None]], name: str
-    ) -> None:
-        """Run a loop that the node can't do without; an error doesn't end it."""
-        self._spawn(_run_again_on_error(work, name), name)
-
-    def _spawn(self, coroutine: Coroutine[Any, Any, Any], name: str) -> None:
-        task = asyncio.get_running_loop().create_task(coroutine, name=name)
-        task.add_done_callback(_log_task_failure)
-        self._tasks.append(task)
-
     def _tick(self) -> None:
         if self.cluster_view.tick(boot_time()):
             self._follower.refresh()
@@ -561,87 +522,5 @@
         status = 200 if is_ready else 503
         await exchange.respond(status, [], b"")
 
-    async def _respond_directory(self, exchange: Exchange) -> None:
-        addresses = sorted({m.http_address for m in self._list_directory_members()})
-        if not addresses:
-            await exchange.respond(503, [(b"retry-after", b"0.5")], b"")
-            return
-        if len(addresses) > MAX_DIRECTORY_ADDRESSES:
-            addresses = self._rng.sample(addresses, MAX_DIRECTORY_ADDRESSES)
-        ttl_s = min(DIRECTORY_TTL_S, self._settings.limits.directory_ttl_s)
-        headers, body = self._adapters.directory.build_directory_response(
-            addresses, ttl_s
-        )
-        await exchange.respond(200, headers, body)
-
-    def _describe_reach(self) -> dict[str, object]:
-        """Return the services that this node and its peers don't reach."""
-        return {
-            "unreached": self._reach_monitor.describe(),
-            "relays_to": self._forwarder.count_by_node(),
-            "peers": {
-                member.node_id: sorted(self._reach_board.list_lacking(member.node_id))
-                for member in self.membership.list_serving_members()
-            },
-        }
-
-    def _list_directory_members(self) -> list[Member]:
-        """Return the members that clients are told of.
-
-        Those that lack at least half of all services are left out, unless all do.
-        """
-        members = self.membership.list_serving_members()
-        configuration = self.cluster_view.configuration
-        if configuration is None:
-            return members
-        half = len(configuration.service_by_name) / 2
-        able = [
-            member
-            for member in members
-            if len(self._reach_board.list_lacking(member.node_id)) < max(half, 1)
-        ]
-        return able or members
-
-    def _render_metrics(self) -> str:
-        metrics = self.metrics
-        metrics.set_gauge("connections_opened_total", self._pool.opened_count)
-        metrics.set_gauge(
-            "stage_batches_total", self._scheduler.dispatcher.sent_batches
-        )
-        metrics.set_gauge("stage_pieces_total", self._scheduler.dispatcher.sent_pieces)
-        metrics.set_gauge(
-            "requests_in_progress", self._client_server.count_active_requests()
-        )
-        metrics.set_gauge(
-            "store_age_seconds", boot_time() - self.cluster_view.last_contact_at
-        )
-        return metrics.to_text()
-
-
-async def _run_again_on_error(
-    work: Callable[[], Coroutine[Any, Any, None]], name: str
-) -> None:
-    """Run a coroutine to its end, again from the start after an unexpected error."""
-    pause_s = LOOP_RESTART_PAUSE_S
-    while True:
-        began_at = boot_time()
-        try:
-            await work()
-            return
-        except Exception:
-            if boot_time() - began_at > LOOP_RECOVERY_S:
-                pause_s = LOOP_RESTART_PAUSE_S
-            logger.bind(task=name, pause_s=pause_s).exception("task.failed")
-        await asyncio.sleep(pause_s)
-        pause_s = min(MAX_LOOP_RESTART_PAUSE_S, 2 * pause_s)
-
-
-def _log_task_failure(task: asyncio.Task[Any]) -> None:
-    if task.cancelled():
-        return
-    error = task.exception()
-    if error is not None:
-        logger.bind(task=task.get_name(), error=repr(error)).error("task.failed")
-
 
 __all__ = ("Adapters", "DirectoryWire", "Router")
