Move the end of responses, held requests and versions out of the sender

Code is moved, not changed: response_completion.py decides which responses are complete, held_requests.py which requests may be sent at all, version_pinning.py where a stream may go on. ServerSender chooses a server and sends.

--- a/packages/persimmonlink-router/src/persimmonlink_router/plain_relay.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/plain_relay.py
@@ -16,7 +16,8 @@
 
 if TYPE_CHECKING:
     from persimmonlink_router.request_state import RequestState
-    from persimmonlink_router.server_sender import OpenResponse, ServerSender
+    from persimmonlink_router.response_completion import OpenResponse
+    from persimmonlink_router.server_sender import ServerSender
 
 MAX_RESPONSE_BYTES = 16777216  # Largest response that is buffered until it is complete.
 # Multiple of the route's objective after which an idempotent request is retried.
@@ -49,10 +50,10 @@
                 raise
             continue
         if response.head.status >= 500 and _may_retry(state, state.runs):
-            sender.record_failure(response.server)
+            sender.responses.record_failure(response.server)
             if sender.allows_retry(state):
                 continue
-        sender.record_response_start(state, response)
+        sender.responses.record_start(state, response)
         headers = strip_hop_by_hop_headers(response.head.headers)
         await state.exchange.respond(response.head.status, headers, body)
         return
@@ -67,16 +68,16 @@
             body = await response.connection.read_body(
                 MAX_RESPONSE_BYTES, sender.body_budget
             )
-            await sender.require_whole(response)
+            await sender.responses.require_whole(response)
         is_complete = True
     except ConnectionLostError as error:
-        sender.record_interruption(state, response)
+        sender.responses.record_interruption(state, response)
         raise RequestFailedError(f"{response.server.server_id}: {error!r}") from error
     except TimeoutError as error:
-        sender.record_failure(response.server)
+        sender.responses.record_failure(response.server)
         raise RequestFailedError(f"{response.server.server_id}: {error!r}") from error
     finally:
-        sender.finish_response(state, response, is_complete=is_complete)
+        sender.responses.finish(state, response, is_complete=is_complete)
     verify_success_response(state, response)
     return body
 
--- /dev/null
+++ b/packages/persimmonlink-router/src/persimmonlink_router/response_completion.py
@@ -0,0 +1,187 @@
+"""A server's response from its head to its end, and what makes it complete."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from persimmonlink_router.boot_clock import boot_time
+from persimmonlink_router.http_client import ConnectionLostError, HttpClientConnection
+from persimmonlink_router.http_messages import HttpResponseHead, ResponseFraming
+from persimmonlink_router.request_state import ResponseEnd
+from persimmonlink_router.server_chooser import estimate_response_s
+from persimmonlink_router.server_ends import InterruptedRequest
+from persimmonlink_router.server_places import Place
+from persimmonlink_router.servers import Server
+from persimmonlink_router.wire_messages import ResponseInfo
+
+if TYPE_CHECKING:
+    from persimmonlink_router.cluster_view import ClusterView
+    from persimmonlink_router.connection_pool import ConnectionPool
+    from persimmonlink_router.crash_guard import CrashGuard
+    from persimmonlink_router.request_state import RequestState
+    from persimmonlink_router.server_ends import ServerEndDetector
+    from persimmonlink_router.server_health import ServerHealth
+    from persimmonlink_router.server_reach import ServerReach
+
+
+@dataclass(slots=True)
+class OpenResponse:
+    """A response whose head has been read and whose body has not.
+
+    Parameters
+    ----------
+    server : Server
+        Server that sent it.
+    connection : HttpClientConnection
+        Connection from which the body is read.
+    head : HttpResponseHead
+        Status and headers.
+    info : ResponseInfo
+        Values parsed from the head.
+    sent_at : float
+        Boot time at which the request was sent, in seconds.
+    place : Place
+        Permission to be in flight at the server.
+    first_event_at : float or None
+        Boot time of the first event that was read, in seconds; None before it.
+    """
+
+    server: Server
+    connection: HttpClientConnection
+    head: HttpResponseHead
+    info: ResponseInfo
+    sent_at: float
+    place: Place
+    first_event_at: float | None = None
+
+
+class ResponseCompletion:
+    """Ends the responses of servers, and decides which ones are complete.
+
+    Parameters
+    ----------
+    cluster_view : ClusterView
+        Servers in use.
+    pool : ConnectionPool
+        Gets the connections of complete responses back.
+    health : ServerHealth
+        Records latency and failures of the servers.
+    end_detector : ServerEndDetector
+        Finds out which servers ended while they ran requests.
+    crash_guard : CrashGuard
+        Learns which requests servers have served.
+    reach : ServerReach
+        Learns which servers answer.
+    """
+
+    def __init__(
+        self,
+        cluster_view: ClusterView,
+        pool: ConnectionPool,
+        health: ServerHealth,
+        end_detector: ServerEndDetector,
+        crash_guard: CrashGuard,
+        reach: ServerReach,
+    ) -> None:
+        self._cluster_view = cluster_view
+        self._pool = pool
+        self._health = health
+        self._end_detector = end_detector
+        self._crash_guard = crash_guard
+        self._reach = reach
+
+    def finish(
+        self, state: RequestState, response: OpenResponse, *, is_complete: bool
+    ) -> None:
+        """End a response; keep its connection only if the body was read completely."""
+        key = response.server.key
+        if is_complete and response.head.status < 500:
+            self._crash_guard.record_served(
+                state.metadata.shared_part_ids, state.fingerprint
+            )
+        state.response_end = ResponseEnd(
+            response.head.framing,
+            response.connection.state_text,
+            is_complete,
+        )
+        self._health.record_ended(key)
+        response.place.end()
+        if is_complete:
+            self._pool.release(key, response.connection)
+        else:
+            response.connection.close()
+
+    async def require_whole(self, response: OpenResponse) -> None:
+        """Check a response without a length whose connection was closed in order.
+
+        Raises `ConnectionLostError` if its server ended with it. One that was leaving
+        may end as soon as its last response is whole.
+        """
+        if response.head.framing is not ResponseFraming.CONNECTION_CLOSE:
+            return
+        if not self._cluster_view.servers.is_usable(response.server):
+            return
+        if await self._end_detector.ended_with_response(response.server):
+            raise ConnectionLostError(
+                f"{response.server.server_id}: the server ended with its response"
+            )
+
+    def record_failure(self, server: Server) -> None:
+        """Record a failed response in the health of its server."""
+        self._health.record_failure(server.key, boot_time())
+
+    def record_events(self, response: OpenResponse) -> None:
+        """Record that a response goes on."""
+        self._reach.record_answer(response.server, boot_time())
+
+    def record_interruption(self, state: RequestState, response: OpenResponse) -> None:
+        """Record a response that its server broke off."""
+        self.record_failure(response.server)
+        self.record_lost_request(
+            state, response.server, response.sent_at, response.first_event_at
+        )
+
+    def record_lost_request(
+        self,
+        state: RequestState,
+        server: Server,
+        sent_at: float,
+        first_event_at: float | None = None,
+    ) -> None:
+        """Record a request whose server broke off, and have the server checked.
+
+        Parameters
+        ----------
+        state : RequestState
+            The request.
+        server : Server
+            Server that it was sent to.
+        sent_at : float
+            Boot time at which it was sent, in seconds.
+        first_event_at : float or None
+            Boot time of the first event of the response, in seconds; None if none came.
+        """
+        self._end_detector.record_interruption(
+            server,
+            InterruptedRequest(
+                state.metadata.request_id,
+                state.fingerprint,
+                state.metadata.shared_part_ids,
+                sent_at,
+                first_event_at,
+                boot_time(),
+                state.origin,
+            ),
+        )
+
+    def record_start(self, state: RequestState, response: OpenResponse) -> None:
+        """Record the latency of a response that has begun as a success."""
+        key = response.server.key
+        took_s = boot_time() - response.sent_at
+        self._health.record_prompt_read(key, state.metadata.prompt_tokens)
+        expected_s = estimate_response_s(state)
+        self._health.record_success(key, min(10.0, took_s / expected_s), boot_time())
+
+
+__all__ = ("OpenResponse", "ResponseCompletion")
--- a/packages/persimmonlink-router/src/persimmonlink_router/server_sender.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/server_sender.py
@@ -3,26 +3,24 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from loguru import logger
 
 from persimmonlink_router.boot_clock import boot_time
+from persimmonlink_router.held_requests import HeldRequests
 from persimmonlink_router.http_client import (
     ByteBudget,
     ConnectError,
-    ConnectionLostError,
     HttpClientConnection,
 )
-from persimmonlink_router.http_messages import HttpResponseHead, ResponseFraming
 from persimmonlink_router.request_state import (
     NoReachError,
     RequestFailedError,
     RequestHeldError,
     RequestRefusedError,
-    ResponseEnd,
 )
+from persimmonlink_router.response_completion import OpenResponse, ResponseCompletion
 from persimmonlink_router.response_head_reader import (
     NotRunError,
     RejectedError,
@@ -31,19 +29,15 @@
 from persimmonlink_router.server_chooser import (
     NO_INPUTS,
     StageInputs,
-    estimate_response_s,
 )
-from persimmonlink_router.server_ends import InterruptedRequest
-from persimmonlink_router.server_places import Place
-from persimmonlink_router.servers import Server
-from persimmonlink_router.wire_messages import Dispatch, ResponseInfo
+from persimmonlink_router.version_pinning import VersionPinning
+from persimmonlink_router.wire_messages import Dispatch
 
 if TYPE_CHECKING:
     from persimmonlink_router.cluster_membership import ClusterMembership
     from persimmonlink_router.cluster_view import ClusterView
     from persimmonlink_router.connection_pool import ConnectionPool
     from persimmonlink_router.crash_guard import CrashGuard
-    from persimmonlink_router.holds import Hold
     from persimmonlink_router.metrics import RouterMetrics
     from persimmonlink_router.request_state import RequestState
     from persimmonlink_router.send_limits import RetryBudget
@@ -51,53 +45,21 @@
     from persimmonlink_router.server_ends import ServerEndDetector
     from persimmonlink_router.server_health import ServerHealth
     from persimmonlink_router.server_limiter import ServerLimiter
-    from persimmonlink_router.server_places import ServerPlaces
+    from persimmonlink_router.server_places import Place, ServerPlaces
     from persimmonlink_router.server_reach import ServerReach
+    from persimmonlink_router.servers import Server
     from persimmonlink_router.stream_version_exchange import StreamVersionExchange
     from persimmonlink_router.wire_messages import Wire
 
 MAX_SERVER_WAIT_S = 0.15  # Longest wait for a server that may receive the request.
 SERVER_POLL_INTERVAL_S = 0.02  # Interval of looking for such a server.
 NO_SERVER_RETRY_AFTER_S = 0.3  # Retry-After if no server accepts a request.
-# Retry-After if no server may continue a stream, or no node knows which ones may.
-NO_VERSION_RETRY_AFTER_S = 0.5
 MAX_REJECTIONS = 4  # A request that more servers than this reject is refused.
 MAX_BUFFERED_BYTES = 50331648  # Largest size of all responses that are buffered.
 # Longest idle time of connections that carry requests which must not run twice.
 NON_REPEATABLE_MAX_IDLE_S = 2.0
 
 
-@dataclass(slots=True)
-class OpenResponse:
-    """A response whose head has been read and whose body has not.
-
-    Parameters
-    ----------
-    server : Server
-        Server that sent it.
-    connection : HttpClientConnection
-        Connection from which the body is read.
-    head : HttpResponseHead
-        Status and headers.
-    info : ResponseInfo
-        Values parsed from the head.
-    sent_at : float
-        Boot time at which the request was sent, in seconds.
-    place : Place
-        Permission to be in flight at the server.
-    first_event_at : float or None
-        Boot time of the first event that was read, in seconds; None before it.
-    """
-
-    server: Server
-    connection: HttpClientConnection
-    head: HttpResponseHead
-    info: ResponseInfo
-    sent_at: float
-    place: Place
-    first_event_at: float | None = None
-
-
 class UnreachableError(NotRunError):
     """A connection to a server could not be opened."""
 
@@ -164,13 +126,14 @@
         self._pool = pool
         self._health = health
         self._budget = budget
-        self._stream_versions = stream_versions
-        self._end_detector = end_detector
-        self._crash_guard = crash_guard
         self._limiter = limiter
-        self._metrics = metrics
+        self.version_pinning = VersionPinning(cluster_view, stream_versions)
+        self.held_requests = HeldRequests(cluster_view, crash_guard, metrics)
         self._reach = reach
         self._places = places
+        self.responses = ResponseCompletion(
+            cluster_view, pool, health, end_detector, crash_guard, reach
+        )
         self._head_reader = ResponseHeadReader(
             cluster_view,
             pool,
@@ -179,7 +142,7 @@
             limiter,
             reach,
             places,
-            self._record_interrupted_request,
+            self.responses.record_lost_request,
         )
         self.body_budget = ByteBudget(MAX_BUFFERED_BYTES)
 
@@ -192,7 +155,7 @@
     ) -> OpenResponse:
         """Send a request to the best server, and to the next one if it is rejected.
 
-        The caller must end the response with `finish_response`.
+        The caller must end the response with `responses.finish`.
 
         Parameters
         ----------
@@ -215,9 +178,9 @@
         """
         excluded_ids: set[str] = set()
         unreachable_ids: set[str] = set()
-        self.require_not_held(state)
+        self.held_requests.require_allowed(state)
         self.require_reach(state)
-        await self._require_trial_permit(state)
+        await self.held_requests.require_trial_permit(state)
         while True:
             server = await self._wait_for_server(state, inputs, excluded_ids)
             try:
@@ -247,23 +210,6 @@
                         NO_SERVER_RETRY_AFTER_S,
                     ) from error
 
-    async def pin_resumed_stream(self, state: RequestState) -> None:
-        """Bind a stream that a client takes up to the version at which it began.
-
-        Raises `RequestRefusedError` if no node knows that version.
-        """
-        metadata = state.metadata
-        if not metadata.last_event_id or state.stream_version is not None:
-            return
-        state.stream_version = await self._stream_versions.find(
-            metadata.resumed_request_id, state.service
-        )
-        if state.stream_version is None:
-            raise RequestRefusedError(
-                "the software version that began the stream is unknown",
-                NO_VERSION_RETRY_AFTER_S,
-            )
-
     def require_reach(self, state: RequestState) -> None:
         """Raise `NoReachError` if no server of the service can be reached."""
         if state.service in self._reach.unreached_services:
@@ -284,50 +230,6 @@
             "no server of the service can be reached", NO_SERVER_RETRY_AFTER_S
         )
 
-    def require_stream_version(self, state: RequestState) -> None:
-        """Raise `RequestRefusedError` if no server can continue a stream."""
-        if state.stream_version is None:
-            return
-        for server in self._cluster_view.servers.list_usable(state.service):
-            if state.allows_server(server):
-                return
-        raise RequestRefusedError(
-            f"no server of software version {state.stream_version} serves the stream",
-            NO_VERSION_RETRY_AFTER_S,
-        )
-
-    def require_not_held(self, state: RequestState) -> None:
-        """Raise `RequestHeldError` if the request is held back from all servers."""
-        hold = self._crash_guard.find_hold(state.cause_ids)
-        state.avoided_software = frozenset()
-        if hold is None:
-            return
-        for server in self._cluster_view.servers.list_usable(state.service):
-            if not hold.forbids(server.software):
-                state.avoided_software = hold.software
-                return
-        raise _build_held_error(hold)
-
-    def _require_not_held_from(self, state: RequestState, server: Server) -> None:
-        """Raise `RequestHeldError` if the request is held back from a server."""
-        hold = self._crash_guard.find_hold(state.cause_ids)
-        if hold is not None and hold.forbids(server.software):
-            raise _build_held_error(hold)
-
-    async def _require_trial_permit(self, state: RequestState) -> None:
-        """Raise `RequestHeldError` if a suspect request may not be sent now."""
-        if not self._crash_guard.is_suspect(state.fingerprint):
-            return
-        decision = await self._crash_guard.trials.ask(state.fingerprint)
-        outcome = "granted" if decision.is_granted else "refused"
-        self._metrics.count("trial_permits_total", f'outcome="{outcome}"')
-        if decision.is_granted:
-            return
-        raise RequestHeldError(
-            f"servers ended under request {state.fingerprint}, which is tried at times",
-            decision.wait_s,
-        )
-
     def predict_domain(self, state: RequestState) -> str:
         """Return the domain where a request is likely to run, or an empty string."""
         server = self._chooser.choose(state, NO_INPUTS, set())
@@ -343,88 +245,6 @@
         nodes = self._membership.peak_node_count()
         return self._budget.try_acquire(state.service, nodes, boot_time())
 
-    def finish_response(
-        self, state: RequestState, response: OpenResponse, *, is_complete: bool
-    ) -> None:
-        """End a response; keep its connection only if the body was read completely."""
-        key = response.server.key
-        if is_complete and response.head.status < 500:
-            self._record_served(state, response)
-        state.response_end = ResponseEnd(
-            response.head.framing, response.connection.state_text, is_complete
-        )
-        self._health.record_ended(key)
-        response.place.end()
-        if is_complete:
-            self._pool.release(key, response.connection)
-        else:
-            response.connection.close()
-
-    def record_failure(self, server: Server) -> None:
-        """Record a failed response in the health of its server."""
-        self._health.record_failure(server.key, boot_time())
-
-    def _record_served(self, state: RequestState, response: OpenResponse) -> None:
-        self._crash_guard.record_served(
-            state.metadata.shared_part_ids, state.fingerprint
-        )
-
-    async def require_whole(self, response: OpenResponse) -> None:
-        """Check a response without a length whose connection was closed in order.
-
-        Raises `ConnectionLostError` if its server ended with it. One that was leaving
-        may end as soon as its last response is whole.
-        """
-        if response.head.framing is not ResponseFraming.CONNECTION_CLOSE:
-            return
-        if not self._cluster_view.servers.is_usable(response.server):
-            return
-        if await self._end_detector.ended_with_response(response.server):
-            raise ConnectionLostError(
-                f"{response.server.server_id}: the server ended with its response"
-            )
-
-    def record_events(self, response: OpenResponse) -> None:
-        """Record that a response goes on."""
-        self._reach.record_answer(response.server, boot_time())
-
-    def record_interruption(self, state: RequestState, response: OpenResponse) -> None:
-        """Record a response that its server broke off."""
-        self.record_failure(response.server)
-        self._record_interrupted_request(
-            state, response.server, response.sent_at, response.first_event_at
-        )
-
-    def _record_interrupted_request(
-        self,
-        state: RequestState,
-        server: Server,
-        sent_at: float,
-        first_event_at: float | None = None,
-    ) -> None:
-        self._end_detector.record_interruption(
-            server,
-            InterruptedRequest(
-                state.metadata.request_id,
-                state.fingerprint,
-                state.metadata.shared_part_ids,
-                sent_at,
-                first_event_at,
-                boot_time(),
-                state.origin,
-            ),
-        )
-
-    def record_response_start(
-        self, state: RequestState, response: OpenResponse
-    ) -> None:
-        """Record the latency of a response that has begun as a success."""
-        key = response.server.key
-        took_s = boot_time() - response.sent_at
-        self._health.record_prompt_read(key, state.metadata.prompt_tokens)
-        expected_s = estimate_response_s(state)
-        self._health.record_success(key, min(10.0, took_s / expected_s), boot_time())
-
     async def _wait_for_server(
         self, state: RequestState, inputs: StageInputs, excluded_ids: set[str]
     ) -> Server:
@@ -487,7 +307,7 @@
             )
         connection, place = await self._connect(server, state)
         try:
-            self._require_not_held_from(state, server)
+            self.held_requests.require_allowed_at(state, server)
         except RequestHeldError:
             self._pool.release(server.key, connection)
             place.end()
@@ -501,10 +321,7 @@
             inputs.handles,
             last_event_id or state.metadata.last_event_id,
         )
-        if state.may_begin_stream and state.stream_version is None:
-            self._stream_versions.record(
-                state.metadata.request_id, server.software_version
-            )
+        self.version_pinning.record_send(state, server)
         if state.sends == 0:
             self._budget.record_request(state.service, now)
         state.sends += 1
@@ -574,12 +391,4 @@
         return connection, place
 
 
-def _build_held_error(hold: Hold) -> RequestHeldError:
-    causes = ", ".join(sorted(hold.cause_ids))
-    what = causes if hold.is_on_request else f"requests with prompt part {causes}"
-    return RequestHeldError(
-        f"{hold.server_ends} servers ended under {what}", hold.ends_at - boot_time()
-    )
-
-
-__all__ = ("OpenResponse", "ServerSender")
+__all__ = ("ServerSender",)
--- a/packages/persimmonlink-router/src/persimmonlink_router/stream_relay.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stream_relay.py
@@ -29,7 +29,8 @@
 
 if TYPE_CHECKING:
     from persimmonlink_router.request_state import RequestState
-    from persimmonlink_router.server_sender import OpenResponse, ServerSender
+    from persimmonlink_router.response_completion import OpenResponse
+    from persimmonlink_router.server_sender import ServerSender
     from persimmonlink_router.stage_coordinator_client import StageCoordinatorClient
 
 # Shortest wait for the head of a resumable stream's response before another server is
@@ -61,10 +62,10 @@
     while True:
         attempt_count += 1
         try:
-            sender.require_not_held(state)
+            sender.held_requests.require_allowed(state)
             sender.require_reach(state)
-            await sender.pin_resumed_stream(state)
-            sender.require_stream_version(state)
+            await sender.version_pinning.pin_resumed(state)
+            sender.version_pinning.require_server(state)
             inputs = await _run_stages(state, sender, stages)
             try:
                 timeout_s = _first_event_timeout_s(state)
@@ -178,7 +179,7 @@
             )
             is_complete = True
             if response.head.status >= 500 and _may_resume(state):
-                sender.record_failure(response.server)
+                sender.responses.record_failure(response.server)
                 raise StreamInterruptedError(f"status {response.head.status}")
             headers = strip_hop_by_hop_headers(response.head.headers)
             await state.exchange.respond(response.head.status, headers, body)
@@ -188,12 +189,12 @@
         return True
     except (ConnectionLostError, EventTooLongError) as error:
         state.partial_event_bytes = splitter.partial_bytes
-        sender.record_interruption(state, response)
+        sender.responses.record_interruption(state, response)
         raise StreamInterruptedError(str(error)) from error
     except TimeoutError as error:
         raise RequestFailedError("the request timed out", 504) from error
     finally:
-        sender.finish_response(state, response, is_complete=is_complete)
+        sender.responses.finish(state, response, is_complete=is_complete)
 
 
 async def _forward_events(
@@ -211,7 +212,7 @@
     is_first = True
     async with asyncio.timeout(max(0.0, state.time_left_s)):
         while (data := await response.connection.read_body_part()) is not None:
-            sender.record_events(response)
+            sender.responses.record_events(response)
             events = splitter.feed(data)
             if not events:
                 continue
@@ -219,7 +220,7 @@
                 is_first = False
                 response.first_event_at = boot_time()
                 state.stream_version = response.server.software_version
-                sender.record_response_start(state, response)
+                sender.responses.record_start(state, response)
                 stages.release(state.metadata.request_id)
                 if state.first_event_s is None:
                     state.first_event_s = boot_time() - state.arrived_at
@@ -232,7 +233,7 @@
             state.silent_since = boot_time()
         if splitter.is_inside_event:
             raise ConnectionLostError("the stream ended inside an event")
-        await sender.require_whole(response)
+        await sender.responses.require_whole(response)
         if not exchange.has_started:
             exchange.start_stream(
                 response.head.status, strip_hop_by_hop_headers(response.head.headers)
