Move entries of the store and the registration into modules of their own

Code is moved, not changed: store_entries.py has what operators and servers write, member_registration.py keeps this node in the store.

--- a/packages/persimmonlink-router/src/persimmonlink_router/cluster_view.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/cluster_view.py
@@ -2,14 +2,14 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
-from typing import TYPE_CHECKING, Protocol
+from typing import TYPE_CHECKING
 
 from loguru import logger
 
 from persimmonlink_router.boot_clock import boot_time
 from persimmonlink_router.entry_numbers import EntryNumbers
 from persimmonlink_router.servers import Server, ServerDirectory
+from persimmonlink_router.store_entries import DrainEntry, EntryReader, ServerEntry
 from persimmonlink_router.wire_messages import WireFormatError
 
 if TYPE_CHECKING:
@@ -25,49 +25,6 @@
 # Servers register again within this time after an outage of the store.
 OUTAGE_EXPIRY_GRACE_S = 2.0
 MIN_OUTAGE_S = 0.8  # Shortest outage of the store that may have expired leases.
-# Servers register again within this time after an outage of the store.
-OUTAGE_EXPIRY_GRACE_S = 2.0
-MIN_OUTAGE_S = 0.8  # Shortest outage of the store that may have expired leases.
-
-
-@dataclass(frozen=True, slots=True)
-class ServerEntry:
-    """Entry of the store that describes a server.
-
-    Parameters
-    ----------
-    server_id : str
-        Id of the server.
-    server : Server or None
-        The server; None if its entry was deleted or is malformed.
-    number : int
-        Number that the server gave the entry; later entries have higher ones.
-    """
-
-    server_id: str
-    server: Server | None
-    number: int = 0
-
-
-@dataclass(frozen=True, slots=True)
-class DrainEntry:
-    """Entry of the store that drains a failure domain, or ends its drain."""
-
-    domain: str
-    is_drained: bool
-
-
-class EntryReader(Protocol):
-    """Translates the store entries that operators and servers write."""
-
-    prefixes: tuple[str, ...]
-
-    def read(self, item: StoredItem) -> Configuration | ServerEntry | DrainEntry | None:
-        """Translate an item; raise `WireFormatError` if it is malformed.
-
-        Returns None for an item that the router does not use.
-        """
-        ...
 
 
 class ClusterView:
--- a/packages/persimmonlink-router/src/persimmonlink_router/router.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/router.py
@@ -23,6 +23,7 @@
 from persimmonlink_router.end_confirmer import EndConfirmer
 from persimmonlink_router.hold_records import HOLD_PREFIX, HoldRecords
 from persimmonlink_router.http_server import HttpServer, RequestLimits
+from persimmonlink_router.member_registration import MemberRegistration
 from persimmonlink_router.metrics import RouterMetrics
 from persimmonlink_router.operator_api import OperatorApi
 from persimmonlink_router.peer_handlers import (
@@ -48,7 +49,7 @@
 from persimmonlink_router.stage_scheduler import DISPATCH_INTERVAL_S, StageScheduler
 from persimmonlink_router.store import MetadataStore
 from persimmonlink_router.store_backoff import StoreBackoff
-from persimmonlink_router.store_follower import MemberRegistration, StoreFollower
+from persimmonlink_router.store_follower import StoreFollower
 from persimmonlink_router.store_intervals import choose_outage_interval_s
 from persimmonlink_router.store_mirror import StoreMirror
 from persimmonlink_router.stream_version_exchange import StreamVersionExchange
