Log what a stop does to requests and connections

`request.completed` and `request.refused` now have `after_stop_s`, `request.completed` also `has_begun` and the reason `cut by the stop`; `process.stopped` counts the connections by the gravest of what they still had and describes the first of each kind (stop_record.py). To say this in one place, the stop gets a clock (stop_clock.py) and a module of its own (graceful_stop.py), and the log lines of requests too (request_log.py). What the node does in a stop is meant to be as before; the one change is that the leave runs as a task, so that an error in it no longer ends the stop. The coordination of stages by reach moves to stage_leadership.py, as it asks the same clock.

--- /dev/null
+++ b/packages/persimmonlink-router/src/persimmonlink_router/graceful_stop.py
@@ -0,0 +1,102 @@
+"""How a node that is told to stop ends its work."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from loguru import logger
+
+from persimmonlink_router.boot_clock import boot_time
+from persimmonlink_router.client_use_times import DIRECTORY_EXPIRY_WAIT_S
+from persimmonlink_router.stop_record import StopRecord
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from persimmonlink_peers.peer_server import PeerServer
+    from persimmonlink_router.http_server import HttpServer
+    from persimmonlink_router.request_service import RequestService
+    from persimmonlink_router.stage_scheduler import StageScheduler
+    from persimmonlink_router.stop_clock import StopClock
+
+STOP_POLL_INTERVAL_S = 0.05  # Interval of checking whether all requests have ended.
+
+
+class GracefulStop:
+    """Waits until a node that stops has ended its work, within a time limit.
+
+    Parameters
+    ----------
+    clock : StopClock
+        When the stop began.
+    client_server : HttpServer
+        Server of the clients' requests.
+    other_servers : sequence of HttpServer
+        Servers of the directory, readiness checks and metrics.
+    request_service : RequestService
+        Serves requests of clients and peers.
+    scheduler : StageScheduler
+        Runs stages.
+    peer_server : PeerServer
+        Serves calls of peers.
+    """
+
+    def __init__(
+        self,
+        clock: StopClock,
+        client_server: HttpServer,
+        other_servers: Sequence[HttpServer],
+        request_service: RequestService,
+        scheduler: StageScheduler,
+        peer_server: PeerServer,
+    ) -> None:
+        self._clock = clock
+        self._client_server = client_server
+        self._servers = (client_server,)
+        self._request_service = request_service
+        self._scheduler = scheduler
+        self._peer_server = peer_server
+
+    async def drain(self) -> None:
+        """Wait until the node may close, at most until its limit is near."""
+        clock = self._clock
+        began_at = clock.began_at or boot_time()
+        logger.bind(serving=self._client_server.count_active_requests()).info(
+            "process.stopping"
+        )
+        for server in self._servers:
+            server.is_stopping = True
+        record = StopRecord()
+        while (now := boot_time()) < clock.ends_at:
+            if await self._advance(now, began_at, record):
+                break
+            await asyncio.sleep(STOP_POLL_INTERVAL_S)
+        clock.is_cutting = True
+        for server in self._servers:
+            server.record_connections(record)
+        self._log_end(boot_time() - began_at, record)
+
+    async def _advance(self, now: float, began_at: float, record: StopRecord) -> bool:
+        """Return whether all work has ended."""
+        has_ended = False
+        if now > began_at + DIRECTORY_EXPIRY_WAIT_S:
+            has_ended = not self._is_busy()
+        return has_ended
+
+    def _is_busy(self) -> bool:
+        return bool(
+            any(server.count_active_requests() for server in self._servers)
+            or self._scheduler.count_running()
+        )
+
+    def _log_end(self, spent_s: float, record: StopRecord) -> None:
+        logger.bind(
+            serving=self._client_server.count_active_requests(),
+            took_s=round(spent_s, 2),
+            relayed=self._request_service.relayed_count,
+            **record.to_log_fields(),
+        ).info("process.stopped")
+
+
+__all__ = ("GracefulStop",)
--- a/packages/persimmonlink-router/src/persimmonlink_router/http_connection.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/http_connection.py
@@ -8,6 +8,8 @@
 import h11
 from loguru import logger
 
+from persimmonlink_router.boot_clock import boot_time
+from persimmonlink_router.client_use_times import ConnectionUse
 from persimmonlink_router.http_exchange import (
     BadRequestError,
     ClientDisconnectedError,
@@ -15,7 +17,11 @@
     validate_head,
 )
 from persimmonlink_router.http_messages import HttpRequest
-from persimmonlink_router.socket_options import reset_on_close
+from persimmonlink_router.socket_options import (
+    count_waiting_bytes,
+    reset_on_close,
+)
+from persimmonlink_router.stop_record import ConnectionState
 
 if TYPE_CHECKING:
     from persimmonlink_router.http_server import HttpServer
@@ -40,6 +46,8 @@
         self._task: asyncio.Task[None] | None = None
         self._unread_bytes = 0
         self._is_paused = False
+        now = boot_time()
+        self.use = ConnectionUse(now, now)
         self.is_serving = False
 
     def connection_made(self, transport: Any) -> None:
@@ -55,6 +63,7 @@
         except h11.RemoteProtocolError:
             self.close()
             return
+        self.use.active_at = boot_time()
         self._unread_bytes += len(data)
         if self._unread_bytes > READ_PAUSE_BYTES and self._transport is not None:
             self._is_paused = True
@@ -94,6 +103,34 @@
         if not self._can_write.is_set():
             await self._can_write.wait()
 
+    def _count_unsent_bytes(self) -> int:
+        """Return the bytes that wait in the write buffer of the process."""
+        if self._transport is None:
+            return 0
+        return self._transport.get_write_buffer_size()
+
+    def describe(self) -> ConnectionState:
+        """Return the state of the connection, for the log."""
+        peer = ""
+        if self._transport is not None:
+            peer = str(self._transport.get_extra_info("peername"))
+        return ConnectionState(
+            peer,
+            self.use.responses,
+            self.use.has_said_close,
+            self.is_serving,
+            self._count_unsent_bytes(),
+            self._count_unread_bytes(),
+            round(boot_time() - self.use.active_at, 3),
+        )
+
+    def _count_unread_bytes(self) -> int:
+        """Return the bytes of the client from which no request was read."""
+        waiting = 0
+        if self._transport is not None:
+            waiting = count_waiting_bytes(self._transport.get_extra_info("socket"))
+        return waiting + len(self._h11.trailing_data[0])
+
     def must_close(self) -> bool:
         """Whether the response must carry `Connection: close`."""
         return self._server.is_stopping
@@ -142,6 +179,7 @@
             await self._server.handler(exchange)
         finally:
             self.is_serving = False
+            self.use.record_end(boot_time())
         if not exchange.is_complete:
             return False
         if self._h11.our_state is not h11.DONE or self._h11.their_state is not h11.DONE:
--- a/packages/persimmonlink-router/src/persimmonlink_router/http_exchange.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/http_exchange.py
@@ -100,8 +100,10 @@
         self._connection.close()
 
     def _start(self, status: int, headers: list[tuple[bytes, bytes]]) -> None:
-        if self._connection.must_close():
+        must_close = self._connection.must_close()
+        if must_close:
             headers = [*headers, (b"connection", b"close")]
+        self._connection.use.record_begin(is_last=must_close)
         self.has_started = True
         self._connection.send(h11.Response(status_code=status, headers=headers))
 
--- a/packages/persimmonlink-router/src/persimmonlink_router/http_server.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/http_server.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from typing import TYPE_CHECKING
 
 from persimmonlink_router.http_connection import HttpServerConnection
 from persimmonlink_router.http_exchange import (
@@ -13,6 +14,9 @@
     RequestLimits,
 )
 
+if TYPE_CHECKING:
+    from persimmonlink_router.stop_record import StopRecord
+
 LISTEN_BACKLOG = 512  # Connections that wait to be accepted.
 
 Handler = Callable[[Exchange], Awaitable[None]]
@@ -47,6 +51,11 @@
         """Return the number of requests being read or served."""
         return sum(1 for connection in self.connections if connection.is_serving)
 
+    def record_connections(self, record: StopRecord) -> None:
+        """Add the state of each open connection to the record of a stop."""
+        for connection in self.connections:
+            record.add(connection.describe())
+
     def close(self) -> None:
         """Stop listening and close all connections."""
         if self._server is not None:
--- a/packages/persimmonlink-router/src/persimmonlink_router/request_service.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/request_service.py
@@ -16,6 +16,7 @@
 from persimmonlink_router.plain_relay import relay_plain
 from persimmonlink_router.relay_messages import RelayRefusal
 from persimmonlink_router.relayed_exchange import RelayBrokenOffError, RelayedExchange
+from persimmonlink_router.request_log import RequestLog
 from persimmonlink_router.request_state import (
     NoReachError,
     RequestFailedError,
@@ -29,7 +30,7 @@
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Callable, Collection
+    from collections.abc import Collection
 
     from persimmonlink_router.cluster_view import ClusterView
     from persimmonlink_router.configuration import Configuration, Route
@@ -40,6 +41,7 @@
     from persimmonlink_router.request_forwarder import RequestForwarder
     from persimmonlink_router.server_sender import ServerSender
     from persimmonlink_router.stage_coordinator_client import StageCoordinatorClient
+    from persimmonlink_router.stop_clock import StopClock
     from persimmonlink_router.wire_messages import RequestMetadata, Wire
 
 NO_CONFIGURATION_RETRY_AFTER_S = 0.5  # Retry-After of a node without configuration.
@@ -89,8 +91,8 @@
         Source of the Retry-After jitter and of the weighted choice of targets.
     forwarder : RequestForwarder
         Passes requests on to peers if this node reaches no server.
-    is_stopping : callable
-        Whether this node is about to stop.
+    stop_clock : StopClock
+        Whether this node is about to stop, and since when.
     """
 
     def __init__(
@@ -102,7 +104,7 @@
         metrics: RouterMetrics,
         rng: random.Random,
         forwarder: RequestForwarder,
-        is_stopping: Callable[[], bool],
+        stop_clock: StopClock,
     ) -> None:
         self._cluster_view = cluster_view
         self._wire = wire
@@ -111,8 +113,9 @@
         self._metrics = metrics
         self._rng = rng
         self._forwarder = forwarder
-        self._is_stopping = is_stopping
-        self._relayed_count = 0
+        self._stop_clock = stop_clock
+        self._log = RequestLog(cluster_view, stop_clock, metrics)
+        self.relayed_count = 0
         self._retry_detector = RetryDetector()
 
     def retain_routes(self, names: Collection[str]) -> None:
@@ -125,7 +128,9 @@
         resolved = self._resolve_request(exchange, arrived_at)
         if isinstance(resolved, LocalReply):
             await self._send_local_reply(exchange, "", resolved)
-            self._log_end(None, exchange, resolved.status, resolved.reason, arrived_at)
+            self._log.record_refused(
+                exchange.request, resolved.status, resolved.reason, arrived_at
+            )
             return
         await self._run(resolved)
 
@@ -148,28 +153,27 @@
         if refusal or isinstance(resolved, LocalReply):
             await exchange.refuse(refusal)
             return
-        self._relayed_count += 1
+        self.relayed_count += 1
         try:
             await self._run(resolved)
         finally:
-            self._relayed_count -= 1
+            self.relayed_count -= 1
         if not exchange.is_complete:
             raise RelayBrokenOffError(message.sender.node_id)
 
     def _check_relay(self, message: RelayRequest) -> RelayRefusal:
         configuration = self._cluster_view.configuration
-        if self._is_stopping():
+        if self._stop_clock.is_stopping:
             return RelayRefusal.LEAVING
         if configuration is None:
             return RelayRefusal.OLDER_CONFIGURATION
         if configuration.version < message.configuration_version:
             return RelayRefusal.OLDER_CONFIGURATION
-        if self._relayed_count >= MAX_RELAYED_REQUESTS:
+        if self.relayed_count >= MAX_RELAYED_REQUESTS:
             return RelayRefusal.BUSY
         return RelayRefusal.NONE
 
     async def _run(self, state: RequestState) -> None:
-        exchange = state.exchange
         arrived_at = state.arrived_at
         status = 0
         reason = "left"
@@ -178,12 +182,14 @@
         except ClientDisconnectedError:
             reason = "left"
         finally:
+            if reason == "left" and self._stop_clock.is_cutting:
+                reason = "cut by the stop"
             if state.is_client_retry:
                 self._metrics.count("returned_requests_total", f'status="{status}"')
             self._metrics.record_request(
                 state.route.name, state.account_name, status, boot_time() - arrived_at
             )
-            self._log_end(state, exchange, status, reason, arrived_at)
+            self._log.record_completed(state, status, reason)
 
     async def _serve(self, state: RequestState) -> tuple[int, str]:
         """Relay a request; return the status and the reason for log and metrics.
@@ -304,61 +310,6 @@
             headers.append((b"retry-after", f"{seconds:.2f}".encode()))
         await exchange.respond(reply.status, headers, reply.reason.encode())
 
-    def _log_end(
-        self,
-        state: RequestState | None,
-        exchange: Exchange | RelayedExchange,
-        status: int,
-        reason: str,
-        arrived_at: float,
-    ) -> None:
-        took_s = round(boot_time() - arrived_at, 3)
-        configuration = self._cluster_view.configuration
-        version = configuration.version if configuration is not None else 0
-        if state is None:
-            logger.bind(
-                host=exchange.request.host,
-                path=exchange.request.path[:80],
-                status=status,
-                reason=reason,
-                version=version,
-            ).info("request.refused")
-            return
-        end = state.response_end
-        if end is not None:
-            ended = "complete" if end.is_complete else "interrupted"
-            labels = f'framing="{end.framing}",ended="{ended}"'
-            self._metrics.count("last_responses_total", labels)
-        first = state.first_event_s
-        prediction = state.predicted_first_event_s
-        logger.bind(
-            request=state.metadata.request_id,
-            fingerprint=state.fingerprint,
-            route=state.route.name,
-            service=state.service,
-            account=state.account_name,
-            status=status,
-            reason=reason,
-            took_s=took_s,
-            is_client_retry=state.is_client_retry,
-            first_event_s=None if first is None else round(first, 3),
-            predicted_s=None if prediction is None else round(prediction, 3),
-            sends=state.sends,
-            relayed_to=state.relayed_to or None,
-            relayed_from=state.relayed_from or None,
-            servers=state.servers,
-            prompt_parts=state.metadata.shared_part_ids or None,
-            server_versions=state.server_versions,
-            resumes=state.metadata.resumed_request_id or None,
-            last_event=state.metadata.last_event_id.decode("latin-1") or None,
-            may_have_run=state.may_have_run,
-            framing=None if end is None else end.framing,
-            connection=None if end is None else end.connection,
-            partial_event_bytes=state.partial_event_bytes,
-            version=version,
-            store_age_s=round(boot_time() - self._cluster_view.last_contact_at, 2),
-        ).info("request.completed")
-
 
 def _build_relayed_state(
     exchange: Exchange | RelayedExchange,
--- a/packages/persimmonlink-router/src/persimmonlink_router/router.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/router.py
@@ -14,6 +14,7 @@
 from persimmonlink_router.background_tasks import BackgroundTasks
 from persimmonlink_router.boot_clock import boot_time
 from persimmonlink_router.client_directory import ClientDirectory, DirectoryWire
+from persimmonlink_router.client_use_times import DIRECTORY_TTL_S
 from persimmonlink_router.cluster_membership import MEMBER_PREFIX, ClusterMembership
 from persimmonlink_router.cluster_view import ClusterView, EntryReader
 from persimmonlink_router.connection_pool import ConnectionPool
@@ -21,6 +22,7 @@
 from persimmonlink_router.crash_guard import CrashGuard
 from persimmonlink_router.crash_reports import CrashReporter
 from persimmonlink_router.end_confirmer import EndConfirmer
+from persimmonlink_router.graceful_stop import GracefulStop
 from persimmonlink_router.hold_records import HOLD_PREFIX, HoldRecords
 from persimmonlink_router.http_server import HttpServer, RequestLimits
 from persimmonlink_router.member_registration import MemberRegistration
@@ -46,7 +48,9 @@
 from persimmonlink_router.server_reach import ServerReach
 from persimmonlink_router.server_sender import ServerSender
 from persimmonlink_router.stage_coordinator_client import StageCoordinatorClient
+from persimmonlink_router.stage_leadership import StageLeadership
 from persimmonlink_router.stage_scheduler import DISPATCH_INTERVAL_S, StageScheduler
+from persimmonlink_router.stop_clock import StopClock
 from persimmonlink_router.store import MetadataStore
 from persimmonlink_router.store_backoff import StoreBackoff
 from persimmonlink_router.store_follower import StoreFollower
@@ -74,12 +78,6 @@
 OWN_PREFIX = "persimmonlink/"  # Prefix of all keys that routers write.
 TICK_INTERVAL_S = 0.1  # Interval of the check for a suspension of the VM.
 SWEEP_INTERVAL_S = 1.0  # Interval of closing idle connections and discarding old state.
-DIRECTORY_TTL_S = 1.0  # Clients cache responses up to three times as long.
-DIRECTORY_EXPIRY_WAIT_S = 3.5  # Clients may use old directory responses this long.
-# Part of the time limit for a stop that is reserved to exit after the drain, before
-# the process is killed.
-STOP_MARGIN_S = 0.4
-STOP_POLL_INTERVAL_S = 0.05  # Interval of checking whether all requests have ended.
 
 
 @dataclass(frozen=True)
@@ -124,7 +122,7 @@
         self._store = CountedStore(adapters.store, self.metrics)
         self._timers = LoopTimerService()
         self._tasks = BackgroundTasks()
-        self._is_stopping = False
+        self._stop_clock = StopClock()
         self._reach = ServerReach()
         self._pool = ConnectionPool(self._reach)
         self._health = ServerHealth()
@@ -198,6 +196,14 @@
             self._reach,
             self._places,
         )
+        self._stage_leadership = StageLeadership(
+            self._scheduler,
+            self._reach,
+            self._reach_board,
+            self.cluster_view,
+            self.membership,
+            self._stop_clock,
+        )
         self._reach_monitor = ReachMonitor(
             self._reach,
             self.cluster_view,
@@ -261,7 +267,7 @@
             self.metrics,
             self._rng,
             self._forwarder,
-            lambda: self._is_stopping,
+            self._stop_clock,
         )
         self._follower = StoreFollower(
             self._store,
@@ -322,6 +328,14 @@
             ),
         ]
         self._peer_server = PeerServer(self._count_invalid_message)
+        self._graceful_stop = GracefulStop(
+            self._stop_clock,
+            self._client_server,
+            [server for _, server in self._auxiliary_servers],
+            self._request_service,
+            self._scheduler,
+            self._peer_server,
+        )
 
     async def start(self) -> None:
         """Open all listeners, then start the timers and background tasks."""
@@ -343,29 +357,16 @@
 
     async def stop(self) -> None:
         """Leave the cluster, drain running requests and stages, then close."""
-        self._is_stopping = True
-        started = boot_time()
-        logger.bind(serving=self._client_server.count_active_requests()).info(
-            "process.stopping"
-        )
-        self._client_server.is_stopping = True
+        self._stop_clock.begin(boot_time(), self._settings.limits.stop_s)
+        self._tasks.spawn(self._leave(), "leave")
+        await self._graceful_stop.drain()
+        self._close()
+
+    async def _leave(self) -> None:
+        """Tell the other nodes and the store that this node leaves."""
         self.membership.mark_leaving()
         self._scheduler.transfer_requests()
-        self._tasks.spawn(self._registration.deregister(), "leave")
-        limit_s = self._settings.limits.stop_s - STOP_MARGIN_S
-        while (spent_s := boot_time() - started) < limit_s:
-            is_busy = (
-                self._client_server.count_active_requests()
-                or self._scheduler.count_running()
-            )
-            if spent_s > DIRECTORY_EXPIRY_WAIT_S and not is_busy:
-                break
-            await asyncio.sleep(STOP_POLL_INTERVAL_S)
-        logger.bind(
-            serving=self._client_server.count_active_requests(),
-            took_s=round(spent_s, 2),
-        ).info("process.stopped")
-        self._close()
+        await self._registration.deregister()
 
     def reload(self, settings: RouterSettings) -> None:
         """Apply changed limits; the retry window and other settings need a restart."""
@@ -424,7 +425,7 @@
         self.stream_version_saver.tick()
         self._reach_monitor.tick()
         if self._reach.unreached_services:
-            self._update_coordination()
+            self._stage_leadership.update()
 
     def _sweep(self) -> None:
         keys = {s.key for s in self.cluster_view.servers.server_by_id.values()}
@@ -456,31 +457,7 @@
     def _on_reach_change(self) -> None:
         """Tell the other nodes which services this node doesn't reach."""
         self._reach_board.update_own(self._reach.unreached_services)
-        self._update_coordination()
-
-    def _update_coordination(self) -> None:
-        """Leave the stages to other nodes while only these reach their servers."""
-        if self._is_stopping:
-            return
-        unreached = {
-            service
-            for service in self._reach.unreached_services
-            if self._is_stage_service(service)
-        }
-        own_id = self.membership.own_member.node_id
-        has_other = any(
-            not unreached & self._reach_board.list_lacking(node_id)
-            for node_id in self.membership.list_serving_ids()
-            if node_id != own_id
-        )
-        if unreached and has_other:
-            self._scheduler.transfer_requests()
-        else:
-            self._scheduler.resume()
-
-    def _is_stage_service(self, name: str) -> bool:
-        service = self.cluster_view.find_service(name)
-        return service is not None and service.batch is not None
+        self._stage_leadership.update()
 
     def _on_store_item(self, item: StoredItem) -> None:
         if item.key.startswith(MEMBER_PREFIX):
@@ -519,7 +496,8 @@
         self.metrics.count("invalid_peer_messages_total", f'code="{code.value}"')
 
     async def _respond_readiness(self, exchange: Exchange) -> None:
-        is_ready = self.cluster_view.configuration is not None and not self._is_stopping
+        has_configuration = self.cluster_view.configuration is not None
+        is_ready = has_configuration and not self._stop_clock.is_stopping
         status = 200 if is_ready else 503
         await exchange.respond(status, [], b"")
 
--- a/packages/persimmonlink-router/src/persimmonlink_router/socket_options.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/socket_options.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import fcntl
 import socket
 import struct
+import termios
 from typing import Any
 
 # Time after which a connection without acknowledgements is closed. It is longer than a
@@ -31,4 +33,23 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
 
 
-__all__ = ("USER_TIMEOUT_MS", "bound_silence")
+def count_waiting_bytes(sock: Any) -> int:
+    """Return the bytes that the kernel has received and the process hasn't read.
+
+    Parameters
+    ----------
+    sock : socket.socket or asyncio.trsock.TransportSocket
+        A TCP socket; a closed one has none.
+    """
+    if sock is None or sock.fileno() < 0:
+        return 0
+    count = fcntl.ioctl(sock.fileno(), termios.FIONREAD, bytes(4))
+    return int(struct.unpack("i", count)[0])
+
+
+__all__ = (
+    "USER_TIMEOUT_MS",
+    "bound_silence",
+    "count_waiting_bytes",
+    "reset_on_close",
+)
