Log what each send rested on, and how a change of a server came

Nothing in the logs said what the sending node knew: `request.completed` had the age of the last contact with the store only.

`sent_on` names for each send the revision of the server's entry, the time since the node saw it and that since the store answered. Lines on servers, drains and configurations have `source` (watch, listing or peer) and `max_delay_s`, and `server.removal_deferred` says that a removal was put off. No decision changes.

--- a/packages/persimmonlink-router/src/persimmonlink_router/cluster_membership.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/cluster_membership.py
@@ -15,6 +15,7 @@
 from persimmonlink_peers.message import Sender
 from persimmonlink_peers.peer_channel import PeerChannel
 from persimmonlink_router.boot_clock import boot_time
+from persimmonlink_router.change_origin import ChangeOrigin, ChangeSource
 from persimmonlink_router.fact_exchange import FactExchange
 from persimmonlink_router.member_registry import MemberRegistry
 from persimmonlink_router.peer_loads import PeerLoads
@@ -338,9 +339,12 @@
         if isinstance(reply, Err):
             return
         update = reply.unwrap()
-        count = self._mirror.apply(
-            StoredItem(i.key, i.value, i.revision) for i in update.items
+        origin = ChangeOrigin(
+            ChangeSource.PEER,
+            member=heartbeat.member.node_id,
         )
+        items = [StoredItem(i.key, i.value, i.revision) for i in update.items]
+        count = self._mirror.apply(items, origin)
         self._mirror.advance(update.revision)
         if update.is_in_contact:
             self._cluster_view.mark_refreshed_by_peer()
--- a/packages/persimmonlink-router/src/persimmonlink_router/cluster_view.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/cluster_view.py
@@ -7,7 +7,9 @@
 from loguru import logger
 
 from persimmonlink_router.boot_clock import boot_time
+from persimmonlink_router.change_origin import UNKNOWN_ORIGIN, ChangeOrigin
 from persimmonlink_router.entry_numbers import EntryNumbers
+from persimmonlink_router.send_basis import SendBasis
 from persimmonlink_router.servers import Server, ServerDirectory
 from persimmonlink_router.store_entries import DrainEntry, EntryReader, ServerEntry
 from persimmonlink_router.wire_messages import WireFormatError
@@ -54,7 +56,7 @@
         self._drained_domains: set[str] = set()
         self._drain_end_at_by_domain: dict[str, float] = {}
 
-    def apply(self, item: StoredItem) -> None:
+    def apply(self, item: StoredItem, origin: ChangeOrigin = UNKNOWN_ORIGIN) -> None:
         """Apply a change of an item of the store; malformed items are logged."""
         try:
             entry = self._reader.read(item)
@@ -64,11 +66,11 @@
             )
             return
         if isinstance(entry, ServerEntry):
-            self._apply_server(entry, item.revision)
+            self._apply_server(entry, item.revision, origin)
         elif isinstance(entry, DrainEntry):
-            self._apply_drain(entry, item.revision)
+            self._apply_drain(entry, item.revision, origin)
         elif entry is not None:
-            self._apply_configuration(entry, item.revision)
+            self._apply_configuration(entry, item.revision, origin)
         else:
             return
         self._on_change()
@@ -135,6 +137,17 @@
             return False
         return self.is_fresh() and self.servers.is_usable(server)
 
+    def describe_send(self, server: Server) -> SendBasis:
+        """Return what this node knows of a server that it sends work to now."""
+        now = boot_time()
+        last = self._entry_numbers.find(server.key)
+        return SendBasis(
+            now,
+            0 if last is None else last.revision,
+            None if last is None else now - last.seen_at,
+            now - self.last_contact_at,
+        )
+
     def apply_response(self, server: Server, info: ResponseInfo) -> None:
         """Apply what a server says of itself in a response."""
         if info.is_other_server:
@@ -156,62 +169,76 @@
             return None
         return self.configuration.service_by_name.get(name)
 
-    def _apply_configuration(self, entry: Configuration, revision: int) -> None:
+    def _apply_configuration(
+        self, entry: Configuration, revision: int, origin: ChangeOrigin
+    ) -> None:
         current = self.configuration
         if current is not None and entry.version <= current.version:
             return
         self.configuration = entry
-        logger.bind(version=entry.version, revision=revision).info(
+        logger.bind(version=entry.version, revision=revision, **origin.describe()).info(
             "configuration.applied"
         )
 
-    def _apply_server(self, entry: ServerEntry, revision: int) -> None:
+    def _apply_server(
+        self, entry: ServerEntry, revision: int, origin: ChangeOrigin
+    ) -> None:
+        if entry.server is None:
+            self._apply_removal(entry.server_id, revision, origin)
+        else:
+            self._apply_update(entry.server, entry.number, revision, origin)
+
+    def _apply_update(
+        self, server: Server, number: int, revision: int, origin: ChangeOrigin
+    ) -> None:
         now = boot_time()
-        if entry.server is not None:
-            if self._entry_numbers.is_outdated(
-                entry.server.key, entry.number, self._restored_at
-            ):
-                logger.bind(server=entry.server_id, revision=revision).info(
-                    "server.outdated_entry_ignored"
-                )
-                return
-            self._entry_numbers.record(entry.server.key, entry.number, now)
-            known = self.servers.server_by_id.get(entry.server_id)
-            if not self.servers.update(entry.server, now):
-                return
-            if (
-                known is not None
-                and known.key == entry.server.key
-                and known.is_draining == entry.server.is_draining
-            ):
-                return
-            logger.bind(
-                server=entry.server_id,
-                service=entry.server.service,
-                server_version=entry.server.software_version,
-                draining=entry.server.is_draining,
-                cold_left_s=entry.server.cold_left_s,
-                revision=revision,
-            ).info("server.updated")
+        log = logger.bind(
+            server=server.server_id, revision=revision, **origin.describe()
+        )
+        if self._entry_numbers.is_outdated(server.key, number, self._restored_at):
+            log.info("server.outdated_entry_ignored")
             return
-        known = self.servers.server_by_id.get(entry.server_id)
+        self._entry_numbers.record(server.key, number, now, revision)
+        known = self.servers.server_by_id.get(server.server_id)
+        if not self.servers.update(server, now):
+            return
+        if (
+            known is not None
+            and known.key == server.key
+            and known.is_draining == server.is_draining
+        ):
+            return
+        log.bind(
+            service=server.service,
+            server_version=server.software_version,
+            draining=server.is_draining,
+            cold_left_s=server.cold_left_s,
+        ).info("server.updated")
+
+    def _apply_removal(
+        self, server_id: str, revision: int, origin: ChangeOrigin
+    ) -> None:
+        known = self.servers.server_by_id.get(server_id)
         if known is None:
             return
+        now = boot_time()
+        log = logger.bind(server=server_id, revision=revision, **origin.describe())
         is_outage = self._contact_lost_at is not None
         is_after_outage = now - self._contact_recovered_at < OUTAGE_EXPIRY_GRACE_S
         if (is_outage or is_after_outage) and not known.is_draining:
             until = (
                 now if is_outage else self._contact_recovered_at
             ) + OUTAGE_EXPIRY_GRACE_S
-            self.servers.schedule_removal(entry.server_id, until)
+            self.servers.schedule_removal(server_id, until)
+            log.bind(for_s=round(until - now, 2)).info("server.removal_deferred")
             return
-        self.servers.remove(entry.server_id, now)
+        self.servers.remove(server_id, now)
         self._entry_numbers.record_removal(known.key, now)
-        logger.bind(server=entry.server_id, revision=revision, cause="removed").info(
-            "server.removed"
-        )
+        log.bind(cause="removed").info("server.removed")
 
-    def _apply_drain(self, entry: DrainEntry, revision: int) -> None:
+    def _apply_drain(
+        self, entry: DrainEntry, revision: int, origin: ChangeOrigin
+    ) -> None:
         now = boot_time()
         self._drain_end_at_by_domain.pop(entry.domain, None)
         if entry.is_drained:
@@ -224,7 +251,10 @@
             self._drained_domains.discard(entry.domain)
         self._set_drained_domains()
         logger.bind(
-            domain=entry.domain, drained=entry.is_drained, revision=revision
+            domain=entry.domain,
+            drained=entry.is_drained,
+            revision=revision,
+            **origin.describe(),
         ).info("drain.changed")
 
     def _end_lapsed_drains(self, now: float) -> None:
--- a/packages/persimmonlink-router/src/persimmonlink_router/entry_numbers.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/entry_numbers.py
@@ -13,9 +13,24 @@
 
 
 @dataclass(slots=True)
-class _LastEntry:
+class LastEntry:
+    """The last entry of a server incarnation that this node has seen.
+
+    Parameters
+    ----------
+    number : int
+        Number that the server gave it.
+    seen_at : float
+        Boot time at which it was applied, or its removal, in seconds.
+    revision : int
+        Revision of the store at which it was written.
+    is_removed : bool
+        Whether it was removed since.
+    """
+
     number: int
     seen_at: float
+    revision: int = 0
     is_removed: bool = False
 
 
@@ -27,15 +42,21 @@
     """
 
     def __init__(self) -> None:
-        self._last_by_key: dict[ServerKey, _LastEntry] = {}
+        self._last_by_key: dict[ServerKey, LastEntry] = {}
 
-    def record(self, key: ServerKey, number: int, now: float) -> None:
+    def record(
+        self, key: ServerKey, number: int, now: float, revision: int = 0
+    ) -> None:
         """Record the number of an entry that was applied at a boot time in seconds."""
-        self._last_by_key[key] = _LastEntry(number, now)
+        self._last_by_key[key] = LastEntry(number, now, revision)
+
+    def find(self, key: ServerKey) -> LastEntry | None:
+        """Return the last entry of a server incarnation, None if none was seen."""
+        return self._last_by_key.get(key)
 
     def record_removal(self, key: ServerKey, now: float) -> None:
         """Record that the entry of a server was removed at a boot time in seconds."""
-        last = self._last_by_key.setdefault(key, _LastEntry(0, now))
+        last = self._last_by_key.setdefault(key, LastEntry(0, now))
         last.is_removed = True
         last.seen_at = now
         self._last_by_key = {
@@ -63,4 +84,4 @@
         return number < last.number or (last.is_removed and number == last.number)
 
 
-__all__ = ("DEPARTURE_MEMORY_S", "EntryNumbers")
+__all__ = ("DEPARTURE_MEMORY_S", "EntryNumbers", "LastEntry")
--- a/packages/persimmonlink-router/src/persimmonlink_router/request_log.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/request_log.py
@@ -104,6 +104,7 @@
             servers=state.servers,
             prompt_parts=state.metadata.shared_part_ids or None,
             server_versions=state.server_versions,
+            sent_on=[basis.describe(arrived_at) for basis in state.send_bases],
             resumes=state.metadata.resumed_request_id or None,
             last_event=state.metadata.last_event_id.decode("latin-1") or None,
             may_have_run=state.may_have_run,
--- a/packages/persimmonlink-router/src/persimmonlink_router/request_state.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/request_state.py
@@ -16,6 +16,7 @@
     CLIENT_RETRY_OBJECTIVE_SHARE,
     CLIENT_RETRY_PRIORITY_OFFSET,
 )
+from persimmonlink_router.send_basis import SendBasis
 from persimmonlink_router.wire_messages import RequestMetadata
 
 if TYPE_CHECKING:
@@ -116,6 +117,8 @@
         Ids of the servers it was sent to, in order.
     server_versions : list of str
         Software versions of these servers, in the same order.
+    send_bases : list of SendBasis
+        What the node knew of these servers as it sent, in the same order.
     first_event_s : float or None
         Time from arrival to the first event of a stream, in seconds.
     predicted_first_event_s : float or None
@@ -152,6 +155,7 @@
     may_have_run: bool = False
     servers: list[str] = field(default_factory=list)
     server_versions: list[str] = field(default_factory=list)
+    send_bases: list[SendBasis] = field(default_factory=list)
     first_event_s: float | None = None
     predicted_first_event_s: float | None = None
     silent_since: float = 0.0
--- a/packages/persimmonlink-router/src/persimmonlink_router/router.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/router.py
@@ -469,7 +469,7 @@
         if is_saved_version(item.key):
             self.stream_version_saver.apply_store_item(item)
             return
-        self.cluster_view.apply(item)
+        self.cluster_view.apply(item, self._mirror.origin)
 
     def _on_view_change(self) -> None:
         configuration = self.cluster_view.configuration
--- a/packages/persimmonlink-router/src/persimmonlink_router/server_sender.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/server_sender.py
@@ -327,6 +327,7 @@
         state.sends += 1
         state.servers.append(server.server_id)
         state.server_versions.append(server.software_version)
+        state.send_bases.append(self._cluster_view.describe_send(server))
         self._health.record_sent(server.key, state.metadata.prompt_tokens, now)
         self._reach.record_sent(server.key, now)
         self._chooser.prompt_cache.record_prompt(
--- a/packages/persimmonlink-router/src/persimmonlink_router/store_follower.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/store_follower.py
@@ -8,6 +8,7 @@
 from loguru import logger
 
 from persimmonlink_router.boot_clock import boot_time
+from persimmonlink_router.change_origin import ChangeOrigin, ChangeSource
 from persimmonlink_router.store import (
     HistoryLostError,
     StoreRestoredError,
@@ -133,6 +134,7 @@
         It is that of the oldest listing, so that no later change is missed.
         """
         watch_revision = 0
+        last_contact_at = self._cluster_view.last_contact_at
         for prefix in self._prefixes:
             items: list[StoredItem] = []
             after = ""
@@ -148,16 +150,25 @@
             self._cluster_view.record_contact(boot_time())
             if self._is_restored:
                 self._cluster_view.record_restore(boot_time())
-            self._mirror.apply_listing(prefix, items, listing_revision)
+            origin = _build_origin(ChangeSource.LISTING, last_contact_at)
+            self._mirror.apply_listing(prefix, items, listing_revision, origin)
         self._mirror.advance(watch_revision)
         self._is_restored = False
         return watch_revision
 
     def _apply_page(self, page: ItemPage) -> None:
+        origin = _build_origin(ChangeSource.WATCH, self._cluster_view.last_contact_at)
         self._cluster_view.record_contact(boot_time())
         mirrored = [i for i in page.items if i.key.startswith(self._prefixes)]
-        self._mirror.apply(mirrored)
+        self._mirror.apply(mirrored, origin)
         self._mirror.advance(page.revision)
 
 
+def _build_origin(source: ChangeSource, last_contact_at: float) -> ChangeOrigin:
+    """Return the origin of changes that the store told of now."""
+    if not last_contact_at:
+        return ChangeOrigin(source)
+    return ChangeOrigin(source, boot_time() - last_contact_at)
+
+
 __all__ = ("StoreFollower",)
--- a/packages/persimmonlink-router/src/persimmonlink_router/store_mirror.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/store_mirror.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from persimmonlink_router.change_origin import UNKNOWN_ORIGIN, ChangeOrigin
 from persimmonlink_router.store import StoredItem
 
 if TYPE_CHECKING:
@@ -27,14 +28,19 @@
         self._on_change = on_change
         self._item_by_key: dict[str, StoredItem] = {}
         self.revision = 0
+        # How the item came that `on_change` is called with.
+        self.origin = UNKNOWN_ORIGIN
 
     def find(self, key: str) -> StoredItem | None:
         """Return the item or tombstone of a key, or None if it is unknown."""
         return self._item_by_key.get(key)
 
-    def apply(self, items: Iterable[StoredItem]) -> int:
+    def apply(
+        self, items: Iterable[StoredItem], origin: ChangeOrigin = UNKNOWN_ORIGIN
+    ) -> int:
         """Apply changes that are newer than known ones; return how many were new."""
         applied_count = 0
+        self.origin = origin
         for item in items:
             known = self._item_by_key.get(item.key)
             if known is not None and known.revision >= item.revision:
@@ -54,7 +60,11 @@
         self._discard_old_tombstones()
 
     def apply_listing(
-        self, prefix: str, items: Iterable[StoredItem], revision: int
+        self,
+        prefix: str,
+        items: Iterable[StoredItem],
+        revision: int,
+        origin: ChangeOrigin = UNKNOWN_ORIGIN,
     ) -> None:
         """Apply a complete listing; known older keys missing from it were deleted."""
         items = tuple(items)
@@ -67,8 +77,8 @@
             and item.value is not None
             and item.revision <= revision
         ]
-        self.apply(items)
-        self.apply(missing)
+        self.apply(items, origin)
+        self.apply(missing, origin)
 
     def list_since(self, revision: int) -> tuple[StoredItem, ...]:
         """Return the items changed after a revision, in order of revision."""
