Log how a stream's version was found, and why a response counted as whole

The logs could not tell a stream joined from two versions from one cut short: how the version was found was not logged.

`request.completed` gets `version_source`, `version_answered_by`, `end_reason` and `failures_after_start`; `stream.origin_unknown` says which versions the node knew, whom it asked and who answered. No decision changes; the search for a version becomes a value (version_search.py) that says who knew it, and no member that has answered is asked again.

--- a/packages/persimmonlink-router/src/persimmonlink_router/request_log.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/request_log.py
@@ -110,7 +110,11 @@
             may_have_run=state.may_have_run,
             framing=None if end is None else end.framing,
             connection=None if end is None else end.connection,
+            end_reason=None if end is None else end.reason or None,
             partial_event_bytes=state.partial_event_bytes,
+            version_source=state.version_source or None,
+            version_answered_by=state.version_answered_by or None,
+            failures_after_start=state.failures_after_start or None,
             version=self._find_version(),
             store_age_s=round(boot_time() - self._cluster_view.last_contact_at, 2),
         ).info("request.completed")
--- a/packages/persimmonlink-router/src/persimmonlink_router/request_state.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/request_state.py
@@ -82,11 +82,15 @@
         State of its connection then: open, closed in order, or an error.
     is_complete : bool
         Whether it was taken as complete.
+    reason : str
+        Why a response that only its connection delimits was taken as complete or not;
+        empty for others.
     """
 
     framing: ResponseFraming
     connection: str
     is_complete: bool
+    reason: str = ""
 
 
 @dataclass(slots=True)
@@ -130,6 +134,12 @@
     stream_version : str or None
         Software version of the servers at which a stream has to go on; None while it
         may begin at any.
+    version_source : str
+        Who knew that version of a stream that its client takes up; empty for others.
+    version_answered_by : tuple of str
+        Members that were asked for it and answered.
+    failures_after_start : list of str
+        Why sends gave the stream no further events after it had begun.
     response_end : ResponseEnd or None
         How the last response of a server ended.
     partial_event_bytes : int
@@ -161,6 +171,9 @@
     silent_since: float = 0.0
     is_client_retry: bool = False
     stream_version: str | None = None
+    version_source: str = ""
+    version_answered_by: tuple[str, ...] = ()
+    failures_after_start: list[str] = field(default_factory=list)
     response_end: ResponseEnd | None = None
     partial_event_bytes: int = 0
     avoided_software: frozenset[str] = frozenset()
--- a/packages/persimmonlink-router/src/persimmonlink_router/response_completion.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/response_completion.py
@@ -45,6 +45,8 @@
         Permission to be in flight at the server.
     first_event_at : float or None
         Boot time of the first event that was read, in seconds; None before it.
+    end_reason : str
+        Why a response that only its connection delimits was taken as complete or not.
     """
 
     server: Server
@@ -54,6 +56,7 @@
     sent_at: float
     place: Place
     first_event_at: float | None = None
+    end_reason: str = ""
 
 
 class ResponseCompletion:
@@ -104,6 +107,7 @@
             response.head.framing,
             response.connection.state_text,
             is_complete,
+            response.end_reason,
         )
         self._health.record_ended(key)
         response.place.end()
@@ -121,11 +125,14 @@
         if response.head.framing is not ResponseFraming.CONNECTION_CLOSE:
             return
         if not self._cluster_view.servers.is_usable(response.server):
+            response.end_reason = "server_out_of_use"
             return
         if await self._end_detector.ended_with_response(response.server):
+            response.end_reason = "server_ended"
             raise ConnectionLostError(
                 f"{response.server.server_id}: the server ended with its response"
             )
+        response.end_reason = "server_goes_on"
 
     def record_failure(self, server: Server) -> None:
         """Record a failed response in the health of its server."""
--- a/packages/persimmonlink-router/src/persimmonlink_router/stream_relay.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stream_relay.py
@@ -86,6 +86,8 @@
             if isinstance(error, NoReachError):
                 state.last_forwarded_id = splitter.last_id
                 raise
+            if state.exchange.has_started or splitter.last_id:
+                state.failures_after_start.append(str(error))
             is_final = isinstance(error, RequestHeldError) or not _may_resume(state)
             if is_final or attempt_count >= MAX_ATTEMPTS:
                 raise _to_client_error(state, error) from error
--- a/packages/persimmonlink-router/src/persimmonlink_router/stream_version_exchange.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stream_version_exchange.py
@@ -16,6 +16,8 @@
     FoundStreamVersion,
     RecordStreamVersions,
 )
+from persimmonlink_router.stream_versions import FoundVersion, VersionSource
+from persimmonlink_router.version_search import VersionSearch
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -108,12 +110,11 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def find(self, request_id: str, service: str) -> str | None:
-        """Return the version at which a stream has to go on, or None if unknown.
+    async def find(self, request_id: str, service: str) -> FoundVersion:
+        """Return the version at which a stream has to go on, and who knew it.
 
         What the nodes know goes before what the store has saved, which may be older.
-        A stream that neither knows goes on if only one version has served lately, also
-        before all nodes were lost.
+        A stream that neither knows goes on if only one version can have begun it.
 
         Parameters
         ----------
@@ -124,27 +125,49 @@
         """
         known = self._versions.find(request_id)
         if known is not None:
-            return known
-        servers = self._cluster_view.servers
-        recent = set(servers.list_recent_versions(service, boot_time()))
+            return FoundVersion(known, VersionSource.NODE)
+        return await self._search(request_id, service)
+
+    async def _search(self, request_id: str, service: str) -> FoundVersion:
+        search = VersionSearch(
+            FindStreamVersion(self._membership.sender, request_id, service)
+        )
         live = self._membership.list_live_members()
         first = choose_keepers(live, 1, MIN_KEEPERS)
         asked = choose_keepers(live, MAX_ASKED_PER_DOMAIN)
-        for members in (first, [member for member in asked if member not in first]):
-            for reply in await self._ask(members, request_id, service):
-                if reply.version is not None:
-                    return reply.version
-                recent.update(reply.recent_versions)
-        saved = self._versions.find_saved(request_id)
-        if saved is not None:
-            return saved
+        for members in (first, asked):
+            await self._ask(members, search)
+            if search.version is not None:
+                return search.build_result(VersionSource.MEMBER)
+        search.version = self._versions.find_saved(request_id)
+        if search.version is not None:
+            return search.build_result(VersionSource.STORE)
+        return await self._find_only_version(search)
+
+    async def _find_only_version(self, search: VersionSearch) -> FoundVersion:
+        """Return the version that alone has served in the last minute, if any."""
+        request_id, service = search.message.request_id, search.message.service
         # A node that hasn't read all that was saved can't tell what served before.
-        is_certain = self._mirror.revision > 0 and len(recent) == 1
-        version = recent.pop() if is_certain else None
-        logger.bind(resumes=request_id, service=service, version=version).info(
-            "stream.origin_unknown"
-        )
-        return version
+        is_covered = self._mirror.revision > 0
+        servers = self._cluster_view.servers
+        recent = search.recent_versions
+        recent.update(servers.list_recent_versions(service, boot_time()))
+        source = VersionSource.UNKNOWN
+        if is_covered and len(recent) == 1:
+            source = VersionSource.ONLY_RECENT
+            search.version = next(iter(recent))
+        logger.bind(
+            resumes=request_id,
+            service=service,
+            version=search.version,
+            recent_versions=sorted(recent),
+            covered=is_covered,
+            asked=search.asked_ids,
+            answered=search.answered_ids,
+            in_contact=self._cluster_view.is_in_contact,
+            store_age_s=round(boot_time() - self._cluster_view.last_contact_at, 2),
+        ).info("stream.origin_unknown")
+        return search.build_result(source)
 
     async def handle_record(self, message: RecordStreamVersions) -> Acknowledgement:
         """Keep the versions that a peer sends."""
@@ -161,27 +184,31 @@
             tuple(servers.list_recent_versions(message.service, boot_time())),
         )
 
-    async def _ask(
-        self, members: Sequence[Member], request_id: str, service: str
-    ) -> list[FoundStreamVersion]:
-        """Return the replies of the members, until one of them knows the version."""
-        message = FindStreamVersion(self._membership.sender, request_id, service)
-        calls = [
-            self._membership.channel(member.peer_address).call(
-                message, FoundStreamVersion, FIND_TIMEOUT_S
-            )
-            for member in members
-            if member.node_id != self._membership.own_member.node_id
-        ]
-        found = []
+    async def _ask(self, members: Sequence[Member], search: VersionSearch) -> None:
+        """Ask members that have not answered yet, until one knows the version."""
+        skipped = {self._membership.own_member.node_id, *search.answered_ids}
+        calls = []
+        for member in members:
+            if member.node_id in skipped:
+                continue
+            search.asked_ids.append(member.node_id)
+            calls.append(self._ask_member(member, search.message))
         for call in asyncio.as_completed(calls):
-            reply = await call
-            if isinstance(reply, Err):
+            node_id, reply = await call
+            if reply is None:
                 continue
-            found.append(reply.unwrap())
-            if found[-1].version is not None:
-                break
-        return found
+            search.answered_ids.append(node_id)
+            search.recent_versions.update(reply.recent_versions)
+            if reply.version is not None:
+                search.version = reply.version
+                return
+
+    async def _ask_member(
+        self, member: Member, message: FindStreamVersion
+    ) -> tuple[str, FoundStreamVersion | None]:
+        channel = self._membership.channel(member.peer_address)
+        reply = await channel.call(message, FoundStreamVersion, FIND_TIMEOUT_S)
+        return member.node_id, None if isinstance(reply, Err) else reply.unwrap()
 
     async def _send_records(self, member: Member) -> None:
         """Send the records of a member, those of the meantime in one message each."""
--- a/packages/persimmonlink-router/src/persimmonlink_router/stream_versions.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stream_versions.py
@@ -3,11 +3,41 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from enum import StrEnum
 
 # Longer than any client waits for a stream, with all its attempts.
 RECORD_LIFETIME_S = 60.0
 
 
+class VersionSource(StrEnum):
+    """Who knew the version at which a stream goes on; the values appear in logs."""
+
+    NODE = "node"
+    MEMBER = "member"
+    STORE = "store"
+    ONLY_RECENT = "only_recent"
+    UNKNOWN = "unknown"
+
+
+@dataclass(frozen=True, slots=True)
+class FoundVersion:
+    """Answer to the question at which version a stream has to go on.
+
+    Parameters
+    ----------
+    version : str or None
+        The version; None if it is unknown.
+    source : VersionSource
+        Who knew it.
+    answered_by : tuple of str
+        Members that answered, in order; the last one knew it if a member did.
+    """
+
+    version: str | None
+    source: VersionSource
+    answered_by: tuple[str, ...] = ()
+
+
 @dataclass(frozen=True, slots=True)
 class _SavedVersion:
     version: str
@@ -121,4 +151,9 @@
             del self._saved_by_request_id[request_id]
 
 
-__all__ = ("RECORD_LIFETIME_S", "StreamVersions")
+__all__ = (
+    "RECORD_LIFETIME_S",
+    "FoundVersion",
+    "StreamVersions",
+    "VersionSource",
+)
--- a/packages/persimmonlink-router/src/persimmonlink_router/version_pinning.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/version_pinning.py
@@ -48,9 +48,12 @@
         metadata = state.metadata
         if not metadata.last_event_id or state.stream_version is not None:
             return
-        state.stream_version = await self._stream_versions.find(
+        found = await self._stream_versions.find(
             metadata.resumed_request_id, state.service
         )
+        state.stream_version = found.version
+        state.version_source = found.source
+        state.version_answered_by = found.answered_by
         if state.stream_version is None:
             raise RequestRefusedError(
                 "the software version that began the stream is unknown",
