Log and count when the event loop stands still

`process.stalled` says for how long the loop did nothing else and how much processor time the process had meanwhile: near the lag it was busy, near 0 it did not run. Metrics: `loop_lag_seconds_max` of the last minute, `loop_stalls_total`.

--- a/packages/persimmonlink-router/src/persimmonlink_router/router.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/router.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+import time
 import uuid
 from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
@@ -25,6 +26,7 @@
 from persimmonlink_router.graceful_stop import GracefulStop
 from persimmonlink_router.hold_records import HOLD_PREFIX, HoldRecords
 from persimmonlink_router.http_server import HttpServer, RequestLimits
+from persimmonlink_router.loop_lag import LoopLagMonitor
 from persimmonlink_router.member_registration import MemberRegistration
 from persimmonlink_router.metrics import RouterMetrics
 from persimmonlink_router.operator_api import OperatorApi
@@ -119,6 +121,7 @@
         self._rng = random.Random()
         limits = settings.limits
         self.metrics = RouterMetrics()
+        self._loop_lag = LoopLagMonitor(TICK_INTERVAL_S, self.metrics)
         self._store = CountedStore(adapters.store, self.metrics)
         self._timers = LoopTimerService()
         self._tasks = BackgroundTasks()
@@ -419,6 +422,7 @@
         return choose_outage_interval_s(self.membership.peak_node_count())
 
     def _tick(self) -> None:
+        self._loop_lag.tick(boot_time(), time.process_time())
         if self.cluster_view.tick(boot_time()):
             self._follower.refresh()
         self._crash_guard.tick()
