Let the stand-in of the store cut watches, go silent and answer late

Tests of the soak and of the rigs could stop the store as a whole or fail its calls, but not do what a network does: break off the watch that waits, leave one without an answer, silence connections for good, delay each answer.

Stand-ins of servers record arrivals and the time at which a head was read, and can refuse new connections while old ones go on.

--- a/stand_ins/src/persimmonlink_stand_ins/metadata_store.py
+++ b/stand_ins/src/persimmonlink_stand_ins/metadata_store.py
@@ -12,30 +12,13 @@
 import msgspec
 
 from persimmonlink_stand_ins.raw_server import RawServer, encode_response
+from persimmonlink_stand_ins.store_faults import StoreFaults, WatchCutError, WatchCuts
 
 if TYPE_CHECKING:
     from persimmonlink_stand_ins.raw_server import RawRequest
 
 WATCH_POLL_INTERVAL_S = 0.01
-
-
-@dataclass
-class StoreFaults:
-    """Faults that the store applies to each request.
-
-    Parameters
-    ----------
-    status : int
-        Status of all responses; 0 to handle requests normally.
-    never_responds : bool
-        Whether the store sends no responses.
-    drops_responses : bool
-        Whether the store carries out a request and closes the connection unanswered.
-    """
-
-    status: int = 0
-    never_responds: bool = False
-    drops_responses: bool = False
+PAGE_BYTES = 1048576  # Values on a page of a listing, unless one alone is larger.
 
 
 @dataclass
@@ -81,6 +64,8 @@
         self._next_lease = 1000
         self._era = 1
         self._copy: _Copy | None = None
+        self.watch_cuts = WatchCuts(WATCH_POLL_INTERVAL_S)
+        self._silent_writers: set[asyncio.StreamWriter] = set()
         self._server = RawServer(self._handle)
 
     @property
@@ -170,18 +155,33 @@
             lease.expires_at = 0.0
         self._expire_leases()
 
+    def cut_watches(self, *, is_silent: bool = False, most: int = 1000) -> None:
+        """Break off some watches that wait now; silently to never answer them."""
+        self.watch_cuts.cut(is_silent=is_silent, most=most)
+
+    def silence_connections(self) -> None:
+        """Answer nothing more on the connections that are open now."""
+        self._silent_writers |= self._server.list_writers()
+
     async def _handle(self, request: RawRequest, writer: asyncio.StreamWriter) -> bool:
         parts = urlsplit(request.target)
         query = dict(parse_qsl(parts.query, keep_blank_values=True))
         self.called_paths.append(parts.path)
         if self.faults.never_responds:
             await asyncio.sleep(3600)
+        await self._hold_if_silent(writer)
         if self.faults.status:
             era = {"Store-Era": str(self._era)}
             writer.write(encode_response(self.faults.status, era, b""))
             return True
         self._expire_leases()
-        status, body = await self._dispatch(request, parts.path, query)
+        try:
+            status, body = await self._dispatch(request, parts.path, query)
+        except WatchCutError:
+            await self._hold_if_silent(writer)
+            return False
+        await asyncio.sleep(self.faults.delay_s)
+        await self._hold_if_silent(writer)
         if self.faults.drops_responses:
             return False
         era = {"Store-Era": str(self._era)}
@@ -204,6 +204,11 @@
             return 200, {"lease": lease_id, "ttl-ms": body["ttl-ms"]}
         return self._renew_or_revoke_lease(path)
 
+    async def _hold_if_silent(self, writer: asyncio.StreamWriter) -> None:
+        """Never return if a connection is silent; its caller closes it in the end."""
+        if writer in self._silent_writers:
+            await asyncio.sleep(3600)
+
     def _read_range(self, query: dict[str, str]) -> tuple[int, dict[str, Any]]:
         after = query.get("after", "")
         keys = sorted(
@@ -211,30 +216,43 @@
             for key in self._item_by_key
             if key.startswith(query["prefix"]) and key > after
         )
-        page = keys[: self._page_size]
+        page = self._cut_page(keys)
         return 200, {
             "items": [self._encode_item(key) for key in page],
             "more-pages": len(keys) > len(page),
             "store-revision": self._revision,
         }
 
+    def _cut_page(self, keys: list[str]) -> list[str]:
+        """Return the first keys, as many as a page holds."""
+        size = 0
+        for count, key in enumerate(keys[: self._page_size]):
+            size += len(self._item_by_key[key].value)
+            if count and size > PAGE_BYTES:
+                return keys[:count]
+        return keys[: self._page_size]
+
     async def _watch(self, query: dict[str, str]) -> tuple[int, dict[str, Any]]:
         after = int(query["after"])
         deadline = time.monotonic() + int(query["wait-ms"]) / 1000
         while True:
             if after < self._compacted_revision or after > self._revision:
                 return 410, {}
-            events = [
-                event
-                for event in self._history
-                if event["revision"] > after
-                and event["key"].startswith(query["prefix"])
-            ]
+            events = self._list_events(query["prefix"], after)
             if events or time.monotonic() > deadline:
                 return 200, {"events": events, "store-revision": self._revision}
-            await asyncio.sleep(WATCH_POLL_INTERVAL_S)
+            await self.watch_cuts.wait()
             self._expire_leases()
 
+    def _list_events(self, prefix: str, after: int) -> list[dict[str, Any]]:
+        events = []
+        for event in reversed(self._history):
+            if event["revision"] <= after:
+                break
+            if event["key"].startswith(prefix):
+                events.append(event)
+        return events[::-1]
+
     def _transact(self, body: dict[str, Any]) -> tuple[int, dict[str, Any]]:
         for row in body.get("expect-rev", ()):
             existing = self._item_by_key.get(row["key"])
--- a/stand_ins/src/persimmonlink_stand_ins/raw_server.py
+++ b/stand_ins/src/persimmonlink_stand_ins/raw_server.py
@@ -5,6 +5,7 @@
 import asyncio
 import socket
 import struct
+import time
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
@@ -15,12 +16,16 @@
 
 @dataclass(frozen=True)
 class RawRequest:
-    """A request as received."""
+    """A request as received.
+
+    `head_at` is the monotonic time at which its head was read, in seconds.
+    """
 
     method: str
     target: str
     headers: dict[str, str]
     body: bytes
+    head_at: float = 0.0
 
 
 Handler = Callable[[RawRequest, asyncio.StreamWriter], Awaitable[bool]]
@@ -47,13 +52,27 @@
         self._server = await asyncio.start_server(self._serve, HOST, port)
         self.address = f"{HOST}:{self._server.sockets[0].getsockname()[1]}"
 
-    async def stop(self) -> None:
-        """Stop listening and cut all connections."""
+    def stop_listening(self) -> None:
+        """Refuse new connections and keep the open ones."""
         if self._server is not None:
             self._server.close()
+
+    def list_writers(self) -> set[asyncio.StreamWriter]:
+        """Return the writers of the connections that are open now."""
+        return set(self._writers)
+
+    async def stop(self) -> None:
+        """Stop listening and cut all connections."""
+        self.stop_listening()
         for writer in list(self._writers):
             writer.transport.abort()
 
+    async def reset(self) -> None:
+        """Stop listening and reset all connections."""
+        for writer in list(self._writers):
+            reset_connection(writer)
+        await self.stop()
+
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -76,6 +95,7 @@
         parser: h11.Connection,
     ) -> bool:
         request: h11.Request | None = None
+        head_at = 0.0
         body_parts: list[bytes] = []
         while True:
             event = parser.next_event()
@@ -86,6 +106,7 @@
                 parser.receive_data(data)
             elif isinstance(event, h11.Request):
                 request = event
+                head_at = time.monotonic()
             elif isinstance(event, h11.Data):
                 body_parts.append(bytes(event.data))
             else:
@@ -98,6 +119,7 @@
             request.target.decode(),
             headers,
             b"".join(body_parts),
+            head_at,
         )
         handler_task = asyncio.ensure_future(self._handler(raw_request, writer))
         disconnect_task = asyncio.ensure_future(_wait_for_disconnect(reader))
--- a/stand_ins/src/persimmonlink_stand_ins/routed_server.py
+++ b/stand_ins/src/persimmonlink_stand_ins/routed_server.py
@@ -212,6 +212,8 @@
         self.disconnected_ids: list[str] = []
         self.received_count = 0
         self.received_at: list[float] = []
+        # Arrival, target and ids of each request that is for this server.
+        self.arrivals: list[tuple[float, str, list[str]]] = []
         self.has_crashed = False
         self.endless_bytes_sent = 0
         self.on_crash: Callable[[], None] | None = None
@@ -290,6 +292,7 @@
         if expected not in (None, self.server_id):
             writer.write(encode_response(421, {}, b""))
             return True
+        self.arrivals.append((time.monotonic(), request.target, _list_ids(request)))
         if self.faults.rejects_requests:
             headers = {
                 "Persimmonlink-Not-Executed": "1",
@@ -524,6 +527,13 @@
         return headers
 
 
+def _list_ids(request: RawRequest) -> list[str]:
+    """Return the id of a request, or the ids of the requests of its pieces."""
+    if request.target == "/-/stage-run":
+        return [item["id"] for item in msgspec.json.decode(request.body)["items"]]
+    return [request.headers.get("persimmonlink-request-id", "")]
+
+
 def _chunk(data: bytes) -> bytes:
     return b"%x\r\n" % len(data) + data + b"\r\n"
 
