Close a kept connection in a stop only when no client uses it any more

Two faults of one decision, which can't be split sensibly. A response that began before SIGTERM ended its connection although it had not said so; and all idle connections were closed unasked at the end of the stop. The class: a stop decided by what the node saw at one moment, not by what clients had been told.

Now only a response that carried `Connection: close` ends its connection. Responses say `Keep-Alive: timeout=3`, less if the idle timeout is short, and a connection is closed 3.5 s after its last response, by when no client that heeds it sends (client_use_times.py).

--- a/packages/persimmonlink-router/src/persimmonlink_router/graceful_stop.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/graceful_stop.py
@@ -78,15 +78,17 @@
         self._log_end(boot_time() - began_at, record)
 
     async def _advance(self, now: float, began_at: float, record: StopRecord) -> bool:
-        """Return whether all work has ended."""
+        """Close what is no longer used; return whether all work has ended."""
         has_ended = False
         if now > began_at + DIRECTORY_EXPIRY_WAIT_S:
+            for server in self._servers:
+                server.close_expired(now, record)
             has_ended = not self._is_busy()
         return has_ended
 
     def _is_busy(self) -> bool:
         return bool(
-            any(server.count_active_requests() for server in self._servers)
+            any(server.connections for server in self._servers)
             or self._scheduler.count_running()
         )
 
--- a/packages/persimmonlink-router/src/persimmonlink_router/http_connection.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/http_connection.py
@@ -50,6 +50,11 @@
         self.use = ConnectionUse(now, now)
         self.is_serving = False
 
+    @property
+    def idle_timeout_s(self) -> float:
+        """Idle time after which the connection is closed, in seconds."""
+        return self._server.limits.idle_timeout_s
+
     def connection_made(self, transport: Any) -> None:
         """Start the task of the connection."""
         self._transport = transport
@@ -131,6 +136,19 @@
             waiting = count_waiting_bytes(self._transport.get_extra_info("socket"))
         return waiting + len(self._h11.trailing_data[0])
 
+    def is_expired(self, now: float) -> bool:
+        """Whether no client sends on the connection any more, by what it was told.
+
+        Parameters
+        ----------
+        now : float
+            Boot time, in seconds.
+        """
+        if self.is_serving:
+            return False
+        header_timeout_s = self._server.limits.header_timeout_s
+        return self.use.is_over(now, self._count_unread_bytes(), header_timeout_s)
+
     def must_close(self) -> bool:
         """Whether the response must carry `Connection: close`."""
         return self._server.is_stopping
@@ -184,8 +202,6 @@
             return False
         if self._h11.our_state is not h11.DONE or self._h11.their_state is not h11.DONE:
             return False
-        if self._server.is_stopping:
-            return False
         self._h11.start_next_cycle()
         return True
 
--- a/packages/persimmonlink-router/src/persimmonlink_router/http_exchange.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/http_exchange.py
@@ -7,6 +7,8 @@
 
 import h11
 
+from persimmonlink_router.client_use_times import choose_keep_alive_s
+
 if TYPE_CHECKING:
     from persimmonlink_router.http_connection import HttpServerConnection
     from persimmonlink_router.http_messages import Headers, HttpRequest
@@ -101,13 +103,27 @@
 
     def _start(self, status: int, headers: list[tuple[bytes, bytes]]) -> None:
         must_close = self._connection.must_close()
-        if must_close:
-            headers = [*headers, (b"connection", b"close")]
+        headers = [*headers, *_build_connection_headers(self._connection, must_close)]
         self._connection.use.record_begin(is_last=must_close)
         self.has_started = True
         self._connection.send(h11.Response(status_code=status, headers=headers))
 
 
+def _build_connection_headers(
+    connection: HttpServerConnection, must_close: bool
+) -> list[tuple[bytes, bytes]]:
+    """Return the headers that say how long the client may use its connection."""
+    if must_close:
+        return [(b"connection", b"close")]
+    keep_alive_s = choose_keep_alive_s(connection.idle_timeout_s)
+    if not keep_alive_s:
+        return []
+    return [
+        (b"connection", b"keep-alive"),
+        (b"keep-alive", f"timeout={keep_alive_s}".encode()),
+    ]
+
+
 __all__ = (
     "BadRequestError",
     "ClientDisconnectedError",
--- a/packages/persimmonlink-router/src/persimmonlink_router/http_server.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/http_server.py
@@ -56,6 +56,21 @@
         for connection in self.connections:
             record.add(connection.describe())
 
+    def close_expired(self, now: float, record: StopRecord) -> None:
+        """Close the connections that no client uses any more, and record them.
+
+        Parameters
+        ----------
+        now : float
+            Boot time, in seconds.
+        record : StopRecord
+            Gets the state of each one.
+        """
+        for connection in list(self.connections):
+            if connection.is_expired(now):
+                record.add(connection.describe())
+                connection.close()
+
     def close(self) -> None:
         """Stop listening and close all connections."""
         if self._server is not None:
