Refuse late requests that may outlast a stop, and answer those without response

Cause: the node took each request by its own state, not by whether the time that was left would do. From 2.7 s after SIGTERM it now takes only those whose deadline or route timeout ends before the stop does; others get 503 with `Retry-After` 0.1, and have not run. Deadlines are certain; an expected time would be a guess. 0.3 s before the end requests without a response get 504, or 503 if they were not sent.

--- a/packages/persimmonlink-router/src/persimmonlink_router/graceful_stop.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/graceful_stop.py
@@ -84,7 +84,11 @@
             for server in self._servers:
                 server.close_expired(now, record)
             has_ended = not self._is_busy()
-        return has_ended
+        if has_ended:
+            return True
+        if now > self._clock.answers_by:
+            self._request_service.active.end_unanswered()
+        return False
 
     def _is_busy(self) -> bool:
         return bool(
--- a/packages/persimmonlink-router/src/persimmonlink_router/request_service.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/request_service.py
@@ -9,6 +9,7 @@
 import h11
 from loguru import logger
 
+from persimmonlink_router.active_requests import ActiveRequests, EndedByStopError
 from persimmonlink_router.boot_clock import boot_time
 from persimmonlink_router.configuration import RequestKind
 from persimmonlink_router.http_messages import HttpRequest
@@ -44,6 +45,7 @@
     from persimmonlink_router.stop_clock import StopClock
     from persimmonlink_router.wire_messages import RequestMetadata, Wire
 
+STOPPING_RETRY_AFTER_S = 0.1  # Retry-After of a node that stops; others serve on.
 NO_CONFIGURATION_RETRY_AFTER_S = 0.5  # Retry-After of a node without configuration.
 # Requests of peers that this node serves at once; others are refused as not run.
 MAX_RELAYED_REQUESTS = 512
@@ -116,6 +118,7 @@
         self._stop_clock = stop_clock
         self._log = RequestLog(cluster_view, stop_clock, metrics)
         self.relayed_count = 0
+        self.active = ActiveRequests()
         self._retry_detector = RetryDetector()
 
     def retain_routes(self, names: Collection[str]) -> None:
@@ -178,7 +181,7 @@
         status = 0
         reason = "left"
         try:
-            status, reason = await self._serve(state)
+            status, reason = await self._serve_in_time(state)
         except ClientDisconnectedError:
             reason = "left"
         finally:
@@ -191,6 +194,38 @@
             )
             self._log.record_completed(state, status, reason)
 
+    async def _serve_in_time(self, state: RequestState) -> tuple[int, str]:
+        """Serve a request unless the node stops first; return status and reason."""
+        if not self._stop_clock.admits(state.arrived_at, state.end_at):
+            self._metrics.count("stopping_requests_total", 'outcome="refused"')
+            reply = LocalReply(
+                503, "the node stops before the request ends", STOPPING_RETRY_AFTER_S
+            )
+            await self._send_local_reply(
+                state.exchange, state.metadata.request_id, reply
+            )
+            return reply.status, reply.reason
+        try:
+            return await self.active.run(state.exchange, self._serve(state))
+        except EndedByStopError:
+            return await self._end_unanswered(state)
+
+    async def _end_unanswered(self, state: RequestState) -> tuple[int, str]:
+        """Answer a request that the stop has ended; return status and reason."""
+        exchange = state.exchange
+        reason = "the node stops"
+        self._metrics.count("stopping_requests_total", 'outcome="ended"')
+        if exchange.is_complete:
+            return 200, "answered"
+        if exchange.has_started:
+            exchange.abort()
+            return 0, f"response aborted: {reason}"
+        reply = LocalReply(504, reason)
+        if not (state.sends or state.relayed_to or state.may_have_run):
+            reply = LocalReply(503, reason, STOPPING_RETRY_AFTER_S)
+        await self._send_local_reply(exchange, state.metadata.request_id, reply)
+        return reply.status, reply.reason
+
     async def _serve(self, state: RequestState) -> tuple[int, str]:
         """Relay a request; return the status and the reason for log and metrics.
 
