Count a request until its response is written out, and close in order

Cause: a request counted as ended while its response waited in the write buffer, so that the process might exit first; and bytes of the client that were not read yet reset the connection, and the response with it. Now it counts until the kernel has all its bytes. After the last response the node closes its own end and reads on for up to 0.5 s, so that what the client still sends resets nothing.

--- a/packages/persimmonlink-router/src/persimmonlink_router/http_connection.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/http_connection.py
@@ -29,6 +29,9 @@
 READ_PAUSE_BYTES = 262144  # Unread bytes at which reading is paused.
 NEED_DATA: Any = h11.NEED_DATA
 HTTP_1_0 = b"1.0"  # Version without chunked encoding.
+# Time for a client to close its end after the last response, in which what it still
+# sends is read: unread bytes would reset the connection, and the response with it.
+CLIENT_CLOSE_WAIT_S = 0.5
 
 
 class HttpServerConnection(asyncio.Protocol):
@@ -46,6 +49,7 @@
         self._task: asyncio.Task[None] | None = None
         self._unread_bytes = 0
         self._is_paused = False
+        self._is_ending = False
         now = boot_time()
         self.use = ConnectionUse(now, now)
         self.is_serving = False
@@ -63,6 +67,8 @@
 
     def data_received(self, data: bytes) -> None:
         """Receive request bytes; close the connection if they are not HTTP."""
+        if self._is_ending:
+            return
         try:
             self._h11.receive_data(data)
         except h11.RemoteProtocolError:
@@ -144,7 +150,7 @@
         now : float
             Boot time, in seconds.
         """
-        if self.is_serving:
+        if self.is_serving or self._is_ending:
             return False
         header_timeout_s = self._server.limits.header_timeout_s
         return self.use.is_over(now, self._count_unread_bytes(), header_timeout_s)
@@ -172,6 +178,7 @@
         try:
             while await self._serve_request():
                 pass
+            await self._end_in_order()
         except (ClientDisconnectedError, asyncio.CancelledError):
             pass
         except Exception:
@@ -195,6 +202,7 @@
         exchange = Exchange(self, request)
         try:
             await self._server.handler(exchange)
+            await self._flush()
         finally:
             self.is_serving = False
             self.use.record_end(boot_time())
@@ -205,6 +213,36 @@
         self._h11.start_next_cycle()
         return True
 
+    async def _flush(self) -> None:
+        """Wait until the kernel has all bytes of a response."""
+        transport = self._transport
+        if transport is None or not transport.get_write_buffer_size():
+            return
+        low, high = transport.get_write_buffer_limits()
+        transport.set_write_buffer_limits(high=0)
+        await self.drain()
+        if self._transport is not None:
+            transport.set_write_buffer_limits(high, low)
+
+    async def _end_in_order(self) -> None:
+        """After the last response, let the client close the connection first."""
+        if self._transport is None or self._transport.is_closing():
+            return
+        if self._h11.our_state not in (h11.DONE, h11.MUST_CLOSE, h11.CLOSED):
+            return
+        await self._flush()
+        if self._transport is None:
+            return
+        self._is_ending = True
+        try:
+            self._transport.write_eof()
+        except OSError as error:
+            logger.bind(error=repr(error)).debug("connection.already_closed")
+            return
+        self._resume_reading()
+        # The end of the client's bytes closes the transport and cancels the task.
+        await asyncio.sleep(CLIENT_CLOSE_WAIT_S)
+
     async def _read_request(self) -> HttpRequest | None:
         limits = self._server.limits
         first = await self._next_event(limits.idle_timeout_s)
