Wait in a stop for requests of peers, and for the replies to them

A request that a peer had passed on to a stopping node, or a call of a peer, could end with the process: `Router.stop` counted neither. Not in the users' record, whose nodes called the servers themselves; shown by tests.

The stop now waits for requests of peers as for its own, and sends the replies to calls in progress, up to 0.3 s.

--- a/packages/persimmonlink-peers/src/persimmonlink_peers/peer_server.py
+++ b/packages/persimmonlink-peers/src/persimmonlink_peers/peer_server.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+import time
 from typing import TYPE_CHECKING, Any
 
 from grpclib.const import Cardinality, Handler
@@ -21,6 +23,8 @@
 # connection first.
 PING_INTERVAL_S = 20.0
 PING_TIMEOUT_S = 5.0
+CLOSE_TIMEOUT_S = 0.1  # Longest wait for calls that were cancelled.
+POLL_INTERVAL_S = 0.02  # Interval of checking whether calls and connections have ended.
 
 
 def build_method_path(request_type: type) -> str:
@@ -41,6 +45,7 @@
         self._on_invalid = on_invalid
         self._handler_by_path: dict[str, Handler] = {}
         self._server: Server | None = None
+        self._call_count = 0
 
     def register(
         self,
@@ -62,7 +67,12 @@
                 raise
             if message is None:
                 return
-            await stream.send_message(await handle(message))
+            self._call_count += 1
+            try:
+                await stream.send_message(await handle(message))
+                await stream.send_trailing_metadata()
+            finally:
+                self._call_count -= 1
 
         self._handler_by_path[build_method_path(request_type)] = Handler(
             serve, Cardinality.UNARY_UNARY, request_type, reply_type
@@ -87,8 +97,14 @@
                 code = CODE_BY_STATUS.get(error.status, ResultCode.PEER_MESSAGE_INVALID)
                 self._report_invalid(code, str(error.message))
                 raise
-            if message is not None:
+            if message is None:
+                return
+            self._call_count += 1
+            try:
                 await handle(message, stream.send_message)
+                await stream.send_trailing_metadata()
+            finally:
+                self._call_count -= 1
 
         self._handler_by_path[build_method_path(request_type)] = Handler(
             serve, Cardinality.UNARY_STREAM, request_type, part_type
@@ -104,6 +120,27 @@
         self._server = Server([self], codec=MessagePackCodec(), config=pings)
         await self._server.start(host, port)
 
+    async def finish(self, timeout_s: float) -> None:
+        """Send the replies to the calls in progress, then stop.
+
+        Parameters
+        ----------
+        timeout_s : float
+            Longest wait for these calls, and for peers to read the replies, in seconds;
+            the other calls are cancelled.
+        """
+        server = self._server
+        if server is None:
+            return
+        ends_at = time.monotonic() + timeout_s
+        await _wait_while(lambda: self._call_count > 0, ends_at)
+        server.close()
+        try:
+            async with asyncio.timeout(CLOSE_TIMEOUT_S):
+                await server.wait_closed()
+        except TimeoutError:
+            logger.bind(calls=self._call_count).info("peers.not_closed")
+
     async def stop(self) -> None:
         """Stop listening and wait until the calls in progress have ended."""
         if self._server is None:
@@ -116,4 +153,10 @@
         self._on_invalid(code)
 
 
+async def _wait_while(is_waiting: Callable[[], bool], ends_at: float) -> None:
+    """Wait until a condition ends, at most until a time of the monotonic clock."""
+    while is_waiting() and time.monotonic() < ends_at:
+        await asyncio.sleep(POLL_INTERVAL_S)
+
+
 __all__ = ("PeerServer", "build_method_path")
--- a/packages/persimmonlink-router/src/persimmonlink_router/graceful_stop.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/graceful_stop.py
@@ -20,6 +20,7 @@
     from persimmonlink_router.stage_scheduler import StageScheduler
     from persimmonlink_router.stop_clock import StopClock
 
+PEER_CALL_WAIT_S = 0.3  # Longest wait for replies to peers, requests of clients apart.
 STOP_POLL_INTERVAL_S = 0.05  # Interval of checking whether all requests have ended.
 
 
@@ -73,6 +74,9 @@
                 break
             await asyncio.sleep(STOP_POLL_INTERVAL_S)
         clock.is_cutting = True
+        await self._peer_server.finish(
+            max(0.0, min(PEER_CALL_WAIT_S, clock.ends_at - boot_time()))
+        )
         for server in self._servers:
             server.record_connections(record)
         self._log_end(boot_time() - began_at, record)
@@ -93,6 +97,7 @@
     def _is_busy(self) -> bool:
         return bool(
             any(server.connections for server in self._servers)
+            or self._request_service.relayed_count
             or self._scheduler.count_running()
         )
 
