Stop directory, readiness and metrics as the listener of clients

A request to the directory, to readiness or metrics was cut when these listeners were closed at once at the end of a stop, and their responses did not say that the connection ends.

--- a/packages/persimmonlink-router/src/persimmonlink_router/graceful_stop.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/graceful_stop.py
@@ -54,7 +54,7 @@
     ) -> None:
         self._clock = clock
         self._client_server = client_server
-        self._servers = (client_server,)
+        self._servers = (client_server, *other_servers)
         self._request_service = request_service
         self._scheduler = scheduler
         self._peer_server = peer_server
