Serve at the end of a stop what waits to be accepted

A client that connected just before the listener was closed, or had sent bytes that were not read yet, was reset. The system takes connections for a listener before the process accepts them, so that a client can't know.

Before the node stops listening it accepts all that wait, serves them, and goes through the wait again.

--- a/packages/persimmonlink-router/src/persimmonlink_router/graceful_stop.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/graceful_stop.py
@@ -58,6 +58,7 @@
         self._request_service = request_service
         self._scheduler = scheduler
         self._peer_server = peer_server
+        self._is_listening = True
 
     async def drain(self) -> None:
         """Wait until the node may close, at most until its limit is near."""
@@ -88,8 +89,12 @@
             for server in self._servers:
                 server.close_expired(now, record)
             has_ended = not self._is_busy()
-        if has_ended:
+        if has_ended and not self._is_listening:
             return True
+        if self._is_listening and (has_ended or now > self._clock.answers_by):
+            self._is_listening = False
+            for server in self._servers:
+                await server.stop_listening()
         if now > self._clock.answers_by:
             self._request_service.active.end_unanswered()
         return False
--- a/packages/persimmonlink-router/src/persimmonlink_router/http_server.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/http_server.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections.abc import Awaitable, Callable
 from typing import TYPE_CHECKING
 
+from loguru import logger
+
 from persimmonlink_router.http_connection import HttpServerConnection
 from persimmonlink_router.http_exchange import (
     BadRequestError,
@@ -39,14 +42,41 @@
         self.connections: set[HttpServerConnection] = set()
         self.is_stopping = False
         self._server: asyncio.Server | None = None
+        self._socket: socket.socket | None = None
 
     async def start(self, host: str, port: int) -> None:
         """Start listening."""
         loop = asyncio.get_running_loop()
+        self._socket = socket.create_server((host, port), backlog=LISTEN_BACKLOG)
         self._server = await loop.create_server(
-            lambda: HttpServerConnection(self), host, port, backlog=LISTEN_BACKLOG
+            lambda: HttpServerConnection(self),
+            sock=self._socket,
+            backlog=LISTEN_BACKLOG,
         )
 
+    async def stop_listening(self) -> None:
+        """Accept the connections that wait for it, and stop listening."""
+        if self._server is None or self._socket is None:
+            return
+        accepted = []
+        for _ in range(LISTEN_BACKLOG):
+            try:
+                accepted.append(self._socket.accept()[0])
+            except BlockingIOError:
+                break
+            except ConnectionError as error:
+                # Of this connection only; others may wait behind it.
+                logger.bind(error=repr(error)).info("connection.not_accepted")
+            except OSError as error:
+                logger.bind(error=repr(error)).warning("connection.not_accepted")
+                break
+        self._server.close()
+        self._socket = None
+        loop = asyncio.get_running_loop()
+        for sock in accepted:
+            sock.setblocking(False)
+            await loop.connect_accepted_socket(lambda: HttpServerConnection(self), sock)
+
     def count_active_requests(self) -> int:
         """Return the number of requests being read or served."""
         return sum(1 for connection in self.connections if connection.is_serving)
