Ignore SIGHUP from the first statement of the start script on

SIGHUP in the first imports of a start ended the process: its default action is to end it until the router has its own handler. The script ignores it before it imports anything else; a test watches the imports. SIGHUP before the interpreter runs that statement still ends a node.

--- a/deploy/start.py
+++ b/deploy/start.py
@@ -2,8 +2,13 @@
 
 from __future__ import annotations
 
-import sys
-from pathlib import Path
+import signal
+
+# SIGHUP would end the process by default until the router has its own handler.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+import sys  # noqa: E402
+from pathlib import Path  # noqa: E402
 
 ROOT = Path(__file__).resolve().parent.parent
 SOURCES = (
--- a/tests/router/test_process_failures.py
+++ b/tests/router/test_process_failures.py
@@ -12,6 +12,8 @@
 from tests.router.process_rig import run_process_rig
 from tests.router.rig import STAGED, STREAM, wait_until
 
+ROOT = Path(__file__).resolve().parents[2]
+
 
 @pytest.mark.parametrize("number", [signal.SIGKILL, signal.SIGSTOP])
 def test_requests_survive_the_loss_of_the_stage_coordinator(tmp_path, number):
@@ -181,6 +183,39 @@
     assert subprocess.run([sys.executable, "-c", code], check=False).returncode == 0
 
 
+IMPORTS_BEFORE_IGNORING = """
+import builtins, signal, sys
+early, import_module = [], builtins.__import__
+signal.signal(signal.SIGHUP, signal.SIG_DFL)
+
+def spy(name, *args, **kwargs):
+    if signal.getsignal(signal.SIGHUP) is signal.SIG_DFL:
+        early.append(name)
+    return import_module(name, *args, **kwargs)
+
+script = compile(open("deploy/start.py").read(), "deploy/start.py", "exec")
+sys.argv = ["start.py", "--check", "--settings", "/nonexistent"]
+builtins.__import__ = spy
+try:
+    exec(script, {"__name__": "__main__", "__file__": "deploy/start.py"})
+except SystemExit:
+    pass
+print(*early)
+"""
+
+
+def test_the_start_script_ignores_sighup_before_it_imports_anything_else():
+    done = subprocess.run(
+        [sys.executable, "-c", IMPORTS_BEFORE_IGNORING],
+        cwd=ROOT,
+        capture_output=True,
+        check=True,
+    )
+    # The interpreter itself asks for _io.
+    early = [name for name in done.stdout.split() if name != b"_io"]
+    assert early == [b"__future__", b"signal"]
+
+
 @pytest.mark.parametrize("delay_s", [0.0, 0.1, 0.2, 0.3])
 def test_sighup_during_startup_does_not_end_a_router(tmp_path, delay_s):
     async def scenario():
