Answer requests at once whose retries are used up

Once the retry budget is used up, each idempotent request whose first send failed kept its whole process busy for 0.8 s and more: `relay_plain` tried again at once, without an await, until the deadline.

A retry that is not allowed now ends the request.

--- a/packages/persimmonlink-router/src/persimmonlink_router/plain_relay.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/plain_relay.py
@@ -48,6 +48,8 @@
         except RequestFailedError:
             if not _may_retry(state, state.runs) or state.time_left_s <= 0:
                 raise
+            if not sender.allows_retry(state):
+                raise
             continue
         if response.head.status >= 500 and _may_retry(state, state.runs):
             sender.responses.record_failure(response.server)
