Find events in linear time, and leave others their turn

`EventSplitter.feed` searched all bytes of an unfinished event again for each chunk: it now looks at the new bytes and the few before them that may begin a blank line. And a connection with thousands of received chunks was read without a turn for others: there is one after 32 events. A property holds the splitter against a search of the whole buffer, a test that the time for an event without end grows with its bytes only.

--- a/packages/persimmonlink-router/src/persimmonlink_router/event_stream.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/event_stream.py
@@ -5,6 +5,7 @@
 MAX_EVENT_BYTES = 1048576  # Largest event.
 # What ends an event, for each of the line ends that server-sent events may use.
 BLANK_LINES = (b"\n\n", b"\r\n\r\n", b"\r\r")
+MAX_BLANK_LINE_BYTES = max(len(blank_line) for blank_line in BLANK_LINES)
 
 
 class EventTooLongError(Exception):
@@ -21,7 +22,7 @@
     """
 
     def __init__(self, last_id: bytes = b"") -> None:
-        self._partial = b""
+        self._partial = bytearray()
         self.last_id = last_id
 
     def feed(self, data: bytes) -> bytes:
@@ -29,9 +30,12 @@
 
         Raises `EventTooLongError` if an event does not end.
         """
-        buffer = self._partial + data
-        end = _find_end_of_last_event(buffer)
-        events, self._partial = buffer[:end], buffer[end:]
+        # The bytes of before hold no blank line, but may hold the begin of one.
+        start = max(0, len(self._partial) - MAX_BLANK_LINE_BYTES + 1)
+        self._partial += data
+        end = _find_end_of_last_event(self._partial, start)
+        events = bytes(self._partial[:end])
+        del self._partial[:end]
         if len(self._partial) > MAX_EVENT_BYTES:
             raise EventTooLongError(f"an event is over {MAX_EVENT_BYTES} bytes long")
         self._update_last_id(events)
@@ -49,7 +53,7 @@
 
     def discard_partial(self) -> None:
         """Discard the bytes after the last complete event."""
-        self._partial = b""
+        self._partial.clear()
 
     def _update_last_id(self, events: bytes) -> None:
         for line in reversed(events.splitlines()):
@@ -58,13 +62,13 @@
                 return
 
 
-def _find_end_of_last_event(data: bytes) -> int:
-    """Return the offset behind the last blank line, or 0 if there is none."""
+def _find_end_of_last_event(data: bytearray, start: int) -> int:
+    """Return the offset behind the last blank line from `start` on, or 0 for none."""
     end = 0
     for blank_line in BLANK_LINES:
-        start = data.rfind(blank_line)
-        if start >= 0:
-            end = max(end, start + len(blank_line))
+        found_at = data.rfind(blank_line, start)
+        if found_at >= 0:
+            end = max(end, found_at + len(blank_line))
     return end
 
 
--- a/packages/persimmonlink-router/src/persimmonlink_router/http_client.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/http_client.py
@@ -14,6 +14,9 @@
 MAX_HEAD_BYTES = 65536  # Largest response head.
 SMALL_BODY_BYTES = 65536  # Part of a body that takes nothing from a budget.
 MAX_INFORMATIONAL_RESPONSES = 8  # Most interim responses before the final one.
+# Events read from one connection before others get a turn: received bytes may hold
+# thousands of chunks.
+MAX_EVENTS_PER_TURN = 32
 NEED_DATA: Any = h11.NEED_DATA
 
 
@@ -68,6 +71,7 @@
         self._is_busy = False
         self._is_dirty = False
         self._unread_bytes = 0
+        self._events_in_turn = 0
         self._is_paused = False
         self._request: h11.Request | None = None
         self.idle_since = 0.0
@@ -259,6 +263,10 @@
             self._transport.abort()
 
     async def _next_event(self) -> Any:
+        self._events_in_turn += 1
+        if self._events_in_turn > MAX_EVENTS_PER_TURN:
+            self._events_in_turn = 0
+            await asyncio.sleep(0)
         while True:
             try:
                 event = self._h11.next_event()
@@ -273,6 +281,7 @@
             self._resume_reading()
             self._wake.clear()
             await self._wake.wait()
+            self._events_in_turn = 0
 
     def _resume_reading(self) -> None:
         self._unread_bytes = 0
--- a/tests/router/test_event_stream.py
+++ b/tests/router/test_event_stream.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import time
+
 from hypothesis import given
 from hypothesis import strategies as st
 
-from persimmonlink_router.event_stream import EventSplitter
+from persimmonlink_router.event_stream import BLANK_LINES, EventSplitter
 
 STREAM = b"".join(b"id: %d\ndata: token %d\n\n" % (i, i) for i in range(1, 6))
 
@@ -47,3 +49,37 @@
         event = b"id: 7" + line_end + b"data: x" + line_end * 2
         assert splitter.feed(event + b"id: 8") == event
         assert splitter.last_id == b"7"
+
+
+def split_whole(buffer: bytes) -> tuple[bytes, bytes]:
+    """Return the complete events of a buffer, and the rest, by a search of it all."""
+    ends = [
+        buffer.rfind(blank) + len(blank) for blank in BLANK_LINES if blank in buffer
+    ]
+    end = max(ends, default=0)
+    return buffer[:end], buffer[end:]
+
+
+@given(st.lists(st.sampled_from([b"\r", b"\n", b"\r\n", b"x", b"id: 3"]), max_size=30))
+def test_splits_inside_a_blank_line_find_the_same_events(pieces):
+    splitter, rest = EventSplitter(), b""
+    for piece in pieces:
+        events, rest = split_whole(rest + piece)
+        assert splitter.feed(piece) == events
+        assert splitter.partial_bytes == len(rest)
+
+
+def feed_bytewise(splitter: EventSplitter, count: int) -> float:
+    """Return the time that it takes to feed bytes of one event, in seconds."""
+    started_at = time.perf_counter()
+    for _ in range(count):
+        splitter.feed(b"x")
+    return time.perf_counter() - started_at
+
+
+def test_the_time_for_an_event_without_end_grows_with_its_bytes_only():
+    splitter = EventSplitter()
+    early_s = min(feed_bytewise(splitter, 1000) for _ in range(5))
+    splitter.feed(b"x" * 400_000)
+    late_s = min(feed_bytewise(splitter, 1000) for _ in range(5))
+    assert late_s < 4 * early_s
