--- a/packages/persimmonlink-router/src/persimmonlink_router/http_connection.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/http_connection.py
@@ -27,6 +27,8 @@
     from persimmonlink_router.http_server import HttpServer
 
 READ_PAUSE_BYTES = 262144  # Unread bytes at which reading is paused.
+# Events read from one connection before others get a turn.
+MAX_EVENTS_PER_TURN = 32
 NEED_DATA: Any = h11.NEED_DATA
 HTTP_1_0 = b"1.0"  # Version without chunked encoding.
 # Time for a client to close its end after the last response, in which what it still
@@ -48,6 +50,7 @@
         self._can_write.set()
         self._task: asyncio.Task[None] | None = None
         self._unread_bytes = 0
+        self._events_in_turn = 0
         self._is_paused = False
         self._is_ending = False
         now = boot_time()
@@ -277,6 +280,10 @@
 
     async def _next_event(self, timeout_s: float) -> Any:
         """Return the next h11 event, or None if none arrives in time."""
+        self._events_in_turn += 1
+        if self._events_in_turn > MAX_EVENTS_PER_TURN:
+            self._events_in_turn = 0
+            await asyncio.sleep(0)
         while True:
             event = self._h11.next_event()
             if event is not NEED_DATA:
@@ -288,6 +295,7 @@
                     await self._wake.wait()
             except TimeoutError:
                 return None
+            self._events_in_turn = 0
 
     def _resume_reading(self) -> None:
         self._unread_bytes = 0
