Answer requests that a client has sent ahead before it is told to close

Of several requests sent ahead on one connection only the first was answered by a stopping node: its response carried `Connection: close` although more were already read, which could not be answered then.

Such a response now says nothing as long as the client has sent more; from the time on by which clients know the stop, those that go on sending are told too, so that none can hold a stop. The test is test_pipelined_during_a_stop.py.

--- a/packages/persimmonlink-router/src/persimmonlink_router/graceful_stop.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/graceful_stop.py
@@ -69,6 +69,7 @@
         )
         for server in self._servers:
             server.is_stopping = True
+            server.tells_all_from = began_at + DIRECTORY_EXPIRY_WAIT_S
         record = StopRecord()
         while (now := boot_time()) < clock.ends_at:
             if await self._advance(now, began_at, record):
--- a/packages/persimmonlink-router/src/persimmonlink_router/http_connection.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/http_connection.py
@@ -159,8 +159,14 @@
         return self.use.is_over(now, self._count_unread_bytes(), header_timeout_s)
 
     def must_close(self) -> bool:
-        """Whether the response must carry `Connection: close`."""
-        return self._server.is_stopping
+        """Whether the response must carry `Connection: close`.
+
+        Not yet if the client has already sent more, which could not be answered then.
+        """
+        if not self._server.is_stopping:
+            return False
+        has_more = bool(self._h11.trailing_data[0])
+        return not has_more or boot_time() > self._server.tells_all_from
 
     def close(self) -> None:
         """Close the connection once the written bytes are sent.
--- a/packages/persimmonlink-router/src/persimmonlink_router/http_server.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/http_server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import socket
 from collections.abc import Awaitable, Callable
 from typing import TYPE_CHECKING
@@ -41,6 +42,8 @@
         self.limits = limits
         self.connections: set[HttpServerConnection] = set()
         self.is_stopping = False
+        # Boot time from which clients that go on sending are told to leave, too.
+        self.tells_all_from = math.inf
         self._server: asyncio.Server | None = None
         self._socket: socket.socket | None = None
 
