Run the stages of own requests while all nodes stop

While all nodes stop, or one that is alone, requests with stages were refused from SIGTERM on: a node that leaves coordinates none, and no other was left. A node that leaves now runs those of its own requests if no other node coordinates, and gives those of peers back.

The test is in test_requests_during_a_stop.py.

--- a/packages/persimmonlink-router/src/persimmonlink_router/stage_coordinator_client.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stage_coordinator_client.py
@@ -73,7 +73,7 @@
             outcome: StageOutcome | None
             try:
                 if node_id == self._membership.own_member.node_id:
-                    outcome = await self._scheduler.run(remaining_job)
+                    outcome = await self._run_here(remaining_job)
                 else:
                     outcome = await self._call_coordinator(node_id, remaining_job)
             except asyncio.CancelledError:
@@ -108,7 +108,9 @@
         self._releases_by_node_id[node_id].append(request_id)
 
     async def handle_prepare(self, message: PrepareStages) -> StageOutcome:
-        """Run the stages of a peer's request."""
+        """Run the stages of a peer's request, unless this node leaves."""
+        if self._membership.own_member.leaving:
+            return StageOutcome(StageState.MOVED, made=message.job.made)
         return await self._scheduler.run(message.job)
 
     async def handle_release(self, message: ReleaseResults) -> Acknowledgement:
@@ -117,6 +119,12 @@
             self._scheduler.release(request_id)
         return Acknowledgement()
 
+    async def _run_here(self, job: StageJob) -> StageOutcome:
+        """Run stages on this node, also if it leaves: no other node coordinates."""
+        if self._membership.own_member.leaving:
+            self._scheduler.resume()
+        return await self._scheduler.run(job)
+
     def _choose_coordinator(self, job: StageJob) -> str:
         """Return the coordinator, a node that reaches the stages if there is one."""
         now = boot_time()
