Go on with a stop after an unexpected error in one of its steps

An unexpected error in a step of the stop ended the process, and with it all requests that ran. It is logged (`process.stop_step_failed`), and the stop goes on.

--- a/packages/persimmonlink-router/src/persimmonlink_router/graceful_stop.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/graceful_stop.py
@@ -72,8 +72,12 @@
             server.tells_all_from = began_at + DIRECTORY_EXPIRY_WAIT_S
         record = StopRecord()
         while (now := boot_time()) < clock.ends_at:
-            if await self._advance(now, began_at, record):
-                break
+            try:
+                if await self._advance(now, began_at, record):
+                    break
+            except Exception:
+                # The requests in progress go on all the same.
+                logger.exception("process.stop_step_failed")
             await asyncio.sleep(STOP_POLL_INTERVAL_S)
         clock.is_cutting = True
         await self._peer_server.finish(
