--- a/packages/persimmonlink-router/src/persimmonlink_router/run.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/run.py
@@ -49,9 +49,12 @@
     if check_only:
         print(f"{path}: valid")
         return 0
-    set_up_structured_log(settings.node, settings.log_level)
+    log = set_up_structured_log(settings.node, settings.log_level)
     gc.freeze()
-    asyncio.run(_serve(path, settings, create_adapters))
+    try:
+        asyncio.run(_serve(path, settings, create_adapters))
+    finally:
+        log.finish()
     return 0
 
 
--- a/packages/persimmonlink-router/src/persimmonlink_router/structured_log.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/structured_log.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import os
+import select
 import sys
+import time
 from typing import TYPE_CHECKING, Any
 
 import msgspec
@@ -18,6 +20,7 @@
 BURST_LINES = 1600  # Lines that may be written at once after a quiet time.
 # Lines are dropped while more bytes than this wait for a slow reader of the log.
 MAX_PENDING_BYTES = 262144
+FINISH_TIMEOUT_S = 0.1  # Longest wait for the reader at the end of the process.
 
 
 class BoundedLineWriter:
@@ -60,6 +63,13 @@
         self._pending += line
         self._flush()
 
+    def finish(self) -> None:
+        """Write the lines that wait, as far as the reader takes them soon."""
+        ends_at = time.monotonic() + FINISH_TIMEOUT_S
+        while self._pending and (left_s := ends_at - time.monotonic()) > 0:
+            select.select((), (self._descriptor,), (), left_s)
+            self._flush()
+
     def _flush(self) -> None:
         try:
             written = os.write(self._descriptor, self._pending)
--- a/tests/router/test_structured_log.py
+++ b/tests/router/test_structured_log.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 import os
+import threading
+import time
 
 import msgspec
 
 from persimmonlink_router.structured_log import (
     BURST_LINES,
+    FINISH_TIMEOUT_S,
     LINES_PER_S,
     BoundedLineWriter,
 )
@@ -62,3 +65,37 @@
     writer = BoundedLineWriter(descriptor, lambda: 0.0)
     writer.write(b"x\n")
     assert writer.dropped == 1
+
+
+def read_late(reader: int, parts: list[bytes]) -> None:
+    os.set_blocking(reader, True)
+    while True:
+        time.sleep(0.02)
+        part = os.read(reader, 65536)
+        parts.append(part)
+        if part.endswith(b"last\n"):
+            return
+
+
+def test_the_last_lines_reach_a_slow_reader_before_the_process_ends():
+    reader, descriptor = make_pipe()
+    writer = BoundedLineWriter(descriptor, lambda: 0.0)
+    for _ in range(100):
+        writer.write(b"y" * 1000 + b"\n")
+    writer.write(b"last\n")
+    parts: list[bytes] = []
+    thread = threading.Thread(target=read_late, args=(reader, parts), daemon=True)
+    thread.start()
+    writer.finish()
+    thread.join(1.0)
+    assert b"".join(parts).count(b"\n") == 101
+
+
+def test_a_stalled_reader_delays_the_end_of_the_process_no_longer_than_allowed():
+    _, descriptor = make_pipe()
+    writer = BoundedLineWriter(descriptor, lambda: 0.0)
+    for _ in range(100):
+        writer.write(b"y" * 1000 + b"\n")
+    began_at = time.monotonic()
+    writer.finish()
+    assert time.monotonic() - began_at < FINISH_TIMEOUT_S + 0.1
