--- a/packages/persimmonlink-router/src/persimmonlink_router/server_sender.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/server_sender.py
@@ -373,23 +373,32 @@
         except ConnectError as error:
             self._health.record_unreachable(server.key, boot_time())
             raise UnreachableError(str(error)) from error
-        reason = ""
-        if not await self._limiter.try_acquire(server):
+        try:
+            return connection, await self._acquire_place(server, state)
+        except NotRunError:
             self._pool.release(server.key, connection)
+            raise
+        except BaseException:
+            # The client has left, or the node stops, while a peer was asked.
+            connection.close()
+            raise
+
+    async def _acquire_place(self, server: Server, state: RequestState) -> Place:
+        """Return a place; raise `NotRunError` if the server may get no work now."""
+        if not await self._limiter.try_acquire(server):
             raise LimitReachedError("the rate that the server names is reached")
         place = await self._places.acquire(server, max(0.0, state.time_left_s))
         if place is None:
-            self._pool.release(server.key, connection)
             raise LimitReachedError("the server is as busy as it bears")
+        reason = ""
         if not self._cluster_view.may_send(server) or state.time_left_s <= 0:
             reason = "the server is no longer usable or the request has timed out"
         elif not self._chooser.try_acquire_cold_send(server, state, boot_time()):
             reason = "the send limit of the cold server is reached"
         if reason:
-            self._pool.release(server.key, connection)
             place.end()
             raise NotRunError(reason)
-        return connection, place
+        return place
 
 
 __all__ = ("ServerSender",)
