Count a failed call to the store as no outage

Cause: any failed call counted as an outage. The loss was dated back to the last answer, so that the pause and the first retry alone (0.3 + 0.5 s) passed the 0.8 s of an outage, and removals were put off by 2 s. The class: a node decides on what it believes of the store, and one failed call, one late message or one await is enough to make that belief wrong.

store_contact.py: a loss counts from the failure of a call that was rejected or broken off, and from the begin of one that got no answer (`StoreSilentError`). So the retry alone never makes an outage.

--- a/packages/persimmonlink-router/src/persimmonlink_router/cluster_view.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/cluster_view.py
@@ -11,6 +11,7 @@
 from persimmonlink_router.entry_numbers import EntryNumbers
 from persimmonlink_router.send_basis import SendBasis
 from persimmonlink_router.servers import Server, ServerDirectory
+from persimmonlink_router.store_contact import OUTAGE_EXPIRY_GRACE_S, StoreContact
 from persimmonlink_router.store_entries import DrainEntry, EntryReader, ServerEntry
 from persimmonlink_router.wire_messages import WireFormatError
 
@@ -24,9 +25,6 @@
 SUSPENSION_GAP_S = 0.8  # Gap between ticks that reveals a suspended VM.
 # Longest wait for a refresh after a suspension; peers expect the node back in 3 s.
 REFRESH_WAIT_S = 2.5
-# Servers register again within this time after an outage of the store.
-OUTAGE_EXPIRY_GRACE_S = 2.0
-MIN_OUTAGE_S = 0.8  # Shortest outage of the store that may have expired leases.
 
 
 class ClusterView:
@@ -46,10 +44,7 @@
         self._on_change = on_change
         self.configuration: Configuration | None = None
         self.servers = ServerDirectory()
-        self.last_contact_at = 0.0
-        self._contact_lost_at: float | None = None
-        self._contact_recovered_at = 0.0
-        self._restored_at = 0.0
+        self._contact = StoreContact()
         self._entry_numbers = EntryNumbers()
         self._last_tick_at = boot_time()
         self._stale_until = 0.0
@@ -77,40 +72,36 @@
 
     def record_contact(self, now: float) -> None:
         """Record that the store answered this node."""
-        self.last_contact_at = now
         self._stale_until = 0.0
-        if self._contact_lost_at is None:
-            return
-        if now - self._contact_lost_at > MIN_OUTAGE_S:
-            self._contact_recovered_at = now
-        logger.bind(
-            dependency="store", silent_s=round(now - self._contact_lost_at, 2)
-        ).info("dependency.recovered")
-        self._contact_lost_at = None
+        self._contact.record_contact(now)
 
     def record_restore(self, now: float) -> None:
-        """Record that the store returned from an older copy.
-
-        What the copy lacks may be written again, and is believed for a time.
-        """
-        self._contact_recovered_at = now
-        self._restored_at = now
+        """Record that the store returned from an older copy."""
+        self._contact.record_restore(now)
 
     def mark_refreshed_by_peer(self) -> None:
         """Record that a peer in contact with the store has refreshed the view."""
         self._stale_until = 0.0
 
-    def record_contact_loss(self, now: float, reason: str) -> None:
-        """Record that the store did not answer this node."""
-        if self._contact_lost_at is not None:
-            return
-        self._contact_lost_at = max(self.last_contact_at, 0.0) or now
-        logger.bind(dependency="store", reason=reason).warning("dependency.lost")
+    def record_contact_loss(
+        self, now: float, reason: str, since: float | None = None
+    ) -> None:
+        """Record that the store did not answer this node, since `since` if given."""
+        self._contact.record_loss(now, reason, now if since is None else since)
 
     @property
     def is_in_contact(self) -> bool:
         """Whether the store answers this node."""
-        return self._contact_lost_at is None and self.last_contact_at > 0
+        return self._contact.is_in_contact
+
+    def find_steady_s(self, now: float) -> float:
+        """Return for how long the store has answered without an outage, in seconds."""
+        return self._contact.find_steady_s(now)
+
+    @property
+    def last_contact_at(self) -> float:
+        """Boot time of the store's last answer, in seconds; 0 for none."""
+        return self._contact.last_contact_at
 
     def tick(self, now: float) -> bool:
         """Remove expired servers; return whether the node was suspended meanwhile."""
@@ -195,7 +186,9 @@
         log = logger.bind(
             server=server.server_id, revision=revision, **origin.describe()
         )
-        if self._entry_numbers.is_outdated(server.key, number, self._restored_at):
+        if self._entry_numbers.is_outdated(
+            server.key, number, self._contact.restored_at
+        ):
             log.info("server.outdated_entry_ignored")
             return
         self._entry_numbers.record(server.key, number, now, revision)
@@ -223,14 +216,11 @@
             return
         now = boot_time()
         log = logger.bind(server=server_id, revision=revision, **origin.describe())
-        is_outage = self._contact_lost_at is not None
-        is_after_outage = now - self._contact_recovered_at < OUTAGE_EXPIRY_GRACE_S
-        if (is_outage or is_after_outage) and not known.is_draining:
-            until = (
-                now if is_outage else self._contact_recovered_at
-            ) + OUTAGE_EXPIRY_GRACE_S
-            self.servers.schedule_removal(server_id, until)
-            log.bind(for_s=round(until - now, 2)).info("server.removal_deferred")
+        lapse_end_at = self._contact.find_lapse_end(now)
+        is_final = known.is_draining
+        if lapse_end_at is not None and not is_final:
+            self.servers.schedule_removal(server_id, lapse_end_at)
+            log.bind(for_s=round(lapse_end_at - now, 2)).info("server.removal_deferred")
             return
         self.servers.remove(server_id, now)
         self._entry_numbers.record_removal(known.key, now)
@@ -241,11 +231,11 @@
     ) -> None:
         now = boot_time()
         self._drain_end_at_by_domain.pop(entry.domain, None)
+        grace_end_at = self._contact.find_grace_end(now)
         if entry.is_drained:
             self._drained_domains.add(entry.domain)
-        elif now - self._contact_recovered_at < OUTAGE_EXPIRY_GRACE_S:
-            ends_at = self._contact_recovered_at + OUTAGE_EXPIRY_GRACE_S
-            self._drain_end_at_by_domain[entry.domain] = ends_at
+        elif grace_end_at is not None:
+            self._drain_end_at_by_domain[entry.domain] = grace_end_at
             return
         else:
             self._drained_domains.discard(entry.domain)
@@ -277,4 +267,10 @@
         self.servers.set_drained_domains(self._drained_domains, boot_time(), cold_s)
 
 
-__all__ = ("ClusterView", "DrainEntry", "EntryReader", "ServerEntry")
+__all__ = (
+    "OUTAGE_EXPIRY_GRACE_S",
+    "ClusterView",
+    "DrainEntry",
+    "EntryReader",
+    "ServerEntry",
+)
--- a/packages/persimmonlink-router/src/persimmonlink_router/store.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/store.py
@@ -10,6 +10,10 @@
     """The store did not answer or rejected the call; a write may have been applied."""
 
 
+class StoreSilentError(StoreUnavailableError):
+    """The store did not answer in time, and may not have since the call began."""
+
+
 class HistoryLostError(Exception):
     """The store no longer keeps the changes since the requested revision."""
 
@@ -64,7 +68,8 @@
     """Listings, watches, leases and writes under a lease.
 
     Revisions rise with each change, also when the store returns from an older copy.
-    Each call raises `StoreUnavailableError` if the store does not answer in time.
+    Each call raises `StoreSilentError` if the store does not answer in time, and
+    another `StoreUnavailableError` if it fails the call or breaks it off.
     """
 
     async def read_page(self, prefix: str, after: str) -> ItemPage:
@@ -108,6 +113,7 @@
     "LeaseExpiredError",
     "MetadataStore",
     "StoreRestoredError",
+    "StoreSilentError",
     "StoreUnavailableError",
     "StoredItem",
 )
--- a/packages/persimmonlink-router/src/persimmonlink_router/store_follower.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/store_follower.py
@@ -12,6 +12,7 @@
 from persimmonlink_router.store import (
     HistoryLostError,
     StoreRestoredError,
+    StoreSilentError,
     StoreUnavailableError,
 )
 from persimmonlink_router.store_intervals import WATCH_WAIT_S, choose_watch_pause_s
@@ -100,7 +101,10 @@
                 revision = 0
                 continue
             except StoreUnavailableError as error:
-                self._cluster_view.record_contact_loss(boot_time(), str(error))
+                now = boot_time()
+                is_silent = isinstance(error, StoreSilentError)
+                since = started_at if is_silent else now
+                self._cluster_view.record_contact_loss(now, str(error), since)
                 await self._pause(self._backoff.next_pause_s(boot_time() - started_at))
                 continue
             await self._pause(choose_watch_pause_s(self._count_nodes()))
