Give up a watch that waits on a broken connection, and follow a slow store

Four faults of one loop, which can't be split sensibly; each has its tests.

A watch without an answer kept its node believing for 3 s that it was in contact, and then counted as an outage too. It is given up 0.5 s after a peer has a later revision.

The time of the last eight watches tells how long one may take (watch_patience.py), and idle connections go with it.

A store whose calls take over 1 s was not found again after a suspension or one lost watch, nor by a node that started. Calls are given up only as the next is due, and what calls take at present (store_latency.py) comes on top wherever a watch is given up.

It leaves the store in doubt now: the node asks it at once, and logs a loss only if that call fails. Two tests of test_watch_patience.py failed before.

A test that wraps the store's reads passes their timeouts through now.

--- a/packages/persimmonlink-router/src/persimmonlink_router/cluster_membership.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/cluster_membership.py
@@ -82,6 +82,7 @@
         self._mirror = mirror
         self._collect_engine_loads = collect_engine_loads
         self.facts = FactExchange(self)
+        self._on_peer_revision: Callable[[int], None] | None = None
         self.members = Membership(own_member.node_id)
         self.members.apply_direct_update(own_member, boot_time())
         self._channel_by_address: dict[str, PeerChannel] = {}
@@ -97,6 +98,10 @@
         """Identity of this node in its messages to peers."""
         return Sender(self.own_member.node_id, self.own_member.incarnation)
 
+    def subscribe_to_revisions(self, on_revision: Callable[[int], None]) -> None:
+        """Have a function called with each revision that a peer has from the store."""
+        self._on_peer_revision = on_revision
+
     def mark_configured(self, version: int) -> None:
         """Announce to peers that this node is configured and can serve."""
         self.own_member = replace(self.own_member, revision=version)
@@ -376,6 +381,8 @@
                 "member.discovered"
             )
         self.members.apply_direct_update(member, now)
+        if heartbeat.is_in_contact and self._on_peer_revision is not None:
+            self._on_peer_revision(heartbeat.revision)
         self._merge_registered_fields(member.node_id)
         self._suspected_until_by_id.pop(member.node_id, None)
         self._remove_superseded(member)
--- a/packages/persimmonlink-router/src/persimmonlink_router/cluster_view.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/cluster_view.py
@@ -83,6 +83,10 @@
         """Record that a peer in contact with the store has refreshed the view."""
         self._stale_until = 0.0
 
+    def record_contact_doubt(self, now: float, reason: str) -> None:
+        """Record that the store may not answer this node."""
+        self._contact.record_doubt(now, reason)
+
     def record_contact_loss(
         self, now: float, reason: str, since: float | None = None
     ) -> None:
--- a/packages/persimmonlink-router/src/persimmonlink_router/counted_store.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/counted_store.py
@@ -5,6 +5,8 @@
 from typing import TYPE_CHECKING, TypeVar
 
 from persimmonlink_router.store import (
+    READ_TIMEOUT_S,
+    WATCH_MARGIN_S,
     HistoryLostError,
     LeaseExpiredError,
     StoreUnavailableError,
@@ -35,13 +37,23 @@
         self._store = store
         self._metrics = metrics
 
-    async def read_page(self, prefix: str, after: str) -> ItemPage:
+    async def read_page(
+        self, prefix: str, after: str, timeout_s: float = READ_TIMEOUT_S
+    ) -> ItemPage:
         """Return a page of the items with a prefix whose keys sort after `after`."""
-        return await self._count("list", self._store.read_page(prefix, after))
-
-    async def watch(self, prefix: str, revision: int, wait_s: float) -> ItemPage:
+        call = self._store.read_page(prefix, after, timeout_s)
+        return await self._count("list", call)
+
+    async def watch(
+        self,
+        prefix: str,
+        revision: int,
+        wait_s: float,
+        margin_s: float = WATCH_MARGIN_S,
+    ) -> ItemPage:
         """Return the changes after a revision, waiting up to `wait_s` for one."""
-        return await self._count("watch", self._store.watch(prefix, revision, wait_s))
+        call = self._store.watch(prefix, revision, wait_s, margin_s)
+        return await self._count("watch", call)
 
     async def put_with_lease(self, key: str, value: bytes, lease: int) -> int:
         """Write a key under a lease and return the revision of the write."""
--- a/packages/persimmonlink-router/src/persimmonlink_router/router.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/router.py
@@ -280,6 +280,7 @@
             self.membership.peak_node_count,
             StoreBackoff(self._get_outage_interval_s, self._rng),
         )
+        self.membership.subscribe_to_revisions(self._follower.record_peer_revision)
         self._registration = MemberRegistration(
             self._store,
             lambda: self.membership.own_member,
--- a/packages/persimmonlink-router/src/persimmonlink_router/store.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/store.py
@@ -5,6 +5,9 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+READ_TIMEOUT_S = 1.2  # Calls take milliseconds, at bad times 100 times as long.
+WATCH_MARGIN_S = 1.0  # Usual time in which a watch is answered after its wait.
+
 
 class StoreUnavailableError(Exception):
     """The store did not answer or rejected the call; a write may have been applied."""
@@ -72,13 +75,22 @@
     another `StoreUnavailableError` if it fails the call or breaks it off.
     """
 
-    async def read_page(self, prefix: str, after: str) -> ItemPage:
+    async def read_page(
+        self, prefix: str, after: str, timeout_s: float = READ_TIMEOUT_S
+    ) -> ItemPage:
         """Return a page of the items with a prefix whose keys sort after `after`."""
         ...
 
-    async def watch(self, prefix: str, revision: int, wait_s: float) -> ItemPage:
+    async def watch(
+        self,
+        prefix: str,
+        revision: int,
+        wait_s: float,
+        margin_s: float = WATCH_MARGIN_S,
+    ) -> ItemPage:
         """Return the changes after a revision, waiting up to `wait_s` for one.
 
+        The call is given up `margin_s` after that.
         Raises `HistoryLostError` if the store no longer keeps these changes, and
         `StoreRestoredError` if it has returned from an older copy since that revision.
         """
@@ -108,6 +120,8 @@
 
 
 __all__ = (
+    "READ_TIMEOUT_S",
+    "WATCH_MARGIN_S",
     "HistoryLostError",
     "ItemPage",
     "LeaseExpiredError",
--- a/packages/persimmonlink-router/src/persimmonlink_router/store_backoff.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/store_backoff.py
@@ -35,15 +35,19 @@
         """Let the next failure be retried soon again."""
         self._failures = 0
 
+    def record_failure(self) -> None:
+        """Count a call that failed, after which there is no pause."""
+        self._failures += 1
+
     def next_pause_s(self, spent_s: float) -> float:
-        """Return the pause after a call that failed, in seconds.
+        """Count a call that failed; return the pause after it, in seconds.
 
         Parameters
         ----------
         spent_s : float
             Time that the call took, which is a part of the interval, in seconds.
         """
-        self._failures += 1
+        self.record_failure()
         interval_s = FIRST_INTERVAL_S
         if self._failures > 1:
             interval_s = self._get_calm_interval_s()
@@ -51,4 +55,4 @@
         return max(MIN_PAUSE_S, interval_s - spent_s)
 
 
-__all__ = ("FIRST_INTERVAL_S", "JITTER", "StoreBackoff")
+__all__ = ("FIRST_INTERVAL_S", "JITTER", "MIN_PAUSE_S", "StoreBackoff")
--- a/packages/persimmonlink-router/src/persimmonlink_router/store_follower.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/store_follower.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from typing import TYPE_CHECKING
 
 from loguru import logger
@@ -10,12 +11,22 @@
 from persimmonlink_router.boot_clock import boot_time
 from persimmonlink_router.change_origin import ChangeOrigin, ChangeSource
 from persimmonlink_router.store import (
+    READ_TIMEOUT_S,
+    WATCH_MARGIN_S,
     HistoryLostError,
     StoreRestoredError,
     StoreSilentError,
     StoreUnavailableError,
 )
-from persimmonlink_router.store_intervals import WATCH_WAIT_S, choose_watch_pause_s
+from persimmonlink_router.store_backoff import MIN_PAUSE_S
+from persimmonlink_router.store_intervals import (
+    WATCH_LATENCY_S,
+    WATCH_WAIT_S,
+    choose_outage_interval_s,
+    choose_watch_pause_s,
+)
+from persimmonlink_router.store_latency import StoreLatency
+from persimmonlink_router.watch_patience import WatchPatience
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -27,14 +38,17 @@
 
 # Time that the watch after a suspension, or after a failed one, waits for a change.
 REFRESH_WATCH_S = 0.001
-# Interval of looking whether the store answers this node again.
-CONTACT_POLL_INTERVAL_S = 0.1
-LEASE_TTL_S = 4.0  # Shorter than a dead node may remain listed in the directory.
-# Short enough for a second renewal before the lease expires if the first times out.
-LEASE_RENEWAL_INTERVAL_S = 1.4
+# Least time between two watches that are given up for what peers have, if the retry
+# was slow too: a slow store must not get many more calls.
+GIVE_UP_INTERVAL_S = 10.0
+LATE_TIMER_S = 0.1  # Lateness of a timer from which the loop is taken to have stood.
 MAX_LISTING_PAGES = 1000  # Stops a listing whose pages never end.
 
 
+class WatchGivenUpError(StoreUnavailableError):
+    """A watch was ended that may have waited for nothing."""
+
+
 class StoreFollower:
     """Lists the store's keys once, then watches them for changes.
 
@@ -72,6 +86,14 @@
         self._is_restored = False
         self._refresh_due = asyncio.Event()
         self._watch: asyncio.Task[ItemPage] | None = None
+        self._watched_revision = 0
+        self._watch_timer: asyncio.TimerHandle | None = None
+        self._patience = WatchPatience()
+        self._latency = StoreLatency()
+        self._has_failed = False  # Whether the last call did.
+        # Time that the last watch took that was given up, if it was the last call.
+        self._given_up_after_s: float | None = None
+        self._gave_up_at = -math.inf
 
     def refresh(self) -> None:
         """Read the changes at once instead of waiting for one, after a suspension."""
@@ -79,6 +101,14 @@
         if self._watch is not None:
             self._watch.cancel()
 
+    def record_peer_revision(self, revision: int) -> None:
+        """Record a revision that a peer has from the store.
+
+        A watch that waits although there is a later one is soon given up.
+        """
+        if revision > self._watched_revision:
+            self._give_up_after(self._latency.find_limit_s())
+
     async def run(self) -> None:
         """Follow the store until cancelled; list again after lost history."""
         revision = 0
@@ -100,7 +130,14 @@
                 )
                 revision = 0
                 continue
+            except WatchGivenUpError as error:
+                # The next call, at once, tells whether the store is lost.
+                self._has_failed = True
+                self._cluster_view.record_contact_doubt(boot_time(), str(error))
+                self._backoff.record_failure()
+                continue
             except StoreUnavailableError as error:
+                self._has_failed = True
                 now = boot_time()
                 is_silent = isinstance(error, StoreSilentError)
                 since = started_at if is_silent else now
@@ -111,18 +148,105 @@
 
     async def _read_changes(self, revision: int) -> ItemPage | None:
         """Return the changes after a revision; None if a refresh ended the wait."""
-        is_urgent = self._refresh_due.is_set() or not self._cluster_view.is_in_contact
-        wait_s = REFRESH_WATCH_S if is_urgent else WATCH_WAIT_S
+        is_usual = self._cluster_view.is_in_contact and not self._refresh_due.is_set()
         self._refresh_due.clear()
-        call = self._store.watch("", revision, wait_s)
+        began_at = boot_time()
+        wait_s, margin_s = self._choose_watch_times(is_usual)
+        call = self._store.watch("", revision, wait_s, margin_s)
         watch = asyncio.get_running_loop().create_task(call)
+        self._watched_revision = revision
         self._watch = watch
+        limit_s = self._patience.find_limit_s()
+        if is_usual and limit_s is not None:
+            self._give_up_after(limit_s + self._latency.latency_s)
         try:
             await asyncio.wait((watch,))
         finally:
             watch.cancel()
             self._watch = None
-        return None if watch.cancelled() else watch.result()
+            self._stop_watch_timer()
+        took_s = boot_time() - began_at
+        if not watch.cancelled():
+            page = watch.result()
+            self._record_response(page, took_s, is_usual=is_usual)
+            return page
+        if self._refresh_due.is_set():
+            return None
+        self._given_up_after_s = took_s
+        self._gave_up_at = boot_time()
+        logger.bind(after_s=round(took_s, 2)).info("store.watch_given_up")
+        raise WatchGivenUpError(f"a watch was given up after {took_s:.2f} s")
+
+    def _choose_watch_times(self, is_usual: bool) -> tuple[float, float]:
+        """Return for how long a watch waits, and for how long after that it may take.
+
+        One that is not usual follows a suspension or a failed one.
+        """
+        wait_s = WATCH_WAIT_S if is_usual else REFRESH_WATCH_S
+        longest_s = self._find_longest_call_s()
+        if self._cluster_view.is_in_contact:
+            margin_s = max(WATCH_MARGIN_S, self._latency.find_limit_s())
+            return wait_s, min(margin_s, longest_s)
+        return wait_s, longest_s - wait_s
+
+    def _find_longest_call_s(self) -> float:
+        """Return the time until the next call is due, in which a slow store answers."""
+        return choose_outage_interval_s(self._count_nodes()) - MIN_PAUSE_S
+
+    def _record_response(
+        self, page: ItemPage, took_s: float, *, is_usual: bool
+    ) -> None:
+        """Record how long watches take, also after one that was given up."""
+        given_up_after_s, self._given_up_after_s = self._given_up_after_s, None
+        self._record_latency(page, took_s, is_usual=is_usual)
+        if is_usual:
+            self._patience.record_response(took_s - self._latency.latency_s)
+        elif given_up_after_s is not None:
+            if not page.items:
+                self._patience.record_needless(given_up_after_s)
+            if took_s < WATCH_LATENCY_S:
+                # The store is not slow: the watch was lost.
+                self._gave_up_at = -math.inf
+
+    def _record_latency(self, page: ItemPage, took_s: float, *, is_usual: bool) -> None:
+        if not is_usual:
+            self._latency.record_call(took_s)
+        elif page.items:
+            self._latency.record_change(took_s)
+        else:
+            self._latency.record_call(took_s - WATCH_WAIT_S)
+
+    def _give_up_after(self, seconds: float) -> None:
+        """Give up the watch that waits after a time, unless it is given up before.
+
+        Not soon again after one that was given up of a slow store.
+        """
+        if self._watch is None or not self._cluster_view.is_in_contact:
+            return
+        if boot_time() - self._gave_up_at < GIVE_UP_INTERVAL_S:
+            return
+        loop = asyncio.get_running_loop()
+        timer = self._watch_timer
+        if timer is not None and timer.when() <= loop.time() + seconds:
+            return
+        self._stop_watch_timer()
+        self._watch_timer = loop.call_later(seconds, self._cancel_watch)
+
+    def _cancel_watch(self) -> None:
+        """End the watch that waits, but first read what came while the loop stood."""
+        loop = asyncio.get_running_loop()
+        timer, watch = self._watch_timer, self._watch
+        if timer is None or watch is None:
+            return
+        if loop.time() - timer.when() > LATE_TIMER_S:
+            self._watch_timer = loop.call_later(LATE_TIMER_S, self._cancel_watch)
+            return
+        watch.cancel()
+
+    def _stop_watch_timer(self) -> None:
+        timer, self._watch_timer = self._watch_timer, None
+        if timer is not None:
+            timer.cancel()
 
     async def _pause(self, seconds: float) -> None:
         """Pause, or go on at once after a suspension."""
@@ -139,12 +263,15 @@
         """
         watch_revision = 0
         last_contact_at = self._cluster_view.last_contact_at
+        timeout_s = self._find_longest_call_s() if self._has_failed else READ_TIMEOUT_S
         for prefix in self._prefixes:
             items: list[StoredItem] = []
             after = ""
             listing_revision = 0
             for _ in range(MAX_LISTING_PAGES):
-                page = await self._store.read_page(prefix, after)
+                began_at = boot_time()
+                page = await self._store.read_page(prefix, after, timeout_s)
+                self._latency.record_call(boot_time() - began_at)
                 listing_revision = listing_revision or page.revision
                 items.extend(page.items)
                 if not page.has_more or not page.items:
--- a/packages/persimmonlink-router/src/persimmonlink_router/store_intervals.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/store_intervals.py
@@ -41,6 +41,7 @@
 
 
 __all__ = (
+    "WATCH_LATENCY_S",
     "WATCH_WAIT_S",
     "choose_echo_time_s",
     "choose_outage_interval_s",
--- a/tests/router/test_store_outage_calls.py
+++ b/tests/router/test_store_outage_calls.py
@@ -8,7 +8,10 @@
 import pytest
 from tests.router.rig import make_configuration, make_rig, run, wait_until
 
+from persimmonlink_adapter.store_client import REVISIONS_PER_ERA
+from persimmonlink_router.boot_clock import boot_time
 from persimmonlink_router.store_backoff import FIRST_INTERVAL_S, JITTER, StoreBackoff
+from persimmonlink_router.store_intervals import choose_watch_pause_s
 from persimmonlink_stand_ins.metadata_store import StoreFaults
 
 NODES = 3
@@ -17,6 +20,8 @@
 CALM_CALLS_PER_S = 0.75
 # Shortest time after an outage from which nodes must act on changes.
 CHANGE_S = 3.0
+SLOW_CHANGE_S = 4.0  # Time in which a change arrives while the store is slow.
+WRITE_INTERVAL_S = 0.2
 
 FAULTS = [
     StoreFaults(status=503),
@@ -73,6 +78,30 @@
     run(scenario())
 
 
+@pytest.mark.parametrize("delay_s", [0.7, 1.4])
+def test_a_slow_store_is_followed_without_more_calls(delay_s):
+    async def scenario():
+        async with make_rig(routers=NODES) as rig:
+            rig.store.faults = StoreFaults(delay_s=delay_s)
+            rig.store.called_paths.clear()
+            revisions = []
+            for number in range(int(OUTAGE_S / WRITE_INTERVAL_S)):
+                revisions.append(rig.store.put("servers/other", {"seq": number}))
+                await asyncio.sleep(WRITE_INTERVAL_S)
+            old = revisions[-int(SLOW_CHANGE_S / WRITE_INTERVAL_S)] + REVISIONS_PER_ERA
+            assert all(router._mirror.revision >= old for router in rig.routers)
+            watches = [p for p in rig.store.called_paths if "kv-watch" in p]
+            interval_s = choose_watch_pause_s(NODES) + delay_s
+            # At most one watch of a node is given up in that time.
+            assert len(watches) <= (OUTAGE_S / interval_s + 2) * NODES
+            assert all(
+                boot_time() - router.cluster_view.last_contact_at < SLOW_CHANGE_S
+                for router in rig.routers
+            )
+
+    run(scenario())
+
+
 def count_registered(rig) -> int:
     keys = rig.store.list_keys()
     return sum(1 for key in keys if key.startswith("persimmonlink/nodes/"))
--- a/tests/router/test_stream_versions_after_total_loss.py
+++ b/tests/router/test_stream_versions_after_total_loss.py
@@ -225,10 +225,10 @@
     adapters = create_adapters(settings)
     read_page = adapters.store.read_page
 
-    async def read_other_pages(prefix: str, after: str):
+    async def read_other_pages(prefix: str, after: str, *timeout):
         if prefix == OWN_PREFIX:
             raise StoreUnavailableError("failed by the test")
-        return await read_page(prefix, after)
+        return await read_page(prefix, after, *timeout)
 
     adapters.store.read_page = read_other_pages
     router = Router(settings, adapters)
