Believe a removal that a peer in steady contact tells of

A removal that a peer told of was put off by 2 s too, however steady that peer's contact with the store was. `MirrorUpdate.steady_s` says for how long the store has answered the peer without an outage; once that is the time that entries are believed, the removal is final.

The field is optional and read both ways by builds without it.

--- a/packages/persimmonlink-router/src/persimmonlink_router/cluster_membership.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/cluster_membership.py
@@ -28,6 +28,7 @@
     RouterMember,
 )
 from persimmonlink_router.store import StoredItem
+from persimmonlink_router.store_contact import OUTAGE_EXPIRY_GRACE_S
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -254,7 +255,10 @@
             for i in self._mirror.list_since(message.revision)
         )
         return MirrorUpdate(
-            items, self._mirror.revision, self._cluster_view.is_in_contact
+            items,
+            self._mirror.revision,
+            self._cluster_view.is_in_contact,
+            self._cluster_view.find_steady_s(boot_time()),
         )
 
     async def run_heartbeats(self) -> None:
@@ -347,6 +351,7 @@
         origin = ChangeOrigin(
             ChangeSource.PEER,
             member=heartbeat.member.node_id,
+            is_settled=update.steady_s >= OUTAGE_EXPIRY_GRACE_S,
         )
         items = [StoredItem(i.key, i.value, i.revision) for i in update.items]
         count = self._mirror.apply(items, origin)
--- a/packages/persimmonlink-router/src/persimmonlink_router/cluster_view.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/cluster_view.py
@@ -221,7 +221,7 @@
         now = boot_time()
         log = logger.bind(server=server_id, revision=revision, **origin.describe())
         lapse_end_at = self._contact.find_lapse_end(now)
-        is_final = known.is_draining
+        is_final = known.is_draining or origin.is_settled
         if lapse_end_at is not None and not is_final:
             self.servers.schedule_removal(server_id, lapse_end_at)
             log.bind(for_s=round(lapse_end_at - now, 2)).info("server.removal_deferred")
--- a/packages/persimmonlink-router/src/persimmonlink_router/peer_messages.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/peer_messages.py
@@ -379,11 +379,25 @@
 
 @dataclass(frozen=True)
 class MirrorUpdate:
-    """Reply to `MirrorPull`: the changes, and whether the peer reaches the store."""
+    """Reply to `MirrorPull`: the changes, and whether the peer reaches the store.
+
+    Parameters
+    ----------
+    items : tuple of MirroredItem
+        Changes after the revision that was asked for.
+    revision : int
+        Revision up to which the peer has every change.
+    is_in_contact : bool
+        Whether the peer reaches the store.
+    steady_s : float
+        Time for which the store has answered the peer without an outage, in seconds;
+        0 from nodes of older builds.
+    """
 
     items: tuple[MirroredItem, ...]
     revision: int
     is_in_contact: bool
+    steady_s: float = 0.0
 
 
 @dataclass(frozen=True)
