Check a stage server again right before each send to it

A batch of pieces was checked before its connection was opened, and sent without another check up to 0.35 s later; releases of results were sent without any check. So work reached stage servers that had left meanwhile.

Now nothing is awaited between the check and the send, for both.

--- a/packages/persimmonlink-router/src/persimmonlink_router/connection_pool.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/connection_pool.py
@@ -106,6 +106,16 @@
         after a complete exchange.
         """
         connection = await self.acquire(key, address, max_idle_s)
+        return await self.exchange_on(connection, key, request, max_body_bytes)
+
+    async def exchange_on(
+        self,
+        connection: HttpClientConnection,
+        key: Hashable,
+        request: OutboundRequest,
+        max_body_bytes: int,
+    ) -> tuple[HttpResponseHead, bytes]:
+        """Send a request on a connection that was acquired; see `exchange`."""
         try:
             connection.send(
                 request.method, request.target, request.headers, request.body
--- a/packages/persimmonlink-router/src/persimmonlink_router/stage_calls.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stage_calls.py
@@ -19,6 +19,7 @@
     from persimmonlink_router.cluster_view import ClusterView
     from persimmonlink_router.connection_pool import ConnectionPool
     from persimmonlink_router.http_client import HttpClientConnection
+    from persimmonlink_router.send_basis import SendBasis
     from persimmonlink_router.server_limiter import ServerLimiter
     from persimmonlink_router.server_places import ServerPlaces
     from persimmonlink_router.server_reach import ServerReach
@@ -94,12 +95,16 @@
         return self._limiter.prepare(server, on_ready)
 
     async def run_batch(
-        self, server: Server, pieces: Sequence[Piece], timeout_s: float
+        self,
+        server: Server,
+        pieces: Sequence[Piece],
+        timeout_s: float,
+        on_sent: Callable[[SendBasis], None],
     ) -> Sequence[PieceResult] | None:
         """Return the results, or None if the server did not run the call.
 
-        Raises `ConnectError`, `ConnectionLostError`, `TimeoutError` or
-        `WireFormatError` if the call fails.
+        `on_sent` is called as the call is sent. Raises `ConnectError`,
+        `ConnectionLostError`, `TimeoutError` or `WireFormatError` if it fails.
         """
         if not await self._limiter.try_acquire(server):
             return None
@@ -110,31 +115,35 @@
             place.end()
             return None
         was_rejected = False
+        started_at = boot_time()
+        self._reach.record_sent(server.key, started_at)
         try:
-            results = await self._send_batch(server, pieces, timeout_s)
+            async with asyncio.timeout(timeout_s):
+                connection = await self._pool.acquire(server.key, server.address)
+                # Nothing may be awaited between this check and the send.
+                if not self._cluster_view.may_send(server):
+                    connection.close()
+                    return None
+                on_sent(self._cluster_view.describe_send(server))
+                results = await self._send_batch(connection, server, pieces)
             was_rejected = results is None
         finally:
+            self._reach.record_done(server.key, started_at)
             place.end(was_rejected=was_rejected)
         return results
 
     async def _send_batch(
-        self, server: Server, pieces: Sequence[Piece], timeout_s: float
+        self,
+        connection: HttpClientConnection,
+        server: Server,
+        pieces: Sequence[Piece],
     ) -> Sequence[PieceResult] | None:
         call = self._wire.build_batch_request(server, pieces)
-        sent_at = boot_time()
-        self._reach.record_sent(server.key, sent_at)
         try:
-            async with asyncio.timeout(timeout_s):
-                connection = await self._pool.acquire(server.key, server.address)
-                try:
-                    results = await self._exchange(
-                        connection, server, call, len(pieces)
-                    )
-                except BaseException:
-                    connection.close()
-                    raise
-        finally:
-            self._reach.record_done(server.key, sent_at)
+            results = await self._exchange(connection, server, call, len(pieces))
+        except BaseException:
+            connection.close()
+            raise
         if results is not None and any(result.handle for result in results):
             self._pool.release(server.key, connection)
         else:
@@ -189,28 +198,33 @@
         await asyncio.sleep(RELEASE_DELAY_S)
         may_send = await self._wait_for_release(server)
         results = self._pending_releases_by_key.pop(server.key)
-        if not may_send:
-            # The server discards unreleased results by itself when they expire.
-            self._servers.state(server).free_memory(sum(r.size for r in results))
-            return
-        call = self._wire.build_release_request(server, [r.handle for r in results])
-        try:
-            async with asyncio.timeout(RELEASE_TIMEOUT_S):
-                head, _ = await self._pool.exchange(
-                    server.key, server.address, call, MAX_BODY_BYTES
+        # A server discards unreleased results by itself when they expire.
+        if may_send:
+            try:
+                async with asyncio.timeout(RELEASE_TIMEOUT_S):
+                    await self._release_at(server, [r.handle for r in results])
+            except (ConnectError, ConnectionLostError, TimeoutError) as error:
+                logger.bind(server=server.server_id, error=repr(error)).info(
+                    "stages.release_failed"
                 )
-            info = self._wire.parse_response_head(head)
-            self._cluster_view.apply_response(server, info)
-            if info.rate_limit_per_s is not None:
-                # Only the answer to work tells that a limit is named no more.
-                self._limiter.record_response(server, info)
-        except (ConnectError, ConnectionLostError, TimeoutError) as error:
-            # The server discards unreleased results by itself when they expire.
-            logger.bind(server=server.server_id, error=repr(error)).info(
-                "stages.release_failed"
-            )
         self._servers.state(server).free_memory(sum(r.size for r in results))
 
+    async def _release_at(self, server: Server, handles: Sequence[str]) -> None:
+        """Release results at a server, unless it may be sent nothing any more."""
+        connection = await self._pool.acquire(server.key, server.address)
+        if not self._cluster_view.may_send(server):
+            connection.close()
+            return
+        call = self._wire.build_release_request(server, handles)
+        head, _ = await self._pool.exchange_on(
+            connection, server.key, call, MAX_BODY_BYTES
+        )
+        info = self._wire.parse_response_head(head)
+        self._cluster_view.apply_response(server, info)
+        if info.rate_limit_per_s is not None:
+            # Only the answer to work tells that a limit is named no more.
+            self._limiter.record_response(server, info)
+
     async def _wait_for_release(self, server: Server) -> bool:
         """Wait until a release may be sent; return False if that takes too long."""
         wait_ends_at = boot_time() + MAX_RELEASE_WAIT_S
@@ -219,6 +233,8 @@
             if boot_time() + pause_s > wait_ends_at:
                 return False
             await asyncio.sleep(pause_s)
+            if not self._cluster_view.servers.is_usable(server):
+                return False
             if await self._limiter.try_acquire(server):
                 return True
 
--- a/packages/persimmonlink-router/src/persimmonlink_router/stage_dispatcher.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stage_dispatcher.py
@@ -27,6 +27,7 @@
     from persimmonlink_router.cluster_view import ClusterView
     from persimmonlink_router.configuration import Service
     from persimmonlink_router.crash_guard import CrashGuard
+    from persimmonlink_router.send_basis import SendBasis
     from persimmonlink_router.server_ends import ServerEndDetector
     from persimmonlink_router.stage_calls import StageCalls
     from persimmonlink_router.stage_chain import StageChain
@@ -186,13 +187,16 @@
     ) -> None:
         started_at = boot_time()
         results: Sequence[PieceResult] | None = None
+        bases: list[SendBasis] = []
         expected_s = 0.0
         if service.batch is not None:
             expected_s = estimate_call_s(service.batch, len(batch))
         timeout_s = self._servers.compute_call_timeout_s(server, expected_s, started_at)
         batch_bytes = sum(piece.result_bytes for piece in batch)
         try:
-            results = await self._calls.run_batch(server, wire_pieces, timeout_s)
+            results = await self._calls.run_batch(
+                server, wire_pieces, timeout_s, bases.append
+            )
             ratio = (boot_time() - started_at) / expected_s
             self._servers.record_response(server, results, ratio, boot_time())
             if results is None:
@@ -209,7 +213,7 @@
             self._free_memory_later(service, server, batch_bytes)
         finally:
             self._servers.record_call_end(server, boot_time())
-        log_batch(server, batch, results, boot_time() - started_at, expected_s)
+        log_batch(server, batch, results, started_at, expected_s, bases)
         self._on_outcome(BatchOutcome(server, batch, results))
         self.dispatch(service.name)
 
--- a/packages/persimmonlink-router/src/persimmonlink_router/stage_log.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stage_log.py
@@ -12,6 +12,7 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping, Sequence
 
+    from persimmonlink_router.send_basis import SendBasis
     from persimmonlink_router.servers import Server
     from persimmonlink_router.stage_admission import Admission
     from persimmonlink_router.stage_chain import StageChain
@@ -63,20 +64,38 @@
     server: Server,
     batch: Sequence[PendingPiece],
     results: Sequence[PieceResult] | None,
-    took_s: float,
+    started_at: float,
     expected_s: float,
+    bases: Sequence[SendBasis],
 ) -> None:
-    """Log a batch, the time that its call took, and the failures of its pieces."""
+    """Log a batch, the time that its call took, and the failures of its pieces.
+
+    Parameters
+    ----------
+    server : Server
+        Server of the batch.
+    batch : sequence of PendingPiece
+        Its pieces.
+    results : sequence of PieceResult or None
+        Results of the pieces; None if the call failed or was refused.
+    started_at : float
+        Boot time at which the call was begun, in seconds.
+    expected_s : float
+        Time that it was expected to take, in seconds.
+    bases : sequence of SendBasis
+        What the node knew of the server as it sent; empty if nothing was sent.
+    """
     failures = Counter(r.failure for r in results or () if r.failure is not None)
     logger.bind(
         server=server.server_id,
         service=server.service,
         pieces=len(batch),
         requests=sorted({piece.chain.job.request_id for piece in batch}),
-        took_s=round(took_s, 3),
+        took_s=round(boot_time() - started_at, 3),
         expected_s=round(expected_s, 3),
         outcome="no_results" if results is None else "done",
         failures=dict(failures),
+        sent_on=[basis.describe(started_at) for basis in bases],
     ).info("stages.batch_completed")
 
 
