Take no server from a peer's older copy that the store has deleted

A starting node took servers from a peer's older copy after its own listing had shown that they were gone, and used them until they stopped to answer. A peer's copy now brings a key that the node does not know only if the key is newer than what the node has completely.

Why missed: rigs in one process start nodes before servers change, and no test gave a peer's reply after the listing.

--- a/packages/persimmonlink-router/src/persimmonlink_router/store_mirror.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/store_mirror.py
@@ -4,7 +4,11 @@
 
 from typing import TYPE_CHECKING
 
-from persimmonlink_router.change_origin import UNKNOWN_ORIGIN, ChangeOrigin
+from persimmonlink_router.change_origin import (
+    UNKNOWN_ORIGIN,
+    ChangeOrigin,
+    ChangeSource,
+)
 from persimmonlink_router.store import StoredItem
 
 if TYPE_CHECKING:
@@ -30,6 +34,7 @@
         self.revision = 0
         # How the item came that `on_change` is called with.
         self.origin = UNKNOWN_ORIGIN
+        self._listed_revision_by_prefix: dict[str, int] = {}
 
     def find(self, key: str) -> StoredItem | None:
         """Return the item or tombstone of a key, or None if it is unknown."""
@@ -48,6 +53,8 @@
             if known is None and item.value is None:
                 self._item_by_key[item.key] = item
                 continue
+            if known is None and self._was_deleted(item, origin):
+                continue
             self._item_by_key[item.key] = item
             applied_count += 1
             if known is None or known.value != item.value:
@@ -79,6 +86,7 @@
         ]
         self.apply(items, origin)
         self.apply(missing, origin)
+        self._listed_revision_by_prefix[prefix] = revision
 
     def list_since(self, revision: int) -> tuple[StoredItem, ...]:
         """Return the items changed after a revision, in order of revision."""
@@ -86,6 +94,19 @@
         changed.sort(key=lambda item: item.revision)
         return tuple(changed)
 
+    def _was_deleted(self, item: StoredItem, origin: ChangeOrigin) -> bool:
+        """Whether the store has deleted an unknown key that a peer's copy still has.
+
+        All changes up to the mirror's revision are known, and up to that of a listing.
+        """
+        if origin.source is not ChangeSource.PEER:
+            return False
+        complete_revision = self.revision
+        for prefix, revision in self._listed_revision_by_prefix.items():
+            if item.key.startswith(prefix):
+                complete_revision = max(complete_revision, revision)
+        return item.revision <= complete_revision
+
     def _discard_old_tombstones(self) -> None:
         tombstones = [i for i in self._item_by_key.values() if i.value is None]
         if len(tombstones) <= MAX_TOMBSTONES:
