Ignore a late write of an older entry of the same server

A late write of an older entry undid a draining entry or a removal: numbers of entries were compared only after a restore of the store. They now are at any time, for incarnations that count their entries and name their start.

--- a/packages/persimmonlink-router/src/persimmonlink_router/entry_numbers.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/entry_numbers.py
@@ -37,8 +37,9 @@
 class EntryNumbers:
     """Remembers the number of the last entry of each server incarnation.
 
-    Servers number the entries that they write. After the store has returned from an
-    older copy, entries that are older than those seen before are recognized by it.
+    Servers number the entries that they write. Entries that are older than those seen
+    before are recognized by it: the store may return from an older copy, and a write
+    may take effect after a later one.
     """
 
     def __init__(self) -> None:
@@ -75,12 +76,15 @@
         number : int
             Number of the entry.
         restored_at : float
-            Boot time at which the store last returned from a copy, in seconds. Only
-            that brings back older entries.
+            Boot time at which the store last returned from a copy, in seconds. That
+            brings back older entries; otherwise a late write may.
         """
         last = self._last_by_key.get(key)
-        if last is None or last.seen_at > restored_at:
+        if last is None:
             return False
+        if last.seen_at > restored_at:
+            _, started_at_ms, _ = key
+            return 0 < number < last.number and started_at_ms > 0
         return number < last.number or (last.is_removed and number == last.number)
 
 
