Dispatch waiting pieces once for all changes that came together

Each entry that was read dispatched all waiting pieces: with 400 stage servers and 400 waiting pieces the coordinator stood still for 3.0 s at a response of the store. One dispatch now follows a response.

--- a/packages/persimmonlink-router/src/persimmonlink_router/router.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/router.py
@@ -126,6 +126,7 @@
         self._timers = LoopTimerService()
         self._tasks = BackgroundTasks()
         self._stop_clock = StopClock()
+        self._is_dispatch_due = False
         self._reach = ServerReach()
         self._pool = ConnectionPool(self._reach)
         self._health = ServerHealth()
@@ -485,6 +486,13 @@
         self._client_limits.body_bytes = limits.body_bytes
         self._client_limits.header_timeout_s = limits.header_timeout_s
         self._client_limits.idle_timeout_s = limits.idle_timeout_s
+        if not self._is_dispatch_due:
+            self._is_dispatch_due = True
+            asyncio.get_running_loop().call_soon(self._dispatch_pieces)
+
+    def _dispatch_pieces(self) -> None:
+        """Dispatch waiting pieces, once for all changes that came together."""
+        self._is_dispatch_due = False
         self._scheduler.dispatcher.dispatch_all()
 
     def _collect_engine_loads(self) -> dict[str, EngineLoad]:
--- a/tests/router/test_store_follower.py
+++ b/tests/router/test_store_follower.py
@@ -5,17 +5,20 @@
 import asyncio
 import time
 
+import msgspec
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 from tests.router.rig import make_rig, run
 
+from persimmonlink_router.store import StoredItem
 from persimmonlink_router.store_intervals import choose_watch_pause_s
 from persimmonlink_stand_ins.metadata_store import StoreFaults
 
 SHORTEST_DRAIN_S = 2.0  # Shortest time in which a drain must take effect.
 STORE_READS_PER_S = 2000  # Least call rate that the store sustains.
 SUSPENSION_S = 0.95  # Time for which the node does not run.
+ENTRIES = 50  # Entries of servers in one response of the store.
 REFRESH_S = 0.3  # Time in which a node that runs again has read the store.
 
 
@@ -47,3 +50,27 @@
             assert response.status == 200
 
     run(scenario())
+
+
+def test_a_page_of_many_entries_dispatches_waiting_pieces_once():
+    async def scenario():
+        async with make_rig(routers=1) as rig:
+            router = rig.routers[0]
+            dispatches = []
+            router._scheduler.dispatcher.dispatch_all = lambda: dispatches.append(1)
+            server = rig.server_by_id["stage-0"]
+            items = [
+                StoredItem(
+                    f"servers/s{number}",
+                    msgspec.json.encode(server.build_entry("stage")),
+                    router._mirror.revision + number,
+                )
+                for number in range(1, ENTRIES + 1)
+            ]
+            router._mirror.apply(items)
+            await asyncio.sleep(0)
+            await asyncio.sleep(0)
+            assert len(router.cluster_view.servers.server_by_id) > ENTRIES
+            assert len(dispatches) == 1
+
+    run(scenario())
