Learn from peers that the store served them while this node could not reach it

A node whose own way to the store had been cut put removals off by 2 s from when it found the store again, at any time up to 3.2 s after the cut: it could not know that no entry had expired meanwhile.

Heartbeats say for how long the store has served their sender (`store_age_s`, `store_steady_s`, optional). If that was after the last call that failed here, the removals are believed from then on.

--- a/packages/persimmonlink-router/src/persimmonlink_router/cluster_membership.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/cluster_membership.py
@@ -366,14 +366,19 @@
         unresponsive_ids = tuple(
             i for i, n in self._missed_heartbeats_by_id.items() if n >= 2
         )
+        now = boot_time()
+        is_in_contact = self._cluster_view.is_in_contact
+        store_age_s = now - self._cluster_view.last_contact_at
         return RouterHeartbeat(
             self.sender,
             self.own_member,
             self._mirror.revision,
-            self._cluster_view.is_in_contact,
+            is_in_contact,
             unresponsive_ids,
             self._collect_engine_loads(),
             self.facts.collect(),
+            store_age_s if is_in_contact else None,
+            self._cluster_view.find_steady_s(now),
         )
 
     def _apply_heartbeat(self, heartbeat: RouterHeartbeat) -> None:
@@ -388,6 +393,12 @@
         self.members.apply_direct_update(member, now)
         if heartbeat.is_in_contact and self._on_peer_revision is not None:
             self._on_peer_revision(heartbeat.revision)
+        if heartbeat.store_age_s is not None:
+            # The message itself may have taken as long as its timeout.
+            age_s = heartbeat.store_age_s + HEARTBEAT_TIMEOUT_S
+            self._cluster_view.record_served_peer(
+                now - age_s, now - heartbeat.store_steady_s
+            )
         self._merge_registered_fields(member.node_id)
         self._suspected_until_by_id.pop(member.node_id, None)
         self._remove_superseded(member)
--- a/packages/persimmonlink-router/src/persimmonlink_router/cluster_view.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/cluster_view.py
@@ -75,6 +75,20 @@
         self._stale_until = 0.0
         self._contact.record_contact(now)
 
+    def record_served_peer(self, served_at: float, steady_since: float) -> None:
+        """Record that the store served a peer, and since when without an outage."""
+        if self._contact.record_served_peer(served_at, steady_since):
+            self._end_grace_sooner()
+
+    def _end_grace_sooner(self) -> None:
+        returned_at = self._contact.find_return()
+        if returned_at is None:
+            return
+        ends_at = returned_at + OUTAGE_EXPIRY_GRACE_S
+        self.servers.hasten_removals(ends_at)
+        for domain, drain_ends_at in self._drain_end_at_by_domain.items():
+            self._drain_end_at_by_domain[domain] = min(drain_ends_at, ends_at)
+
     def record_restore(self, now: float) -> None:
         """Record that the store returned from an older copy."""
         self._contact.record_restore(now)
--- a/packages/persimmonlink-router/src/persimmonlink_router/peer_messages.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/peer_messages.py
@@ -349,6 +349,11 @@
         Load of the sender on each server.
     facts : SharedFacts
         What the sender knows of what all nodes must know.
+    store_age_s : float or None
+        Time since the store last answered the sender, in seconds; None if it does not,
+        and from nodes of older builds.
+    store_steady_s : float
+        Time for which it has answered the sender without an outage, in seconds.
     """
 
     sender: Sender
@@ -358,6 +363,8 @@
     silent_ids: tuple[str, ...] = ()
     load_by_server: dict[str, EngineLoad] = field(default_factory=dict)
     facts: SharedFacts = SharedFacts()
+    store_age_s: float | None = None
+    store_steady_s: float = 0.0
 
 
 @dataclass(frozen=True)
--- a/packages/persimmonlink-router/src/persimmonlink_router/servers.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/servers.py
@@ -113,6 +113,11 @@
         if server_id in self.server_by_id:
             self._removal_at_by_id.setdefault(server_id, removal_at)
 
+    def hasten_removals(self, removal_at: float) -> None:
+        """Let scheduled removals be due at a boot time, in seconds, at the latest."""
+        for server_id, scheduled_at in self._removal_at_by_id.items():
+            self._removal_at_by_id[server_id] = min(scheduled_at, removal_at)
+
     def remove_expired(self, now: float) -> list[str]:
         """Remove the servers whose removal is due; return their ids."""
         expired = [
