Tell all nodes when the store is back after an outage

Over 24 nodes, where nodes look for the store less often, entries that expired in an outage were believed 2 s from when each node found the store itself: removals 2.0 to 2.7 s late in the arithmetic.

The first node that finds it tells all (`SharedFacts.store_returned_age_s`, optional; `store.returned`), and entries are believed 2 s from then. A node that hears no peer still counts for itself.

--- a/packages/persimmonlink-router/src/persimmonlink_router/cluster_view.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/cluster_view.py
@@ -50,6 +50,7 @@
         self._stale_until = 0.0
         self._drained_domains: set[str] = set()
         self._drain_end_at_by_domain: dict[str, float] = {}
+        self._on_store_return: Callable[[], None] = lambda: None
 
     def apply(self, item: StoredItem, origin: ChangeOrigin = UNKNOWN_ORIGIN) -> None:
         """Apply a change of an item of the store; malformed items are logged."""
@@ -73,7 +74,18 @@
     def record_contact(self, now: float) -> None:
         """Record that the store answered this node."""
         self._stale_until = 0.0
-        self._contact.record_contact(now)
+        if self._contact.record_contact(now):
+            self._on_store_return()
+
+    def record_store_return(self, at: float) -> bool:
+        """Record that a peer had the store again at a boot time, after an outage.
+
+        Return whether this node knows from it that the store was back earlier.
+        """
+        if not self._contact.record_return(at):
+            return False
+        self._end_grace_sooner()
+        return True
 
     def record_served_peer(self, served_at: float, steady_since: float) -> None:
         """Record that the store served a peer, and since when without an outage."""
@@ -89,6 +101,14 @@
         for domain, drain_ends_at in self._drain_end_at_by_domain.items():
             self._drain_end_at_by_domain[domain] = min(drain_ends_at, ends_at)
 
+    def find_store_return(self) -> float | None:
+        """Return when the store was back after its last outage, None if unknown."""
+        return self._contact.find_return()
+
+    def subscribe_to_store_returns(self, on_return: Callable[[], None]) -> None:
+        """Have a function called at the end of an outage that no peer told of."""
+        self._on_store_return = on_return
+
     def record_restore(self, now: float) -> None:
         """Record that the store returned from an older copy."""
         self._contact.record_restore(now)
--- a/packages/persimmonlink-router/src/persimmonlink_router/fact_exchange.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/fact_exchange.py
@@ -59,6 +59,7 @@
         limits: list[LimitNotice] = []
         unreached: list[ReachNotice] = []
         brittle: list[LimitNotice] = []
+        store_returned_age_s: float | None = None
         for holder in self._holders:
             facts = holder.collect_facts()
             holds += facts.holds
@@ -66,12 +67,15 @@
             limits += facts.limits
             unreached += facts.unreached
             brittle += facts.brittle
+            if facts.store_returned_age_s is not None:
+                store_returned_age_s = facts.store_returned_age_s
         return SharedFacts(
             tuple(holds),
             suspect_left_s_by_part,
             tuple(limits),
             tuple(unreached),
             tuple(brittle),
+            store_returned_age_s,
         )
 
     def apply(self, facts: SharedFacts, member: str) -> None:
--- a/packages/persimmonlink-router/src/persimmonlink_router/peer_messages.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/peer_messages.py
@@ -258,6 +258,9 @@
         Nodes that reach no server of some services, and those that do again.
     brittle : tuple of LimitNotice
         Rejections a second that servers bear, which end if they reject more.
+    store_returned_age_s : float or None
+        Time since the store is known to have served again after its last outage, in
+        seconds; None without one lately.
     """
 
     holds: tuple[HoldNotice, ...] = ()
@@ -265,6 +268,7 @@
     limits: tuple[LimitNotice, ...] = ()
     unreached: tuple[ReachNotice, ...] = ()
     brittle: tuple[LimitNotice, ...] = ()
+    store_returned_age_s: float | None = None
 
 
 @dataclass(frozen=True)
--- a/packages/persimmonlink-router/src/persimmonlink_router/router.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/router.py
@@ -58,6 +58,7 @@
 from persimmonlink_router.store_follower import StoreFollower
 from persimmonlink_router.store_intervals import choose_outage_interval_s
 from persimmonlink_router.store_mirror import StoreMirror
+from persimmonlink_router.store_returns import StoreReturns
 from persimmonlink_router.stream_version_exchange import StreamVersionExchange
 from persimmonlink_router.stream_version_saver import (
     StreamVersionSaver,
@@ -159,6 +160,9 @@
             lambda: self.membership.own_member.node_id, self.membership.facts.spread
         )
         self.membership.facts.attach(self._reach_board)
+        self.membership.facts.attach(
+            StoreReturns(self.cluster_view, self.membership.facts.spread)
+        )
         self._limiter = ServerLimiter(self.membership, self.cluster_view, self.metrics)
         self.membership.facts.attach(self._limiter)
         self._places = ServerPlaces(
