Keep a server cold whose entry is written again after its removal

A server that was removed and written again counted as warm at once, as its state went with the entry. It now stays cold for as long as before.

--- a/packages/persimmonlink-router/src/persimmonlink_router/servers.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/servers.py
@@ -102,7 +102,6 @@
         server = self.server_by_id.pop(server_id, None)
         if server is not None:
             self._record_left(server, now)
-            self._cold_until_by_key.pop(server.key, None)
         return server
 
     def schedule_removal(self, server_id: str, removal_at: float) -> None:
@@ -171,6 +170,9 @@
     def _discard_absent_state(self, now: float) -> None:
         """Forget what servers said that are gone for longer than a request lasts."""
         present = {server.key for server in self.server_by_id.values()}
+        for key, until in list(self._cold_until_by_key.items()):
+            if key not in present and until < now:
+                del self._cold_until_by_key[key]
         for state in (
             self._leaving_since_by_key,
             self._paused_until_by_key,
--- a/tests/router/test_servers.py
+++ b/tests/router/test_servers.py
@@ -37,6 +37,16 @@
     assert not directory.is_cold(old, 1.0)
 
 
+def test_a_server_whose_entry_is_written_again_after_its_removal_is_still_cold():
+    directory = ServerDirectory()
+    server = make_server(domain="b")
+    directory.update(server, 0.0)
+    directory.mark_cold(server, 3.0)
+    directory.remove(server.server_id, 1.0)
+    directory.update(server, 1.0)
+    assert directory.is_cold(server, 2.9)
+
+
 def test_a_server_with_an_expired_entry_is_kept_until_its_removal_time():
     directory = ServerDirectory()
     server = make_server()
