Forget departed servers in linear time

Removals are kept in the order of their times, and outdated state is looked for once a second at most.

--- a/packages/persimmonlink-router/src/persimmonlink_router/entry_numbers.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/entry_numbers.py
@@ -44,12 +44,15 @@
 
     def __init__(self) -> None:
         self._last_by_key: dict[ServerKey, LastEntry] = {}
+        # Removed incarnations, in order of the times of their removal.
+        self._removed_at_by_key: dict[ServerKey, float] = {}
 
     def record(
         self, key: ServerKey, number: int, now: float, revision: int = 0
     ) -> None:
         """Record the number of an entry that was applied at a boot time in seconds."""
         self._last_by_key[key] = LastEntry(number, now, revision)
+        self._removed_at_by_key.pop(key, None)
 
     def find(self, key: ServerKey) -> LastEntry | None:
         """Return the last entry of a server incarnation, None if none was seen."""
@@ -60,11 +63,19 @@
         last = self._last_by_key.setdefault(key, LastEntry(0, now))
         last.is_removed = True
         last.seen_at = now
-        self._last_by_key = {
-            other: entry
-            for other, entry in self._last_by_key.items()
-            if not entry.is_removed or now - entry.seen_at < DEPARTURE_MEMORY_S
-        }
+        self._removed_at_by_key.pop(key, None)
+        self._removed_at_by_key[key] = now
+        self._discard_departed(now)
+
+    def _discard_departed(self, now: float) -> None:
+        departed = []
+        for key, removed_at in self._removed_at_by_key.items():
+            if now - removed_at < DEPARTURE_MEMORY_S:
+                break
+            departed.append(key)
+        for key in departed:
+            del self._removed_at_by_key[key]
+            del self._last_by_key[key]
 
     def is_outdated(self, key: ServerKey, number: int, restored_at: float) -> bool:
         """Whether an entry is older than what was last seen of its server.
--- a/packages/persimmonlink-router/src/persimmonlink_router/servers.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/servers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -9,6 +10,7 @@
     from collections.abc import Iterable
 
 ServerKey = tuple[str, int, str]  # Id, start time and address of an incarnation.
+DISCARD_INTERVAL_S = 1.0  # Least time between two looks for state that is outdated.
 VERSION_MEMORY_S = 60.0  # Longer than a stream lasts, with all attempts of its client.
 
 
@@ -75,6 +77,7 @@
         self._paused_until_by_key: dict[ServerKey, float] = {}
         self._limited_until_by_key: dict[ServerKey, float] = {}
         self._left_at_by_version: dict[tuple[str, str], float] = {}
+        self._discarded_at = -math.inf
 
     def update(self, server: Server, now: float) -> bool:
         """Apply a server's entry; return whether it differs from the known one.
@@ -165,7 +168,9 @@
             if now - left_at < VERSION_MEMORY_S
         }
         self._left_at_by_version[server.service, server.software_version] = now
-        self._discard_absent_state(now)
+        if now - self._discarded_at >= DISCARD_INTERVAL_S:
+            self._discarded_at = now
+            self._discard_absent_state(now)
 
     def _discard_absent_state(self, now: float) -> None:
         """Forget what servers said that are gone for longer than a request lasts."""
