Pause when the store loses its history again

A store without history was listed and watched 1,100 times in 3 s by one node in a test: each lost history made it list at once. Only the first listing comes at once now; a pause between watches comes before the next.

--- a/packages/persimmonlink-router/src/persimmonlink_router/store_follower.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/store_follower.py
@@ -110,8 +110,12 @@
             self._give_up_after(self._latency.find_limit_s())
 
     async def run(self) -> None:
-        """Follow the store until cancelled; list again after lost history."""
+        """Follow the store until cancelled; list again after lost history.
+
+        If it is lost again before a watch had an answer, a pause comes first.
+        """
         revision = 0
+        has_listed_again = False
         while True:
             started_at = boot_time()
             try:
@@ -122,6 +126,8 @@
                     continue
                 self._apply_page(page)
                 self._backoff.record_success()
+                has_listed_again = False
+                self._has_failed = False
                 revision = max(revision, page.revision)
             except HistoryLostError as error:
                 self._is_restored |= isinstance(error, StoreRestoredError)
@@ -129,6 +135,9 @@
                     "store.history_lost"
                 )
                 revision = 0
+                if has_listed_again:
+                    await self._pause(choose_watch_pause_s(self._count_nodes()))
+                has_listed_again = True
                 continue
             except WatchGivenUpError as error:
                 # The next call, at once, tells whether the store is lost.
