--- a/tests/router/process_rig.py
+++ b/tests/router/process_rig.py
@@ -9,7 +9,7 @@
 import subprocess
 import sys
 from contextlib import asynccontextmanager
-from dataclasses import asdict, dataclass, field
+from dataclasses import asdict, dataclass, field, replace
 from pathlib import Path
 from typing import TYPE_CHECKING
 
@@ -26,6 +26,7 @@
     wait_until,
 )
 
+from persimmonlink_bench.process import release_ports
 from persimmonlink_router.router_settings import RouterSettings
 from persimmonlink_stand_ins.metadata_store import MetadataStoreStandIn
 
@@ -127,19 +128,44 @@
 
 @asynccontextmanager
 async def run_process_rig(
-    folder: Path, routers: int = 3, servers: int = 2
+    folder: Path,
+    routers: int = 3,
+    servers: int = 2,
+    domains: str = "a",
+    *,
+    has_store_links: bool = False,
 ) -> AsyncIterator[ProcessRig]:
-    """Run a store and servers in this process, and routers as child processes."""
+    """Run a store and servers in this process, and routers as child processes.
+
+    Parameters
+    ----------
+    folder : Path
+        Folder of settings and logs.
+    routers : int
+        Number of routers.
+    servers : int
+        Number of servers of each service.
+    domains : str
+        Failure domains, a letter each, over which both are spread.
+    has_store_links : bool
+        Whether each router reaches the store over a link that can be cut.
+    """
     store = MetadataStoreStandIn()
     await store.start()
     rig = ProcessRig(store, {}, [], [])
     store.put("op/config", make_configuration())
     for service in (STREAM_SERVICE, PLAIN_SERVICE, STAGE_SERVICE):
         for index in range(servers):
-            await add_server(rig, service, f"{service}-{index}")
+            zone = domains[index % len(domains)]
+            await add_server(rig, service, f"{service}-{index}", zone=zone)
     for index in range(routers):
         seeds = tuple(s.listen.peers for s in rig.settings[:3])
-        rig.settings.append(make_settings(store.address, index, seeds))
+        address = store.address
+        if has_store_links:
+            address = (await rig.links.find(index, address)).address
+        settings = make_settings(address, index, seeds)
+        domain = domains[index % len(domains)]
+        rig.settings.append(replace(settings, domain=domain))
     try:
         for index in range(routers):
             rig.start(index, folder)
@@ -152,6 +178,8 @@
             router.signal(signal.SIGCONT)
             router.signal(signal.SIGKILL)
             router.process.wait()
+        await rig.links.stop()
+        release_ports(rig.links.list_ports())
         for server in rig.server_by_id.values():
             await server.stop()
         await store.stop()
