Take a response without length for whole only if its server goes on

The class: the absence of a sign is taken for a sign. Such a response was whole unless something said otherwise, and nobody asked about a server out of use. Now it is whole only if the server keeps a connection open for 0.28 s that the node makes after the close, or a peer can connect; a stream of that kind without any event is broken off. Error responses on stream routes are checked too, and read within the route's timeout, which they were not.

--- a/packages/persimmonlink-router/src/persimmonlink_router/connection_pool.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/connection_pool.py
@@ -128,16 +128,30 @@
         self.release(key, connection)
         return head, body
 
-    async def check_address(self, address: str, timeout_s: float) -> ReachState:
-        """Open a connection to an address and close it; say how that went."""
+    async def check_address(
+        self, address: str, timeout_s: float, hold_s: float = 0.0
+    ) -> ReachState:
+        """Open a connection to an address and close it; say how that went.
+
+        Parameters
+        ----------
+        address : str
+            `IP:PORT`.
+        timeout_s : float
+            Longest wait for the connection, in seconds.
+        hold_s : float
+            Time for which the connection must stay open, in seconds; if the server
+            closes it earlier, the state is unknown.
+        """
         try:
             connection = await self.open_connection(address, timeout_s)
         except ConnectError as error:
             if isinstance(error.__cause__, ConnectionRefusedError):
                 return ReachState.REFUSED
             return ReachState.UNKNOWN
+        was_held = not hold_s or await connection.stays_open(hold_s)
         connection.close()
-        return ReachState.REACHED
+        return ReachState.REACHED if was_held else ReachState.UNKNOWN
 
     def has_idle(self, key: Hashable) -> bool:
         """Whether an idle connection to a server can be reused."""
--- a/packages/persimmonlink-router/src/persimmonlink_router/end_confirmer.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/end_confirmer.py
@@ -94,6 +94,14 @@
             has_reply |= any(state is not None for state in states)
         return has_reply or not self._list_peers()
 
+    async def is_reached(self, server: Server) -> bool:
+        """Whether a peer can connect to a server now."""
+        peers = self._choose_peers(server.service)
+        states = await asyncio.gather(
+            *(self._ask(peer, server, boot_time()) for peer in peers)
+        )
+        return ReachState.REACHED in states
+
     async def handle_ask(self, message: AskReach) -> ReachReply:
         """Tell a peer whether this node reaches a server."""
         key = message.server
--- a/packages/persimmonlink-router/src/persimmonlink_router/http_client.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/http_client.py
@@ -141,6 +141,11 @@
             return type(self._error).__name__
         return "open" if self._is_open else "closed"
 
+    @property
+    def is_open(self) -> bool:
+        """Whether the server has not closed the connection."""
+        return self._is_open
+
     @property
     def is_reusable(self) -> bool:
         """Whether another request may be sent on this connection."""
@@ -158,6 +163,17 @@
         data += self._h11.send(h11.EndOfMessage()) or b""
         self._transport.write(data)
 
+    async def stays_open(self, seconds: float) -> bool:
+        """Whether the server leaves an idle connection open for a time in seconds."""
+        try:
+            async with asyncio.timeout(seconds):
+                while self._is_open:
+                    self._wake.clear()
+                    await self._wake.wait()
+        except TimeoutError:
+            return self._is_open
+        return False
+
     async def read_head(self) -> HttpResponseHead:
         """Wait for the status and headers of the response."""
         informational_count = 0
--- a/packages/persimmonlink-router/src/persimmonlink_router/response_completion.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/response_completion.py
@@ -10,13 +10,12 @@
 from persimmonlink_router.http_messages import HttpResponseHead, ResponseFraming
 from persimmonlink_router.request_state import ResponseEnd
 from persimmonlink_router.server_chooser import estimate_response_s
-from persimmonlink_router.server_ends import InterruptedRequest
+from persimmonlink_router.server_ends import InterruptedRequest, ReachAfterResponse
 from persimmonlink_router.server_places import Place
 from persimmonlink_router.servers import Server
 from persimmonlink_router.wire_messages import ResponseInfo
 
 if TYPE_CHECKING:
-    from persimmonlink_router.cluster_view import ClusterView
     from persimmonlink_router.connection_pool import ConnectionPool
     from persimmonlink_router.crash_guard import CrashGuard
     from persimmonlink_router.request_state import RequestState
@@ -64,8 +63,6 @@
 
     Parameters
     ----------
-    cluster_view : ClusterView
-        Servers in use.
     pool : ConnectionPool
         Gets the connections of complete responses back.
     health : ServerHealth
@@ -80,14 +77,12 @@
 
     def __init__(
         self,
-        cluster_view: ClusterView,
         pool: ConnectionPool,
         health: ServerHealth,
         end_detector: ServerEndDetector,
         crash_guard: CrashGuard,
         reach: ServerReach,
     ) -> None:
-        self._cluster_view = cluster_view
         self._pool = pool
         self._health = health
         self._end_detector = end_detector
@@ -119,20 +114,21 @@
     async def require_whole(self, response: OpenResponse) -> None:
         """Check a response without a length whose connection was closed in order.
 
-        Raises `ConnectionLostError` if its server ended with it. One that was leaving
-        may end as soon as its last response is whole.
+        Raises `ConnectionLostError` unless its server is known to run on: one that
+        ended with its response may have broken it off, also if it was leaving.
         """
         if response.head.framing is not ResponseFraming.CONNECTION_CLOSE:
             return
-        if not self._cluster_view.servers.is_usable(response.server):
-            response.end_reason = "server_out_of_use"
+        if response.connection.is_open:
+            # It has no body, as its status says, so that no close delimits it.
             return
-        if await self._end_detector.ended_with_response(response.server):
-            response.end_reason = "server_ended"
+        reach = await self._end_detector.find_reach_after_response(response.server)
+        response.end_reason = reach
+        if reach is ReachAfterResponse.NOT_REACHED:
             raise ConnectionLostError(
-                f"{response.server.server_id}: the server ended with its response"
+                f"{response.server.server_id}: the server may have ended with its "
+                "response"
             )
-        response.end_reason = "server_goes_on"
 
     def record_failure(self, server: Server) -> None:
         """Record a failed response in the health of its server."""
--- a/packages/persimmonlink-router/src/persimmonlink_router/server_ends.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/server_ends.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from dataclasses import dataclass
+from enum import StrEnum
 from typing import TYPE_CHECKING
 
 from loguru import logger
@@ -11,6 +12,7 @@
 from persimmonlink_router.boot_clock import boot_time
 from persimmonlink_router.crash_evidence import UNKNOWN_ORIGIN, RequestOrigin
 from persimmonlink_router.peer_messages import ReachState
+from persimmonlink_router.shared_check import SharedChecks
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
@@ -23,10 +25,20 @@
 CHECK_DELAYS_S = (0.03, 0.25)  # Pauses before the checks whether a server is gone.
 # Time in which a server that ends closes its listener after its connections.
 END_DELAY_S = 0.01
+# Time in which a server that ends on a busy VM closes its listener: that of the checks.
+END_HOLD_S = sum(CHECK_DELAYS_S)
 CHECK_TIMEOUT_S = 0.35  # Longest wait for a connection in a check.
 MAX_LOGGED_REQUESTS = 8  # Most requests that a log line names.
 
 
+class ReachAfterResponse(StrEnum):
+    """Who reaches a server after it closed a response; the values appear in logs."""
+
+    REACHED = "server_reached"
+    REACHED_BY_PEER = "server_reached_by_peer"
+    NOT_REACHED = "server_not_reached"
+
+
 @dataclass(frozen=True, slots=True)
 class InterruptedRequest:
     """A request whose response a server broke off.
@@ -96,6 +108,7 @@
         self._metrics = metrics
         self._requests_by_key: dict[ServerKey, list[InterruptedRequest]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
+        self._reach_checks: SharedChecks[ReachAfterResponse] = SharedChecks()
 
     def record_interruption(self, server: Server, request: InterruptedRequest) -> None:
         """Record a response that a server broke off, and check the server."""
@@ -125,13 +138,31 @@
             return
         _log_requests("server.interrupted_responses", server, requests)
 
-    async def ended_with_response(self, server: Server) -> bool:
-        """Whether a server ended as it closed the connection of a response.
+    async def find_reach_after_response(self, server: Server) -> ReachAfterResponse:
+        """Find out whether a server runs on after it closed a response's connection.
 
-        Only that tells whether a response without a length is whole.
+        Only that tells whether a response without a length is whole. A server that
+        this node can't connect to may have ended, or this node may be cut off.
         """
         await asyncio.sleep(END_DELAY_S)
-        return await self._refuses_connections(server)
+        return await self._reach_checks.run(
+            server.key, lambda: self._check_reach(server)
+        )
+
+    async def _check_reach(self, server: Server) -> ReachAfterResponse:
+        # The system takes connections for a process that is ending, until its listener
+        # is closed, which resets them.
+        state = await self._pool.check_address(
+            server.address, CHECK_TIMEOUT_S, END_HOLD_S
+        )
+        if state is ReachState.UNKNOWN:
+            # The opening packet may have been lost, or the server has no room.
+            state = await self._pool.check_address(server.address, CHECK_TIMEOUT_S)
+        if state is ReachState.REACHED:
+            return ReachAfterResponse.REACHED
+        if await self._confirmer.is_reached(server):
+            return ReachAfterResponse.REACHED_BY_PEER
+        return ReachAfterResponse.NOT_REACHED
 
     async def _refuses_connections(self, server: Server) -> bool:
         state = await self._pool.check_address(server.address, CHECK_TIMEOUT_S)
@@ -160,4 +191,4 @@
     ).info(event)
 
 
-__all__ = ("InterruptedRequest", "ServerEndDetector")
+__all__ = ("InterruptedRequest", "ReachAfterResponse", "ServerEndDetector")
--- a/packages/persimmonlink-router/src/persimmonlink_router/server_sender.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/server_sender.py
@@ -132,7 +132,7 @@
         self._reach = reach
         self._places = places
         self.responses = ResponseCompletion(
-            cluster_view, pool, health, end_detector, crash_guard, reach
+            pool, health, end_detector, crash_guard, reach
         )
         self._head_reader = ResponseHeadReader(
             cluster_view,
--- a/packages/persimmonlink-router/src/persimmonlink_router/stream_relay.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stream_relay.py
@@ -10,7 +10,10 @@
 from persimmonlink_router.boot_clock import boot_time
 from persimmonlink_router.event_stream import EventSplitter, EventTooLongError
 from persimmonlink_router.http_client import ConnectionLostError
-from persimmonlink_router.http_messages import strip_hop_by_hop_headers
+from persimmonlink_router.http_messages import (
+    ResponseFraming,
+    strip_hop_by_hop_headers,
+)
 from persimmonlink_router.plain_relay import verify_success_response
 from persimmonlink_router.request_state import (
     NoReachError,
@@ -176,9 +179,11 @@
         if not 200 <= response.head.status < 300:
             if state.exchange.has_started:
                 raise StreamInterruptedError(f"status {response.head.status}")
-            body = await response.connection.read_body(
-                MAX_ERROR_BODY_BYTES, sender.body_budget
-            )
+            async with asyncio.timeout(max(0.0, state.time_left_s)):
+                body = await response.connection.read_body(
+                    MAX_ERROR_BODY_BYTES, sender.body_budget
+                )
+                await sender.responses.require_whole(response)
             is_complete = True
             if response.head.status >= 500 and _may_resume(state):
                 sender.responses.record_failure(response.server)
@@ -235,6 +240,7 @@
             state.silent_since = boot_time()
         if splitter.is_inside_event:
             raise ConnectionLostError("the stream ended inside an event")
+        _require_event(response, is_first=is_first)
         await sender.responses.require_whole(response)
         if not exchange.has_started:
             exchange.start_stream(
@@ -243,6 +249,15 @@
         await exchange.end()
 
 
+def _require_event(response: OpenResponse, *, is_first: bool) -> None:
+    """Raise `ConnectionLostError` for a stream without length and without events.
+
+    Nothing tells it from one that was broken off before its first event.
+    """
+    if is_first and response.head.framing is ResponseFraming.CONNECTION_CLOSE:
+        raise ConnectionLostError("the stream ended without an event")
+
+
 def _may_resume(state: RequestState) -> bool:
     return (
         state.route.is_resumable
--- a/stand_ins/src/persimmonlink_stand_ins/routed_server.py
+++ b/stand_ins/src/persimmonlink_stand_ins/routed_server.py
@@ -86,7 +86,7 @@
     closes_cut_streams_in_order : bool
         Closes the connection of a cut stream in order instead of resetting it.
     ends_after_response : bool
-        Ends with the first plain response that has no length.
+        Ends with the first response other than a stream that has no length.
     drips_streams_after : int
         Events after which a stream goes on with single bytes of the next event, at
         `DRIP_INTERVAL_S`, without ever ending it; 0 for none.
@@ -389,13 +389,21 @@
         if not self.faults.omits_seal:
             headers["Persimmonlink-Response-Seal"] = f"seal-{request_id}"
         if self.faults.responds_500:
-            writer.write(encode_response(500, headers, b"failed"))
-            return True
+            return await self._respond_whole(writer, 500, headers, b"failed")
         if "persimmonlink-model" in request.headers:
             return await self._stream(request, headers, writer)
         await asyncio.sleep(self.work_s)
         body = f"answer to {request_id}".encode()
-        response = encode_response(200, headers, body)
+        return await self._respond_whole(writer, 200, headers, body)
+
+    async def _respond_whole(
+        self,
+        writer: asyncio.StreamWriter,
+        status: int,
+        headers: dict[str, str],
+        body: bytes,
+    ) -> bool:
+        response = encode_response(status, headers, body)
         if self.faults.omits_length:
             head = response.partition(b"Content-Length")[0]
             writer.write(head + b"\r\n" + body)
