Send records of stream versions again to a peer that did not take them

Records of versions that a peer did not take were dropped, although it is one of the few nodes that keep them. They go again 0.5 s later, as long as the peer is to keep them, in messages of 2,000 records at most.

--- a/packages/persimmonlink-router/src/persimmonlink_router/stream_version_exchange.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stream_version_exchange.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from itertools import islice
 from typing import TYPE_CHECKING
 
 from loguru import logger
@@ -30,9 +31,11 @@
     from persimmonlink_router.view_confirmer import ViewConfirmer
 
 RECORD_TIMEOUT_S = 0.5  # Timeout of a message that records versions at a peer.
+RECORD_RETRY_PAUSE_S = 0.5  # Pause before records that a peer did not take go again.
 FIND_TIMEOUT_S = 0.25  # Timeout of a message that asks a peer for a version.
 # Members that keep the records at least, also where there is only one failure domain.
 MIN_KEEPERS = 2
+MAX_RECORDS_PER_MESSAGE = 2000
 # Records that a member gets from all nodes together as it becomes a keeper.
 MAX_RESENT = 32000
 # Members of each failure domain that are asked if the first ones don't know a version:
@@ -235,18 +238,41 @@
         return member.node_id, None if isinstance(reply, Err) else reply.unwrap()
 
     async def _send_records(self, member: Member) -> None:
-        """Send the records of a member, those of the meantime in one message each."""
-        while records := self._unsent_by_node_id[member.node_id]:
-            self._unsent_by_node_id[member.node_id] = {}
-            message = RecordStreamVersions(self._membership.sender, records)
-            channel = self._membership.channel(member.peer_address)
-            reply = await channel.call(message, Acknowledgement, RECORD_TIMEOUT_S)
-            if isinstance(reply, Err):
+        """Send the records of a member, those of the meantime in further messages.
+
+        What it did not take is sent again, with the records of the meantime, as long as
+        it is to keep them.
+        """
+        node_id = member.node_id
+        try:
+            while unsent := self._unsent_by_node_id[node_id]:
+                records = dict(islice(unsent.items(), MAX_RECORDS_PER_MESSAGE))
+                for request_id in records:
+                    del unsent[request_id]
+                message = RecordStreamVersions(self._membership.sender, records)
+                channel = self._membership.channel(member.peer_address)
+                reply = await channel.call(message, Acknowledgement, RECORD_TIMEOUT_S)
+                if not isinstance(reply, Err):
+                    continue
                 # The node itself and the keepers of other domains have the records.
-                logger.bind(member=member.node_id, requests=len(records)).info(
+                logger.bind(member=node_id, requests=len(records)).info(
                     "stream.record_failed"
                 )
-        del self._unsent_by_node_id[member.node_id]
+                await asyncio.sleep(RECORD_RETRY_PAUSE_S)
+                if node_id not in {keeper.node_id for keeper in self._list_keepers()}:
+                    break
+                self._queue_again(node_id, records)
+        finally:
+            del self._unsent_by_node_id[node_id]
+
+    def _queue_again(self, node_id: str, records: dict[str, str]) -> None:
+        """Send records again that still hold; what was recorded since goes before."""
+        unsent = {**records, **self._unsent_by_node_id[node_id]}
+        self._unsent_by_node_id[node_id] = {
+            request_id: version
+            for request_id, version in unsent.items()
+            if self._versions.find(request_id) == version
+        }
 
 
 __all__ = ("StreamVersionExchange",)
