--- a/packages/persimmonlink-router/src/persimmonlink_router/http_client.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/http_client.py
@@ -87,7 +87,7 @@
         try:
             async with asyncio.timeout(timeout_s):
                 await loop.create_connection(lambda: self, host, int(port))
-        except (TimeoutError, OSError, ValueError) as error:
+        except (TimeoutError, OSError, ValueError, OverflowError) as error:
             raise ConnectError(f"{self.address}: {error!r}") from error
 
     def connection_made(self, transport: Any) -> None:
--- a/packages/persimmonlink-router/src/persimmonlink_router/store_mirror.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/store_mirror.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+from loguru import logger
+
 from persimmonlink_router.change_origin import (
     UNKNOWN_ORIGIN,
     ChangeOrigin,
@@ -58,9 +60,18 @@
             self._item_by_key[item.key] = item
             applied_count += 1
             if known is None or known.value != item.value:
-                self._on_change(item)
+                self._report(item)
         return applied_count
 
+    def _report(self, item: StoredItem) -> None:
+        """Report a change; an error concerns this item alone, not those behind it."""
+        try:
+            self._on_change(item)
+        except Exception:
+            logger.bind(key=item.key, revision=item.revision).exception(
+                "store.item_failed"
+            )
+
     def advance(self, revision: int) -> None:
         """Record that all changes up to a revision are known."""
         self.revision = max(self.revision, revision)
--- a/tests/router/test_framing.py
+++ b/tests/router/test_framing.py
@@ -155,10 +155,11 @@
     run_against_server([unexpected + expected], scenario)
 
 
-def test_a_refused_connection_raises_connect_error():
+@pytest.mark.parametrize("port", [1, 70000, 10**40])
+def test_a_refused_or_impossible_connection_raises_connect_error(port):
     async def scenario():
         with pytest.raises(ConnectError):
-            await HttpClientConnection("127.0.0.1:1").connect(1.0)
+            await HttpClientConnection(f"127.0.0.1:{port}").connect(1.0)
 
     asyncio.run(scenario())
 
