Skip odd records of routers and holds, and reject odd messages

The same fault in records of members, holds and saved versions and in messages of peers: a member's record or heartbeat with an address that is none failed the loop of heartbeats, and one with a port or number out of range counted as serving; a hold with a huge number in the store ended heartbeats.

They are read by the same list: records out of bounds are `store.entry_invalid`, a heartbeat of a member that can't be called `member.heartbeat_invalid`, a message that nests too deeply is rejected by the codec.

--- a/packages/persimmonlink-peers/src/persimmonlink_peers/codec.py
+++ b/packages/persimmonlink-peers/src/persimmonlink_peers/codec.py
@@ -17,6 +17,13 @@
     Status.INVALID_ARGUMENT: ResultCode.PEER_MESSAGE_INVALID,
     Status.UNIMPLEMENTED: ResultCode.PEER_VERSION_UNKNOWN,
 }
+# What decoding raises, also for a message that nests too deeply.
+UNREADABLE_ERRORS = (
+    msgspec.MsgspecError,
+    ValueError,
+    RecursionError,
+    OverflowError,
+)
 
 
 @dataclass(frozen=True)
@@ -50,7 +57,7 @@
         """
         try:
             message = msgspec.msgpack.decode(data, type=message_type)
-        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        except UNREADABLE_ERRORS as error:
             _reject_newer_version(_decode_sender(data))
             detail = f"malformed {message_type.__name__}: {error}"
             raise GRPCError(Status.INVALID_ARGUMENT, detail) from error
@@ -69,7 +76,7 @@
 def _decode_sender(data: bytes) -> Sender | None:
     try:
         return msgspec.msgpack.decode(data, type=_Envelope).sender
-    except (msgspec.MsgspecError, UnicodeDecodeError):
+    except UNREADABLE_ERRORS:
         return None
 
 
--- a/packages/persimmonlink-router/src/persimmonlink_router/cluster_membership.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/cluster_membership.py
@@ -17,6 +17,11 @@
 from persimmonlink_router.boot_clock import boot_time
 from persimmonlink_router.change_origin import ChangeOrigin, ChangeSource
 from persimmonlink_router.fact_exchange import FactExchange
+from persimmonlink_router.foreign_values import (
+    MAX_INTEGER,
+    UNREADABLE_ERRORS,
+    is_address,
+)
 from persimmonlink_router.member_registry import MemberRegistry
 from persimmonlink_router.peer_loads import PeerLoads
 from persimmonlink_router.peer_messages import (
@@ -143,9 +148,14 @@
             return
         try:
             member = msgspec.json.decode(item.value, type=RouterMember)
-        except msgspec.MsgspecError as error:
+        except UNREADABLE_ERRORS as error:
             logger.bind(key=item.key, error=str(error)).warning("store.entry_invalid")
             return
+        if member.node_id != node_id or not _is_sound(member):
+            logger.bind(key=item.key, error="a field is out of range").warning(
+                "store.entry_invalid"
+            )
+            return
         if member.peer_address == self.own_member.peer_address:
             # Entry of a previous run of this node whose lease has not expired yet.
             return
@@ -401,6 +411,11 @@
     def _apply_heartbeat(self, heartbeat: RouterHeartbeat) -> None:
         now = boot_time()
         member = heartbeat.member
+        if not _is_sound(member):
+            logger.bind(member=member.node_id, error="a field is out of range").warning(
+                "member.heartbeat_invalid"
+            )
+            return
         if self._missed_heartbeats_by_id.pop(member.node_id, 0) >= 2:
             logger.bind(member=member.node_id).info("dependency.recovered")
         if self.members.find(member.node_id) is None:
@@ -493,4 +508,12 @@
         self._loads.discard_expired(now)
 
 
+def _is_sound(member: RouterMember) -> bool:
+    """Whether a member can be called, and messages can hold its fields."""
+    numbers = (member.revision, member.seniority, member.cores)
+    return all(0 <= number <= MAX_INTEGER for number in numbers) and all(
+        is_address(address) for address in (member.peer_address, member.http_address)
+    )
+
+
 __all__ = ("MEMBER_PREFIX", "ClusterMembership")
--- a/packages/persimmonlink-router/src/persimmonlink_router/hold_records.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/hold_records.py
@@ -11,6 +11,7 @@
 from xxhash import xxh3_64_hexdigest
 
 from persimmonlink_router.boot_clock import boot_time
+from persimmonlink_router.foreign_values import UNREADABLE_ERRORS
 from persimmonlink_router.holds import HOLD_S, build_notice
 from persimmonlink_router.peer_messages import HoldNotice
 from persimmonlink_router.store import LeaseExpiredError, StoreUnavailableError
@@ -59,7 +60,7 @@
             return None
         try:
             notice = msgspec.json.decode(item.value, type=HoldNotice)
-        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        except UNREADABLE_ERRORS as error:
             logger.bind(key=item.key, error=str(error)).warning("store.entry_invalid")
             return None
         return replace(notice, age_s=HOLD_S)
--- a/packages/persimmonlink-router/src/persimmonlink_router/stream_version_saver.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stream_version_saver.py
@@ -9,6 +9,7 @@
 from loguru import logger
 
 from persimmonlink_router.boot_clock import boot_time
+from persimmonlink_router.foreign_values import UNREADABLE_ERRORS
 from persimmonlink_router.keepers import choose_keepers
 from persimmonlink_router.store import LeaseExpiredError, StoreUnavailableError
 from persimmonlink_router.store_intervals import (
@@ -195,7 +196,7 @@
                 self._apply_streams(streams, item.revision, now)
                 return
             services = msgspec.json.decode(item.value, type=SavedServiceVersions)
-        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        except UNREADABLE_ERRORS as error:
             logger.bind(key=item.key, error=str(error)).warning("store.entry_invalid")
             return
         ages = services.age_s_by_version_by_service
