--- a/packages/persimmonlink-router/src/persimmonlink_router/http_client.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/http_client.py
@@ -17,6 +17,7 @@
 # Events read from one connection before others get a turn: received bytes may hold
 # thousands of chunks.
 MAX_EVENTS_PER_TURN = 32
+MAX_IDLE_LIMIT_S = 3600.0  # A longer idle time that a server states counts as this.
 NEED_DATA: Any = h11.NEED_DATA
 
 
@@ -312,7 +313,7 @@
             for item in value.split(b","):
                 key, _, text = item.strip().partition(b"=")
                 if key.lower() == b"timeout" and text.strip().isdigit():
-                    self.idle_limit_s = float(text)
+                    self.idle_limit_s = min(float(text), MAX_IDLE_LIMIT_S)
 
 
 __all__ = ("ByteBudget", "ConnectError", "ConnectionLostError", "HttpClientConnection")
