Go on with a stream only by a response that is its rest

The class: bytes after a break were the rest of the stream because they had blank lines. Now the response must be `text/event-stream`, and each of its events must have an id that follows the last one (stream_rest.py), also where a peer passes it on. Anything else breaks the stream off or is tried elsewhere.

--- a/packages/persimmonlink-router/src/persimmonlink_router/request_forwarder.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/request_forwarder.py
@@ -15,6 +15,7 @@
     NoReachError,
     RequestFailedError,
 )
+from persimmonlink_router.stream_rest import NotTheRestError, StreamRest
 
 if TYPE_CHECKING:
     import random
@@ -124,12 +125,13 @@
         timeout_s = state.time_left_s + TIMEOUT_MARGIN_S
         channel = self._membership.channel(member.peer_address)
         replies = channel.stream(self._build_message(state), RelayPart, timeout_s)
+        rest = _expect_rest(state)
         try:
             async with aclosing(replies) as parts:
                 async for part in parts:
                     if part.refusal:
                         return str(part.refusal)
-                    await _apply_part(part, state)
+                    await self._apply_part(part, state, rest)
                     if part.is_last:
                         return ""
         except PeerStreamError as error:
@@ -142,6 +144,34 @@
                 del self._in_flight_by_node[member.node_id]
         return self._handle_loss(state, "the response is incomplete")
 
+    async def _apply_part(
+        self, part: RelayPart, state: RequestState, rest: StreamRest | None
+    ) -> None:
+        """Pass a part of a response on to the client.
+
+        The head of a stream that this node has begun is dropped: the client has one.
+        """
+        exchange = state.exchange
+        if rest is not None:
+            _check_part(part, rest)
+        if part.status and not part.is_stream:
+            await self._respond(part, state)
+            return
+        if part.status and not exchange.has_started:
+            exchange.start_stream(part.status, part.headers)
+        if part.body:
+            if state.first_event_s is None:
+                state.first_event_s = boot_time() - state.arrived_at
+            await exchange.send(part.body)
+        if part.is_last:
+            await exchange.end()
+
+    async def _respond(self, part: RelayPart, state: RequestState) -> None:
+        """Pass a whole response on, if there is room for it until it is written."""
+        if state.exchange.has_started:
+            raise RequestFailedError(f"the stream can't go on: status {part.status}")
+        await state.exchange.respond(part.status, part.headers, part.body)
+
     def _handle_loss(self, state: RequestState, reason: str) -> str:
         """Return the reason if another peer may take the request, or raise."""
         state.sends += 1
@@ -173,25 +203,25 @@
         )
 
 
-async def _apply_part(part: RelayPart, state: RequestState) -> None:
-    """Pass a part of a response on to the client.
+def _expect_rest(state: RequestState) -> StreamRest | None:
+    """Return what checks the rest of a stream that this node has begun."""
+    if not state.exchange.has_started:
+        return None
+    return StreamRest(state.last_forwarded_id)
+
 
-    The head of a stream that this node has begun is dropped: the client has one.
+def _check_part(part: RelayPart, rest: StreamRest) -> None:
+    """Raise `RequestFailedError` if a part does not go on with a stream.
+
+    Peers of this build check their servers' responses themselves.
     """
-    exchange = state.exchange
-    if part.status and not part.is_stream:
-        if exchange.has_started:
-            raise RequestFailedError(f"the stream can't go on: status {part.status}")
-        await exchange.respond(part.status, part.headers, part.body)
-        return
-    if part.status and not exchange.has_started:
-        exchange.start_stream(part.status, part.headers)
-    if part.body:
-        if state.first_event_s is None:
-            state.first_event_s = boot_time() - state.arrived_at
-        await exchange.send(part.body)
-    if part.is_last:
-        await exchange.end()
+    try:
+        if part.status and part.is_stream:
+            rest.check_headers(part.headers)
+        if part.is_stream or not part.status:
+            rest.check_events(part.body)
+    except NotTheRestError as error:
+        raise RequestFailedError(f"the stream can't go on: {error}") from error
 
 
 __all__ = ("RequestForwarder",)
--- a/packages/persimmonlink-router/src/persimmonlink_router/stream_relay.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stream_relay.py
@@ -29,12 +29,14 @@
 )
 from persimmonlink_router.stage_job import StageJob, StageNeed
 from persimmonlink_router.stage_outcome import StageState
+from persimmonlink_router.stream_rest import NotTheRestError, expect_rest
 
 if TYPE_CHECKING:
     from persimmonlink_router.request_state import RequestState
     from persimmonlink_router.response_completion import OpenResponse
     from persimmonlink_router.server_sender import ServerSender
     from persimmonlink_router.stage_coordinator_client import StageCoordinatorClient
+    from persimmonlink_router.stream_rest import StreamRest
 
 # Shortest wait for the head of a resumable stream's response before another server is
 # tried.
@@ -194,7 +196,7 @@
         await _forward_events(state, sender, stages, response, splitter)
         is_complete = True
         return True
-    except (ConnectionLostError, EventTooLongError) as error:
+    except (ConnectionLostError, EventTooLongError, NotTheRestError) as error:
         state.partial_event_bytes = splitter.partial_bytes
         sender.responses.record_interruption(state, response)
         raise StreamInterruptedError(str(error)) from error
@@ -217,12 +219,16 @@
     """
     exchange = state.exchange
     is_first = True
+    last_id = splitter.last_id or state.metadata.last_event_id
+    rest = expect_rest(last_id, response.head.headers, has_begun=exchange.has_started)
     async with asyncio.timeout(max(0.0, state.time_left_s)):
         while (data := await response.connection.read_body_part()) is not None:
             sender.responses.record_events(response)
             events = splitter.feed(data)
             if not events:
                 continue
+            if rest is not None:
+                _check_rest(rest, events, splitter)
             if is_first:
                 is_first = False
                 response.first_event_at = boot_time()
@@ -249,6 +255,18 @@
         await exchange.end()
 
 
+def _check_rest(rest: StreamRest, events: bytes, splitter: EventSplitter) -> None:
+    """Check events before the client gets them.
+
+    Raises `NotTheRestError`; the stream then goes on after the last one forwarded.
+    """
+    try:
+        rest.check_events(events)
+    except NotTheRestError:
+        splitter.last_id = rest.last_id
+        raise
+
+
 def _require_event(response: OpenResponse, *, is_first: bool) -> None:
     """Raise `ConnectionLostError` for a stream without length and without events.
 
