Read the store's changes before a stream goes on

A stream with stages went on at a server that had started again with another version while the stages ran, and a node that had not read the change took a stream up by a version that its server no longer had: a server may start again under its id with another version.

--- a/packages/persimmonlink-router/src/persimmonlink_router/stream_relay.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stream_relay.py
@@ -70,9 +70,12 @@
             sender.held_requests.require_allowed(state)
             sender.require_reach(state)
             await sender.version_pinning.pin_resumed(state)
-            sender.version_pinning.require_server(state)
+            await sender.version_pinning.require_server(state)
             inputs = await _run_stages(state, sender, stages)
             try:
+                if inputs is not NO_INPUTS:
+                    # Servers may have changed while the stages ran.
+                    await sender.version_pinning.require_server(state)
                 timeout_s = _first_event_timeout_s(state)
                 response = await sender.send(state, inputs, splitter.last_id, timeout_s)
                 is_done = await _forward_response(
--- a/packages/persimmonlink-router/src/persimmonlink_router/stream_version_exchange.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stream_version_exchange.py
@@ -138,6 +138,13 @@
             return FoundVersion(known, VersionSource.NODE)
         return await self._search(request_id, service)
 
+    async def confirm_servers(self) -> None:
+        """Learn the servers' versions as the store has them now, if that answers.
+
+        A server may have started again under its id with another version.
+        """
+        await self._view_confirmer.confirm()
+
     async def _search(self, request_id: str, service: str) -> FoundVersion:
         search = VersionSearch(
             FindStreamVersion(self._membership.sender, request_id, service)
--- a/packages/persimmonlink-router/src/persimmonlink_router/version_pinning.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/version_pinning.py
@@ -60,10 +60,11 @@
                 NO_VERSION_RETRY_AFTER_S,
             )
 
-    def require_server(self, state: RequestState) -> None:
+    async def require_server(self, state: RequestState) -> None:
         """Raise `RequestRefusedError` if no server can continue a stream."""
         if state.stream_version is None:
             return
+        await self._stream_versions.confirm_servers()
         for server in self._cluster_view.servers.list_usable(state.service):
             if state.allows_server(server):
                 return
