Forget the version of a stream that is passed on before it begins

A stream that a node had sent to v1 and then passed on to a peer, which began it at v2, was taken up at v1: the record of the first node outlived its own send. A node forgets what it passes on before it begins, and so does a peer whose stream was taken back.

--- a/packages/persimmonlink-router/src/persimmonlink_router/request_service.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/request_service.py
@@ -161,6 +161,8 @@
             await self._run(resolved)
         finally:
             self.relayed_count -= 1
+            if not exchange.has_started:
+                self._sender.version_pinning.leave_to_others(resolved)
         if not exchange.is_complete:
             raise RelayBrokenOffError(message.sender.node_id)
 
@@ -265,6 +267,7 @@
         try:
             await self._send_to_server(state)
         except NoReachError:
+            self._sender.version_pinning.leave_to_others(state)
             if state.relayed_from:
                 raise
             await self._forwarder.forward(state)
--- a/packages/persimmonlink-router/src/persimmonlink_router/stream_version_exchange.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stream_version_exchange.py
@@ -89,6 +89,15 @@
         for member in self._list_keepers():
             self._queue(member, {request_id: version})
 
+    def forget(self, request_id: str) -> None:
+        """Leave the record of a request to the node that goes on with it.
+
+        That may send it to another version.
+        """
+        self._versions.forget(request_id)
+        for unsent in self._unsent_by_node_id.values():
+            unsent.pop(request_id, None)
+
     def sweep(self) -> None:
         """Give members that have become keepers what the others may have had alone."""
         keepers = self._list_keepers()
--- a/packages/persimmonlink-router/src/persimmonlink_router/stream_versions.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stream_versions.py
@@ -80,6 +80,12 @@
         self._recorded_at_by_request_id.pop(request_id, None)
         self._recorded_at_by_request_id[request_id] = now
 
+    def forget(self, request_id: str) -> None:
+        """Discard the record of a request that another node goes on with."""
+        self._version_by_request_id.pop(request_id, None)
+        self._recorded_at_by_request_id.pop(request_id, None)
+        self._unsaved_ids.pop(request_id, None)
+
     def find(self, request_id: str) -> str | None:
         """Return the version at which a stream began, or None if it is unknown."""
         return self._version_by_request_id.get(request_id)
--- a/packages/persimmonlink-router/src/persimmonlink_router/version_pinning.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/version_pinning.py
@@ -60,6 +60,11 @@
                 NO_VERSION_RETRY_AFTER_S,
             )
 
+    def leave_to_others(self, state: RequestState) -> None:
+        """Forget the version of a stream that has not begun here."""
+        if state.may_begin_stream and state.stream_version is None:
+            self._stream_versions.forget(state.metadata.request_id)
+
     async def require_server(self, state: RequestState) -> None:
         """Raise `RequestRefusedError` if no server can continue a stream."""
         if state.stream_version is None:
