Refuse to go on with a stream whose server may have been another

A stream that began at a server which had started again with another version, unknown to the node, went on at the old one. Streams that were sent there since the last contact with the store are in doubt now, and refused with 503. They are recorded as `(uncertain)`, a version that no server has, so that nodes of older builds refuse them too.

--- a/packages/persimmonlink-router/src/persimmonlink_router/cluster_view.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/cluster_view.py
@@ -22,6 +22,8 @@
     from persimmonlink_router.store import StoredItem
     from persimmonlink_router.wire_messages import ResponseInfo
 
+# Longest time from the start of a server, or its first answer, to its entry's write.
+REGISTRATION_DELAY_S = 1.0
 SUSPENSION_GAP_S = 0.8  # Gap between ticks that reveals a suspended VM.
 # Longest wait for a refresh after a suspension; peers expect the node back in 3 s.
 REFRESH_WAIT_S = 2.5
@@ -42,6 +44,9 @@
     def __init__(self, reader: EntryReader, on_change: Callable[[], None]) -> None:
         self._reader = reader
         self._on_change = on_change
+        # Called with a server that is new, or has started again, and the boot time from
+        # which it may have run, in seconds.
+        self.on_start: Callable[[Server, float], None] = lambda server, since: None
         self.configuration: Configuration | None = None
         self.servers = ServerDirectory()
         self._contact = StoreContact()
@@ -233,6 +238,11 @@
         known = self.servers.server_by_id.get(server.server_id)
         if not self.servers.update(server, now):
             return
+        if known is None or known.key != server.key:
+            delay_s = origin.max_delay_s
+            if delay_s is None:
+                delay_s = now - self.last_contact_at
+            self.on_start(server, now - delay_s - REGISTRATION_DELAY_S)
         if (
             known is not None
             and known.key == server.key
--- a/packages/persimmonlink-router/src/persimmonlink_router/router.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/router.py
@@ -248,6 +248,7 @@
                 self.membership.peak_node_count,
             ),
         )
+        self.cluster_view.on_start = self._version_exchange.handle_restart
         self.stream_version_saver = StreamVersionSaver(
             self.membership,
             self.cluster_view,
--- a/packages/persimmonlink-router/src/persimmonlink_router/stream_version_exchange.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stream_version_exchange.py
@@ -17,7 +17,12 @@
     FoundStreamVersion,
     RecordStreamVersions,
 )
-from persimmonlink_router.stream_versions import FoundVersion, VersionSource
+from persimmonlink_router.stream_sends import StreamSend, StreamSends
+from persimmonlink_router.stream_versions import (
+    UNCERTAIN_VERSION,
+    FoundVersion,
+    VersionSource,
+)
 from persimmonlink_router.version_search import VersionSearch
 
 if TYPE_CHECKING:
@@ -26,6 +31,7 @@
     from persimmonlink_model.membership import Member
     from persimmonlink_router.cluster_membership import ClusterMembership
     from persimmonlink_router.cluster_view import ClusterView
+    from persimmonlink_router.servers import Server
     from persimmonlink_router.store_mirror import StoreMirror
     from persimmonlink_router.stream_versions import StreamVersions
     from persimmonlink_router.view_confirmer import ViewConfirmer
@@ -79,12 +85,36 @@
         self._membership = membership
         self._cluster_view = cluster_view
         self._versions = versions
+        self._sends = StreamSends()
         self._keeper_ids: set[str] = set()
         self._unsent_by_node_id: dict[str, dict[str, str]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
 
-    def record(self, request_id: str, version: str) -> None:
+    def record_send(self, request_id: str, server: Server) -> None:
         """Record the version to which a request is sent, here and at the keepers."""
+        self._sends.record(StreamSend(request_id, server, boot_time()))
+        self._record(request_id, server.software_version)
+
+    def handle_restart(self, server: Server, since: float) -> None:
+        """Doubt the versions of streams that were sent to a server before it was known.
+
+        Parameters
+        ----------
+        server : Server
+            The server as the store has it now.
+        since : float
+            Boot time from which it may have been so, in seconds.
+        """
+        for send in self._sends.list_doubtful(server, since):
+            version = send.server.software_version
+            if self._versions.find(send.request_id) == version:
+                self._record(send.request_id, UNCERTAIN_VERSION)
+
+    def is_uncertain(self, request_id: str) -> bool:
+        """Whether a stream may have begun at another version than was recorded."""
+        return self._versions.find(request_id) == UNCERTAIN_VERSION
+
+    def _record(self, request_id: str, version: str) -> None:
         self._versions.record(request_id, version, boot_time())
         for member in self._list_keepers():
             self._queue(member, {request_id: version})
@@ -100,6 +130,7 @@
 
     def sweep(self) -> None:
         """Give members that have become keepers what the others may have had alone."""
+        self._sends.discard_expired(boot_time())
         keepers = self._list_keepers()
         added = [m for m in keepers if m.node_id not in self._keeper_ids]
         self._keeper_ids = {member.node_id for member in keepers}
@@ -144,8 +175,12 @@
         """
         known = self._versions.find(request_id)
         if known is not None:
-            return FoundVersion(known, VersionSource.NODE)
-        return await self._search(request_id, service)
+            found = FoundVersion(known, VersionSource.NODE)
+        else:
+            found = await self._search(request_id, service)
+        if found.version == UNCERTAIN_VERSION:
+            return FoundVersion(None, VersionSource.UNKNOWN, found.answered_by)
+        return found
 
     async def confirm_servers(self) -> None:
         """Learn the servers' versions as the store has them now, if that answers.
--- a/packages/persimmonlink-router/src/persimmonlink_router/stream_versions.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stream_versions.py
@@ -7,6 +7,9 @@
 
 # Longer than any client waits for a stream, with all its attempts.
 RECORD_LIFETIME_S = 60.0
+# In place of the version of a stream whose server may have been one of two versions;
+# nodes of older builds refuse to go on with it, as no server has this version.
+UNCERTAIN_VERSION = "(uncertain)"
 
 
 class VersionSource(StrEnum):
@@ -159,6 +162,7 @@
 
 __all__ = (
     "RECORD_LIFETIME_S",
+    "UNCERTAIN_VERSION",
     "FoundVersion",
     "StreamVersions",
     "VersionSource",
--- a/packages/persimmonlink-router/src/persimmonlink_router/version_pinning.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/version_pinning.py
@@ -36,9 +36,7 @@
     def record_send(self, state: RequestState, server: Server) -> None:
         """Record the server to which a request is sent that may begin a stream."""
         if state.may_begin_stream and state.stream_version is None:
-            self._stream_versions.record(
-                state.metadata.request_id, server.software_version
-            )
+            self._stream_versions.record_send(state.metadata.request_id, server)
 
     async def pin_resumed(self, state: RequestState) -> None:
         """Bind a stream that a client takes up to the version at which it began.
@@ -70,6 +68,12 @@
         if state.stream_version is None:
             return
         await self._stream_versions.confirm_servers()
+        request_id = state.metadata.request_id
+        if state.may_begin_stream and self._stream_versions.is_uncertain(request_id):
+            raise RequestRefusedError(
+                "the software version that began the stream is uncertain",
+                NO_VERSION_RETRY_AFTER_S,
+            )
         for server in self._cluster_view.servers.list_usable(state.service):
             if state.allows_server(server):
                 return
