Take up streams of split routes at the service that can go on with them

Of 40 streams of a route with two services, each with a version of its own, 21 were refused (503) as they were taken up: the service was drawn anew. Now it is the service that has servers of the version. What nodes record is the version, so that versions of the same name at both services can't be told apart (seen by reading).

--- a/packages/persimmonlink-router/src/persimmonlink_router/version_pinning.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/version_pinning.py
@@ -57,6 +57,19 @@
                 "the software version that began the stream is unknown",
                 NO_VERSION_RETRY_AFTER_S,
             )
+        self._choose_service_of_version(state)
+
+    def _choose_service_of_version(self, state: RequestState) -> None:
+        """Send a stream to the service of its route that has servers of its version.
+
+        One of a route with several services may have begun at any of them.
+        """
+        targets = [t.service for t in state.route.targets if t.weight > 0]
+        for service in (state.service, *targets):
+            servers = self._cluster_view.servers.list_usable(service)
+            if any(state.allows_server(server) for server in servers):
+                state.service = service
+                return
 
     def leave_to_others(self, state: RequestState) -> None:
         """Forget the version of a stream that has not begun here."""
