Reset the stream of an HTTP/1.0 client that closes its end

A stream of an HTTP/1.0 client that a half-close ended looked complete, as only the end of the connection delimits it. It is reset, as in all other cases where such a response is not whole.

--- a/packages/persimmonlink-router/src/persimmonlink_router/http_connection.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/http_connection.py
@@ -86,6 +86,7 @@
 
     def eof_received(self) -> bool:
         """Treat a half-close by the client as a disconnect."""
+        self.close()
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
