List the store when its changes are too many for one response

Ten writes of 1 MB between two watches, and no change of the store came through any more: the response was longer than the client reads, and each retry got the same. Such a watch now counts as lost history, and the store is listed, whose pages are bounded and hold only the last values.

--- a/packages/persimmonlink-router/src/persimmonlink_router/http_client.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/http_client.py
@@ -29,6 +29,10 @@
     """The connection failed, or what it received is not a valid response."""
 
 
+class BodyTooLongError(ConnectionLostError):
+    """A response body is longer than its reader takes."""
+
+
 class ByteBudget:
     """Bytes that the bodies being read may take together.
 
@@ -207,9 +211,9 @@
     ) -> bytes:
         """Wait for the complete body.
 
-        Raises `ConnectionLostError` if it is too long, or if it and the other bodies
-        that share a budget are. The first `SMALL_BODY_BYTES` need no budget, so that
-        long bodies leave room for others.
+        Raises `BodyTooLongError` if it is too long, and `ConnectionLostError` if it and
+        the other bodies that share a budget are. The first `SMALL_BODY_BYTES` need no
+        budget, so that long bodies leave room for others.
         """
         parts: list[bytes] = []
         size = 0
@@ -218,7 +222,7 @@
             while (part := await self.read_body_part()) is not None:
                 size += len(part)
                 if size > max_bytes:
-                    raise ConnectionLostError(
+                    raise BodyTooLongError(
                         f"{self.address}: the response body is over the limit"
                     )
                 excess = max(0, size - SMALL_BODY_BYTES) - reserved
@@ -316,4 +320,10 @@
                     self.idle_limit_s = min(float(text), MAX_IDLE_LIMIT_S)
 
 
-__all__ = ("ByteBudget", "ConnectError", "ConnectionLostError", "HttpClientConnection")
+__all__ = (
+    "BodyTooLongError",
+    "ByteBudget",
+    "ConnectError",
+    "ConnectionLostError",
+    "HttpClientConnection",
+)
--- a/packages/persimmonlink-router/src/persimmonlink_router/store.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/store.py
@@ -17,8 +17,15 @@
     """The store did not answer in time, and may not have since the call began."""
 
 
+class ResponseTooLongError(StoreUnavailableError):
+    """The store's response is longer than this node reads."""
+
+
 class HistoryLostError(Exception):
-    """The store no longer keeps the changes since the requested revision."""
+    """The changes since the requested revision can't be read from the store.
+
+    It no longer keeps them, or they are too many for one response.
+    """
 
 
 class StoreRestoredError(HistoryLostError):
@@ -91,8 +98,9 @@
         """Return the changes after a revision, waiting up to `wait_s` for one.
 
         The call is given up `margin_s` after that.
-        Raises `HistoryLostError` if the store no longer keeps these changes, and
-        `StoreRestoredError` if it has returned from an older copy since that revision.
+        Raises `HistoryLostError` if the store no longer keeps these changes or they
+        are too many for one response, and `StoreRestoredError` if it has returned from
+        an older copy since that revision.
         """
         ...
 
@@ -125,6 +133,7 @@
     "HistoryLostError",
     "ItemPage",
     "LeaseExpiredError",
+    "ResponseTooLongError",
     "MetadataStore",
     "StoreRestoredError",
     "StoreSilentError",
