End a response that its client does not read

Clients that did not read their responses held them in memory without a limit of time. A connection of which the client takes nothing for the idle timeout, or 10 s if that is longer, is reset (`connection.not_read`); what counts is what the kernel has got acknowledged, so that a slow client gets its whole response.

--- a/packages/persimmonlink-router/src/persimmonlink_router/http_connection.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/http_connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import asdict
 from typing import TYPE_CHECKING, Any
 
 import h11
@@ -18,6 +19,7 @@
 )
 from persimmonlink_router.http_messages import HttpRequest
 from persimmonlink_router.socket_options import (
+    count_unacknowledged_bytes,
     count_waiting_bytes,
     reset_on_close,
 )
@@ -29,6 +31,9 @@
 READ_PAUSE_BYTES = 262144  # Unread bytes at which reading is paused.
 # Events read from one connection before others get a turn.
 MAX_EVENTS_PER_TURN = 32
+# Least time in which a client reads nothing before its response ends, also where the
+# idle timeout is shorter: its link may be cut for seconds.
+MIN_UNREAD_S = 10.0
 NEED_DATA: Any = h11.NEED_DATA
 HTTP_1_0 = b"1.0"  # Version without chunked encoding.
 # Time for a client to close its end after the last response, in which what it still
@@ -114,9 +119,21 @@
             self._transport.write(data)
 
     async def drain(self) -> None:
-        """Wait until the write buffer has room."""
-        if not self._can_write.is_set():
-            await self._can_write.wait()
+        """Wait until the write buffer has room.
+
+        Raises `ClientDisconnectedError` if the client reads nothing for the idle
+        timeout, or `MIN_UNREAD_S` if that is longer.
+        """
+        while not self._can_write.is_set():
+            before = self._count_untaken_bytes()
+            try:
+                async with asyncio.timeout(max(self.idle_timeout_s, MIN_UNREAD_S)):
+                    await self._can_write.wait()
+            except TimeoutError:
+                after = self._count_untaken_bytes()
+                if before is not None and after is not None and after >= before:
+                    self._end_unread()
+                    raise ClientDisconnectedError from None
 
     def _count_unsent_bytes(self) -> int:
         """Return the bytes that wait in the write buffer of the process."""
@@ -124,6 +141,20 @@
             return 0
         return self._transport.get_write_buffer_size()
 
+    def _count_untaken_bytes(self) -> int | None:
+        """Return the bytes that the client has not acknowledged, None if unknown."""
+        if self._transport is None:
+            return None
+        in_kernel = count_unacknowledged_bytes(self._transport.get_extra_info("socket"))
+        return None if in_kernel is None else self._count_unsent_bytes() + in_kernel
+
+    def _end_unread(self) -> None:
+        """Reset the connection, and with it what the client does not read."""
+        logger.bind(**asdict(self.describe())).info("connection.not_read")
+        if self._transport is not None:
+            reset_on_close(self._transport.get_extra_info("socket"))
+            self._transport.abort()
+
     def describe(self) -> ConnectionState:
         """Return the state of the connection, for the log."""
         peer = ""
--- a/packages/persimmonlink-router/src/persimmonlink_router/socket_options.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/socket_options.py
@@ -47,9 +47,29 @@
     return int(struct.unpack("i", count)[0])
 
 
+def count_unacknowledged_bytes(sock: Any) -> int | None:
+    """Return the bytes that the other end has yet to acknowledge.
+
+    None if the system does not tell.
+
+    Parameters
+    ----------
+    sock : socket.socket or asyncio.trsock.TransportSocket
+        A TCP socket; a closed one has none.
+    """
+    if sock is None or sock.fileno() < 0:
+        return 0
+    try:
+        count = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(4))
+    except OSError:
+        return None
+    return int(struct.unpack("i", count)[0])
+
+
 __all__ = (
     "USER_TIMEOUT_MS",
     "bound_silence",
+    "count_unacknowledged_bytes",
     "count_waiting_bytes",
     "reset_on_close",
 )
