Bound the memory of all bodies together until they are written

Responses stay in the budget until they are written, also those by a peer, and request bodies have one of their own; a long body without room gets 503, small ones always have room.

--- a/packages/persimmonlink-router/src/persimmonlink_router/http_client.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/http_client.py
@@ -3,13 +3,17 @@
 from __future__ import annotations
 
 import asyncio
-from typing import Any
+from contextlib import contextmanager
+from typing import TYPE_CHECKING, Any
 
 import h11
 
 from persimmonlink_router.http_messages import Headers, HttpResponseHead
 from persimmonlink_router.socket_options import bound_silence
 
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
 READ_PAUSE_BYTES = 262144  # Unread bytes at which reading is paused.
 MAX_HEAD_BYTES = 65536  # Largest response head.
 SMALL_BODY_BYTES = 65536  # Part of a body that takes nothing from a budget.
@@ -34,7 +38,7 @@
 
 
 class ByteBudget:
-    """Bytes that the bodies being read may take together.
+    """Bytes that bodies may take together, from their read until they are written.
 
     Parameters
     ----------
@@ -56,6 +60,25 @@
         """Give bytes back."""
         self._free_bytes += size
 
+    def has_room(self, body: bytes) -> bool:
+        """Whether a body may be held."""
+        return _count_excess(body) <= max(0, self._free_bytes)
+
+    @contextmanager
+    def hold(self, body: bytes) -> Iterator[None]:
+        """Keep the bytes of a body that has been read until it is written."""
+        size = _count_excess(body)
+        self._free_bytes -= size
+        try:
+            yield
+        finally:
+            self.release(size)
+
+
+def _count_excess(body: bytes) -> int:
+    """Return the bytes of a body that need room in a budget."""
+    return max(0, len(body) - SMALL_BODY_BYTES)
+
 
 class HttpClientConnection(asyncio.Protocol):
     """A client connection that carries one request at a time.
--- a/packages/persimmonlink-router/src/persimmonlink_router/http_connection.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/http_connection.py
@@ -11,6 +11,7 @@
 
 from persimmonlink_router.boot_clock import boot_time
 from persimmonlink_router.client_use_times import ConnectionUse
+from persimmonlink_router.http_client import SMALL_BODY_BYTES
 from persimmonlink_router.http_exchange import (
     BadRequestError,
     ClientDisconnectedError,
@@ -56,6 +57,7 @@
         self._task: asyncio.Task[None] | None = None
         self._unread_bytes = 0
         self._events_in_turn = 0
+        self._reserved_bytes = 0
         self._is_paused = False
         self._is_ending = False
         now = boot_time()
@@ -218,7 +220,7 @@
     async def _run(self) -> None:
         try:
             while await self._serve_request():
-                pass
+                self._release_body()
             await self._end_in_order()
         except (ClientDisconnectedError, asyncio.CancelledError):
             pass
@@ -226,6 +228,7 @@
             logger.exception("connection.failed")
         finally:
             self.is_serving = False
+            self._release_body()
             self.close()
 
     async def _serve_request(self) -> bool:
@@ -311,11 +314,26 @@
             size += len(event.data)
             if size > limits.body_bytes:
                 raise BadRequestError(413, "the request body is over the limit")
+            self._reserve_body(size)
             parts.append(bytes(event.data))
         return HttpRequest(
             bytes(first.method), bytes(first.target), headers, b"".join(parts)
         )
 
+    def _reserve_body(self, size: int) -> None:
+        """Reserve memory for a body until the request ends.
+
+        Raises `BadRequestError` if the bodies of all connections take too much.
+        """
+        excess = max(0, size - SMALL_BODY_BYTES) - self._reserved_bytes
+        if not self._server.body_budget.try_reserve(excess):
+            raise BadRequestError(503, "too many long request bodies are buffered")
+        self._reserved_bytes += excess
+
+    def _release_body(self) -> None:
+        self._server.body_budget.release(self._reserved_bytes)
+        self._reserved_bytes = 0
+
     async def _next_event(self, timeout_s: float) -> Any:
         """Return the next h11 event, or None if none arrives in time."""
         self._events_in_turn += 1
@@ -342,6 +360,7 @@
             self._transport.resume_reading()
 
     async def _reject(self, error: BadRequestError) -> None:
+        self._release_body()
         logger.bind(status=error.status, reason=str(error)).info("request.malformed")
         if self._h11.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
--- a/packages/persimmonlink-router/src/persimmonlink_router/http_server.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/http_server.py
@@ -10,6 +10,7 @@
 
 from loguru import logger
 
+from persimmonlink_router.http_client import ByteBudget
 from persimmonlink_router.http_connection import HttpServerConnection
 from persimmonlink_router.http_exchange import (
     BadRequestError,
@@ -22,6 +23,7 @@
     from persimmonlink_router.stop_record import StopRecord
 
 LISTEN_BACKLOG = 512  # Connections that wait to be accepted.
+MAX_REQUEST_BYTES = 67108864  # Largest size of all request bodies that are buffered.
 
 Handler = Callable[[Exchange], Awaitable[None]]
 
@@ -40,6 +42,7 @@
     def __init__(self, handler: Handler, limits: RequestLimits) -> None:
         self.handler = handler
         self.limits = limits
+        self.body_budget = ByteBudget(MAX_REQUEST_BYTES)
         self.connections: set[HttpServerConnection] = set()
         self.is_stopping = False
         # Boot time from which clients that go on sending are told to leave, too.
--- a/packages/persimmonlink-router/src/persimmonlink_router/plain_relay.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/plain_relay.py
@@ -57,7 +57,8 @@
                 continue
         sender.responses.record_start(state, response)
         headers = strip_hop_by_hop_headers(response.head.headers)
-        await state.exchange.respond(response.head.status, headers, body)
+        with sender.body_budget.hold(body):
+            await state.exchange.respond(response.head.status, headers, body)
         return
 
 
--- a/packages/persimmonlink-router/src/persimmonlink_router/request_forwarder.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/request_forwarder.py
@@ -22,6 +22,7 @@
 
     from persimmonlink_router.cluster_membership import ClusterMembership
     from persimmonlink_router.cluster_view import ClusterView
+    from persimmonlink_router.http_client import ByteBudget
     from persimmonlink_router.metrics import RouterMetrics
     from persimmonlink_router.peer_messages import RouterMember
     from persimmonlink_router.reach_board import ReachBoard
@@ -48,6 +49,8 @@
         Counts requests that are passed on.
     rng : random.Random
         Chooses among nodes that are equal.
+    body_budget : ByteBudget
+        Bounds the responses that are buffered.
     """
 
     def __init__(
@@ -57,7 +60,9 @@
         cluster_view: ClusterView,
         metrics: RouterMetrics,
         rng: random.Random,
+        body_budget: ByteBudget,
     ) -> None:
+        self._body_budget = body_budget
         self._membership = membership
         self._board = board
         self._cluster_view = cluster_view
@@ -170,7 +175,10 @@
         """Pass a whole response on, if there is room for it until it is written."""
         if state.exchange.has_started:
             raise RequestFailedError(f"the stream can't go on: status {part.status}")
-        await state.exchange.respond(part.status, part.headers, part.body)
+        if not self._body_budget.has_room(part.body):
+            raise RequestFailedError("too much of all responses is buffered")
+        with self._body_budget.hold(part.body):
+            await state.exchange.respond(part.status, part.headers, part.body)
 
     def _handle_loss(self, state: RequestState, reason: str) -> str:
         """Return the reason if another peer may take the request, or raise."""
--- a/packages/persimmonlink-router/src/persimmonlink_router/router.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/router.py
@@ -279,6 +279,7 @@
             self.cluster_view,
             self.metrics,
             self._rng,
+            self._sender.body_budget,
         )
         self._request_service = RequestService(
             self.cluster_view,
--- a/packages/persimmonlink-router/src/persimmonlink_router/stream_relay.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stream_relay.py
@@ -194,7 +194,8 @@
                 sender.responses.record_failure(response.server)
                 raise StreamInterruptedError(f"status {response.head.status}")
             headers = strip_hop_by_hop_headers(response.head.headers)
-            await state.exchange.respond(response.head.status, headers, body)
+            with sender.body_budget.hold(body):
+                await state.exchange.respond(response.head.status, headers, body)
             return True
         await _forward_events(state, sender, stages, response, splitter)
         is_complete = True
