Let routers that tests end send nothing more

A trace showed that ended routers of the test served on in their process and sent; real processes can't. Their channels now fail as those of a node that has ended.

--- a/tests/router/rig.py
+++ b/tests/router/rig.py
@@ -8,9 +8,12 @@
 from typing import TYPE_CHECKING, Any
 
 import h11
+from returns.result import Failure as Err
 
 from persimmonlink_adapter.run import create_adapters
 from persimmonlink_bench.process import find_free_ports, release_ports
+from persimmonlink_model.result_code import Failure, ResultCode, RunState
+from persimmonlink_peers.peer_channel import PeerStreamError
 from persimmonlink_router.connection_pool import open_connection
 from persimmonlink_router.router import Router
 from persimmonlink_router.router_settings import (
@@ -33,6 +36,9 @@
 PLAIN_SERVICE = "desk"
 STAGE_SERVICE = "stage"
 KEY = "key-of-acme"
+NODE_HAS_ENDED = Failure(
+    ResultCode.PEER_UNREACHABLE, "the node has ended", RunState.UNKNOWN
+)
 # Headers of a request for a stream, and of one with stages before it.
 STREAM = {
     "Persimmonlink_Model": "m",
@@ -241,9 +247,24 @@
         release_addresses(rig.settings)
 
 
+class EndedChannel:
+    """Channel of a node that has ended, which sends nothing more."""
+
+    async def call(self, _message: Any, _reply_type: type, _timeout_s: float) -> Any:
+        """Fail as a call does."""
+        return Err(NODE_HAS_ENDED)
+
+    async def stream(self, *_: Any) -> AsyncIterator[Any]:
+        """Fail as a call does."""
+        raise PeerStreamError(NODE_HAS_ENDED, was_sent=False)
+        yield
+
+
 async def stop_router(router: Router) -> None:
     """End a router at once, without a drain."""
     router._close()
+    # Tasks of the router go on in this process.
+    router.membership.channel = lambda _: EndedChannel()
     await router._peer_server.stop()
 
 
