End the connections of peers with the server that stops

grpclib closes its listener and keeps open connections: an ended router answered heartbeats and took reports under its old name, so that most lists of members named one to three ended ones and reports went to them.

--- a/packages/persimmonlink-peers/src/persimmonlink_peers/peer_server.py
+++ b/packages/persimmonlink-peers/src/persimmonlink_peers/peer_server.py
@@ -8,11 +8,11 @@
 
 from grpclib.const import Cardinality, Handler
 from grpclib.exceptions import GRPCError
-from grpclib.server import Server
 from loguru import logger
 
 from persimmonlink_model.result_code import ResultCode
 from persimmonlink_peers.codec import CODE_BY_STATUS, MessagePackCodec
+from persimmonlink_peers.grpc_server import GrpcServer
 from persimmonlink_peers.ping import build_ping_configuration
 
 if TYPE_CHECKING:
@@ -44,7 +44,7 @@
     def __init__(self, on_invalid: Callable[[ResultCode], None]) -> None:
         self._on_invalid = on_invalid
         self._handler_by_path: dict[str, Handler] = {}
-        self._server: Server | None = None
+        self._server: GrpcServer | None = None
         self._call_count = 0
 
     def register(
@@ -117,7 +117,7 @@
     async def start(self, host: str, port: int) -> None:
         """Start to listen for peers."""
         pings = build_ping_configuration(PING_INTERVAL_S, PING_TIMEOUT_S)
-        self._server = Server([self], codec=MessagePackCodec(), config=pings)
+        self._server = GrpcServer([self], codec=MessagePackCodec(), config=pings)
         await self._server.start(host, port)
 
     async def finish(self, timeout_s: float) -> None:
@@ -140,12 +140,16 @@
                 await server.wait_closed()
         except TimeoutError:
             logger.bind(calls=self._call_count).info("peers.not_closed")
+        server.end_connections()
+        await _wait_while(lambda: server.has_connections, ends_at)
+        server.close_connections()
 
     async def stop(self) -> None:
-        """Stop listening and wait until the calls in progress have ended."""
+        """Stop listening, cancel the calls in progress and close all connections."""
         if self._server is None:
             return
         self._server.close()
+        self._server.close_connections()
         await self._server.wait_closed()
 
     def _report_invalid(self, code: ResultCode, detail: str) -> None:
