--- a/packages/persimmonlink-router/src/persimmonlink_router/crash_guard.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/crash_guard.py
@@ -12,9 +12,9 @@
     CrashEvidence,
     ServerEnd,
 )
-from persimmonlink_router.crash_reports import read_report
 from persimmonlink_router.holds import HOLD_S, Hold, Holds
 from persimmonlink_router.peer_messages import Acknowledgement, SharedFacts
+from persimmonlink_router.report_outbox import read_report
 from persimmonlink_router.request_fingerprint import is_fingerprint
 from persimmonlink_router.served_causes import ServedCauses
 from persimmonlink_router.server_runs import ServerRuns
--- a/tests/router/test_crash_reports.py
+++ b/tests/router/test_crash_reports.py
@@ -18,6 +18,7 @@
     CrashReporter,
 )
 from persimmonlink_router.peer_messages import Acknowledgement
+from persimmonlink_router.report_outbox import RETRY_PAUSE_S
 
 SEND_S = 0.1  # Enough for a report that is sent at once.
 CAUSE = "request:1"
@@ -35,6 +36,7 @@
     sender: Sender = field(default_factory=lambda: Sender("own", "1"))
     reports_by_node_id: dict[str, list] = field(default_factory=dict)
     failing_ids: set[str] = field(default_factory=set)
+    silent_ids: set[str] = field(default_factory=set)
 
     def list_serving_members(self):
         return self.members
@@ -54,7 +56,10 @@
     peers: Peers
     node_id: str
 
-    async def call(self, message, _reply_type, _timeout_s):
+    async def call(self, message, _reply_type, timeout_s):
+        if self.node_id in self.peers.silent_ids:
+            await asyncio.sleep(timeout_s)
+            return Failure("timed out")
         if self.node_id in self.peers.failing_ids:
             return Failure("refused")
         self.peers.reports_by_node_id.setdefault(self.node_id, []).append(message)
@@ -128,3 +133,45 @@
         assert peers.count_ends("n1") == 1
 
     asyncio.run(scenario())
+
+
+def test_an_end_seen_while_a_member_is_silent_reaches_the_others_at_once():
+    async def scenario():
+        peers = Peers([make_member(n) for n in ("n1", "n2", "own")], silent_ids={"n1"})
+        reporter = CrashReporter(peers)
+        reporter.add_ends([make_end("first")])
+        await asyncio.sleep(SEND_S)
+        assert peers.count_ends("n2") == 1
+        reporter.add_ends([make_end("second")])
+        await asyncio.sleep(SEND_S)
+        assert peers.count_ends("n2") == 2
+
+    asyncio.run(scenario())
+
+
+def test_a_report_that_failed_is_sent_again_before_the_next_sweep():
+    async def scenario():
+        peers = Peers([make_member(n) for n in ("n1", "own")], failing_ids={"n1"})
+        reporter = CrashReporter(peers)
+        reporter.add_ends([make_end()])
+        await asyncio.sleep(SEND_S)
+        peers.failing_ids.clear()
+        await asyncio.sleep(RETRY_PAUSE_S + SEND_S)
+        assert peers.count_ends("n1") == 1
+
+    asyncio.run(scenario())
+
+
+def test_a_member_that_combines_no_more_gets_nothing_after_a_failure():
+    async def scenario():
+        peers = Peers([make_member(n) for n in ("n1", "own")], failing_ids={"n1"})
+        reporter = CrashReporter(peers)
+        reporter.add_ends([make_end()])
+        await asyncio.sleep(SEND_S)
+        peers.failing_ids.clear()
+        peers.members = [make_member(n) for n in ("n2", "own")]
+        reporter.flush()
+        await asyncio.sleep(RETRY_PAUSE_S + SEND_S)
+        assert (peers.count_ends("n1"), peers.count_ends("n2")) == (0, 1)
+
+    asyncio.run(scenario())
