Count ends under a request and its repeat by the clock of who saw them

Two ends counted as one: members learn times as ages in messages, which differ in delay, so that the end under a request and that under its own repeat looked simultaneous (in a trace: 1 of 2 ends at two of three members).

The observer's clock decides: a report names the servers that its node saw end apart from this one (`apart_from`, optional; own_ends.py). The counting moves to end_counts.py.

--- a/packages/persimmonlink-router/src/persimmonlink_router/crash_evidence.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/crash_evidence.py
@@ -11,22 +11,22 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from persimmonlink_router.request_fingerprint import is_fingerprint
+from persimmonlink_router.end_counts import (
+    ENDS_TO_HOLD,
+    ENDS_TO_HOLD_REQUEST,
+    ENDS_TO_SUSPECT,
+    MORE_DOUBTFUL_ENDS,
+    count_distinct,
+    count_ends_to_hold,
+    has_enough_ends,
+    is_suspicious,
+)
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Sequence
-
-ENDS_TO_SUSPECT = 2  # Ends from which other nodes are asked for responses.
-ENDS_TO_HOLD = 4  # Ends from which a prompt part is held back.
-# The same for a whole request. It is rarer than a part, so that fewer servers end for
-# other reasons while they run it.
-ENDS_TO_HOLD_REQUEST = 3
-# More ends are needed with those that something else may have caused.
-MORE_DOUBTFUL_ENDS = 2
+    from collections.abc import Iterable
+
 # Time in which responses that clear a cause may arrive from other nodes.
 HOLD_DELAY_S = 0.4
-# Ends closer together count once, because servers that end together have one cause.
-MIN_END_SPACING_S = 0.1
 EVIDENCE_LIFETIME_S = 3600.0  # Older ends are forgotten.
 MAX_CAUSES = 8000  # Causes with evidence; those with the oldest evidence are forgotten.
 MAX_ENDS_PER_CAUSE = 32  # Ends that are kept for a cause, the newest.
@@ -72,6 +72,9 @@
         Where the request came from.
     is_doubtful : bool
         Whether something else may have ended the server.
+    apart_from : frozenset of str
+        Servers of other requests with a common cause that one node saw end either
+        before it sent this one, or so that it sent them after this end.
     """
 
     server: str
@@ -81,6 +84,7 @@
     software: str = ""
     origin: RequestOrigin = UNKNOWN_ORIGIN
     is_doubtful: bool = False
+    apart_from: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True, slots=True)
@@ -126,13 +130,12 @@
                 e.server == end.server and e.cause_ids == end.cause_ids for e in ends
             ):
                 continue
-            before = _count_distinct(cause_id, ends)
+            was_suspicious = is_suspicious(cause_id, ends)
             ends.append(end)
             del ends[:-MAX_ENDS_PER_CAUSE]
-            count = _count_distinct(cause_id, ends)
-            if before < ENDS_TO_SUSPECT <= count:
+            if not was_suspicious and is_suspicious(cause_id, ends):
                 suspects.append(cause_id)
-            if _has_enough_ends(cause_id, ends):
+            if has_enough_ends(cause_id, ends):
                 self._reached_at_by_cause.setdefault(cause_id, now)
         self._discard_excess()
         return suspects
@@ -149,21 +152,20 @@
         ends = self._ends_by_cause[cause_id]
         kept = [end for end in ends if end.ended_at > served_at]
         self._ends_by_cause[cause_id] = kept
-        if not _has_enough_ends(cause_id, kept):
+        if not has_enough_ends(cause_id, kept):
             self._reached_at_by_cause.pop(cause_id, None)
         return len(ends) - len(kept)
 
     def count_ends(self, cause_id: str) -> int:
         """Return the ends of servers since a cause was served, as they count."""
-        return _count_distinct(cause_id, self._ends_by_cause.get(cause_id, ()))
+        return count_distinct(cause_id, self._ends_by_cause.get(cause_id, ()))
 
     def list_suspects(self) -> list[str]:
         """Return the causes with so many ends that responses to them matter."""
         return [
             cause_id
             for cause_id, ends in self._ends_by_cause.items()
-            if len(ends) >= ENDS_TO_SUSPECT
-            and _count_distinct(cause_id, ends) >= ENDS_TO_SUSPECT
+            if len(ends) >= ENDS_TO_SUSPECT and is_suspicious(cause_id, ends)
         ]
 
     @property
@@ -228,7 +230,7 @@
             self._ends_by_cause[cause_id] = _keep_newest(
                 cause_id,
                 self._ends_by_cause[cause_id],
-                _count_ends_to_hold(cause_id) - 1,
+                count_ends_to_hold(cause_id) - 1,
             )
 
     def discard_expired(self, now: float) -> None:
@@ -238,7 +240,7 @@
             if len(kept) == len(ends) and kept:
                 continue
             self._ends_by_cause[cause_id] = kept
-            if not _has_enough_ends(cause_id, kept):
+            if not has_enough_ends(cause_id, kept):
                 self._reached_at_by_cause.pop(cause_id, None)
             if not kept:
                 self.forget([cause_id])
@@ -248,52 +250,16 @@
             self.forget([next(iter(self._ends_by_cause))])
 
 
-def _count_ends_to_hold(cause_id: str) -> int:
-    return ENDS_TO_HOLD_REQUEST if is_fingerprint(cause_id) else ENDS_TO_HOLD
-
-
-def _has_enough_ends(cause_id: str, ends: Sequence[ServerEnd]) -> bool:
-    """Whether so many servers ended that a cause is held back."""
-    needed = _count_ends_to_hold(cause_id)
-    certain = [end for end in ends if not end.is_doubtful]
-    if _count_distinct(cause_id, certain) >= needed:
-        return True
-    return _count_distinct(cause_id, ends) >= needed + MORE_DOUBTFUL_ENDS
-
-
 def _keep_newest(cause_id: str, ends: list[ServerEnd], count: int) -> list[ServerEnd]:
     """Return the newest ends that count as at most `count`."""
     kept: list[ServerEnd] = []
     for end in sorted(ends, key=lambda e: e.ended_at, reverse=True):
-        if _count_distinct(cause_id, [*kept, end]) > count:
+        if count_distinct(cause_id, [*kept, end]) > count:
             break
         kept.append(end)
     return kept
 
 
-def _count_distinct(cause_id: str, ends: Iterable[ServerEnd]) -> int:
-    """Count the servers that ended, those that ended together once.
-
-    A whole request that was sent to a server after another one had ended under it is
-    evidence of its own, however soon that server ended.
-    """
-    first_by_server: dict[str, ServerEnd] = {}
-    for end in ends:
-        known = first_by_server.get(end.server)
-        if known is None or end.ended_at < known.ended_at:
-            first_by_server[end.server] = end
-    count = 0
-    counted_at = NEVER
-    for end in sorted(first_by_server.values(), key=lambda e: e.ended_at):
-        is_together = end.ended_at - counted_at < MIN_END_SPACING_S
-        was_sent_after = is_fingerprint(cause_id) and end.sent_at >= counted_at > NEVER
-        if is_together and not was_sent_after:
-            continue
-        counted_at = end.ended_at
-        count += 1
-    return count
-
-
 __all__ = (
     "NEVER",
     "ENDS_TO_HOLD",
--- a/packages/persimmonlink-router/src/persimmonlink_router/crash_guard.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/crash_guard.py
@@ -13,6 +13,7 @@
     ServerEnd,
 )
 from persimmonlink_router.holds import HOLD_S, Hold, Holds
+from persimmonlink_router.own_ends import OwnEnds
 from persimmonlink_router.peer_messages import Acknowledgement, SharedFacts
 from persimmonlink_router.report_outbox import read_report
 from persimmonlink_router.request_fingerprint import is_fingerprint
@@ -84,6 +85,7 @@
         self._served_requests = ServedCauses()
         self._cleared = ServedCauses()
         self._runs = ServerRuns()
+        self._own_ends = OwnEnds()
         self.holds = Holds()
         self.trials = TrialPermits(peers, reporter, self._needs_trial)
         self._served_in_trial_at: dict[str, float] = {}
@@ -137,17 +139,16 @@
                 if not is_doubtful
                 and not self._served_parts.was_served_since(part_id, served_since)
             ]
-            ends.append(
-                ServerEnd(
-                    name,
-                    frozenset([*part_ids, request.fingerprint]),
-                    request.interrupted_at,
-                    request.sent_at,
-                    server.software,
-                    request.origin,
-                    is_doubtful,
-                )
+            end = ServerEnd(
+                name,
+                frozenset([*part_ids, request.fingerprint]),
+                request.interrupted_at,
+                request.sent_at,
+                server.software,
+                request.origin,
+                is_doubtful,
             )
+            ends.append(self._own_ends.add(end))
         if not ends:
             return
         self._record_ends(ends)
--- a/packages/persimmonlink-router/src/persimmonlink_router/peer_messages.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/peer_messages.py
@@ -302,6 +302,9 @@
         Path of the request, empty if unknown.
     is_doubtful : bool
         Whether something else may have ended the server.
+    apart_from : tuple of str
+        Servers that the node saw end before it sent the request, or whose requests it
+        sent after the end.
     """
 
     server: str
@@ -312,6 +315,7 @@
     account: str = ""
     path: str = ""
     is_doubtful: bool = False
+    apart_from: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True)
--- a/packages/persimmonlink-router/src/persimmonlink_router/report_outbox.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/report_outbox.py
@@ -171,6 +171,7 @@
         end.origin.account,
         end.origin.path,
         end.is_doubtful,
+        tuple(sorted(end.apart_from)),
     )
 
 
@@ -184,6 +185,7 @@
         report.software,
         RequestOrigin(report.account, report.path),
         report.is_doubtful,
+        frozenset(report.apart_from),
     )
 
 
--- a/tests/router/test_crash_guard.py
+++ b/tests/router/test_crash_guard.py
@@ -8,10 +8,14 @@
 
 from persimmonlink_model.membership import Member
 from persimmonlink_peers.message import Sender
+from persimmonlink_router.boot_clock import boot_time
 from persimmonlink_router.crash_guard import CrashGuard
 from persimmonlink_router.crash_reports import CrashReporter
 from persimmonlink_router.metrics import RouterMetrics
 from persimmonlink_router.peer_messages import AskTrial, ReportCrashes, SharedFacts
+from persimmonlink_router.report_outbox import build_report
+from persimmonlink_router.server_ends import InterruptedRequest
+from persimmonlink_router.servers import Server
 
 if TYPE_CHECKING:
     from persimmonlink_router.hold_records import HoldRecords
@@ -36,6 +40,14 @@
     )
 
 
+def make_server(server_id: str) -> Server:
+    return Server(server_id, 1, "desk", f"{server_id}:1", "a", 4, False, 0.0)
+
+
+def make_request(sent_at: float, interrupted_at: float) -> InterruptedRequest:
+    return InterruptedRequest("r", CAUSE, (), sent_at, None, interrupted_at)
+
+
 async def ask(guard: CrashGuard) -> bool:
     reply = await guard.trials.handle_ask(AskTrial(PEER, CAUSE))
     return reply.is_granted
@@ -72,3 +84,33 @@
         assert await ask(guard)
 
     asyncio.run(scenario())
+
+
+def test_a_late_message_on_the_first_end_does_not_hide_that_of_the_repeat():
+    async def scenario():
+        reports = []
+        observer, keeper = make_guard(), make_guard()
+        observer._reporter.add_ends = reports.append
+        now = boot_time()
+        for server, sent_s, ended_s in (("s1", 0.09, 0.05), ("s2", 0.045, 0.01)):
+            request = make_request(now - sent_s, now - ended_s)
+            observer.record_server_end(make_server(server), [request])
+        assert observer._evidence.count_ends(CAUSE) == 2
+        for ends, delay_s in zip(reports, (0.03, 0.0), strict=True):
+            report = build_report(ends[0], boot_time() - delay_s)
+            await keeper.handle_report(ReportCrashes(PEER, (report,)))
+        assert keeper._evidence.count_ends(CAUSE) == 2
+
+    asyncio.run(scenario())
+
+
+def test_two_servers_that_run_a_request_at_once_and_end_together_count_once():
+    async def scenario():
+        observer = make_guard()
+        now = boot_time()
+        for server, ended_s in (("s1", 0.05), ("s2", 0.01)):
+            request = make_request(now - 0.09, now - ended_s)
+            observer.record_server_end(make_server(server), [request])
+        assert observer._evidence.count_ends(CAUSE) == 1
+
+    asyncio.run(scenario())
