Pass reports on to members that the reporting node does not know

A member took it for granted that others got a report too, also those that the reporting node didn't know yet. A report names its receivers (`receiver_ids`, optional), and a member passes it on to those that are missing.

--- a/packages/persimmonlink-router/src/persimmonlink_router/crash_guard.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/crash_guard.py
@@ -162,7 +162,10 @@
             cause_id: now - age_s
             for cause_id, age_s in message.served_age_s_by_part.items()
         }
-        self._reporter.keep_reports(ends, served_at_by_cause)
+        receiver_ids = set(message.receiver_ids)
+        if receiver_ids:
+            receiver_ids.add(message.sender.node_id)
+        self._reporter.keep_reports(ends, served_at_by_cause, receiver_ids)
         self._record_ends(ends)
         for cause_id, served_at in served_at_by_cause.items():
             self._clear(cause_id, served_at)
--- a/packages/persimmonlink-router/src/persimmonlink_router/crash_reports.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/crash_reports.py
@@ -10,7 +10,7 @@
 from persimmonlink_router.report_outbox import KeptReports, ReportOutbox, build_key
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Collection, Sequence
 
     from persimmonlink_model.membership import Member
     from persimmonlink_peers.message import Sender
@@ -80,13 +80,28 @@
         self.flush()
 
     def keep_reports(
-        self, ends: Sequence[ServerEnd], served_at_by_cause: dict[str, float]
+        self,
+        ends: Sequence[ServerEnd],
+        served_at_by_cause: dict[str, float],
+        receiver_ids: Collection[str] = (),
     ) -> None:
-        """Keep what a peer reported for the members that combine reports later.
-
-        The present ones get it from the peer.
+        """Keep what a peer reported for the other members that combine reports.
+
+        Parameters
+        ----------
+        ends : sequence of ServerEnd
+            Ends of servers.
+        served_at_by_cause : dict of str to float
+            Boot times at which suspect causes were served, in seconds.
+        receiver_ids : collection of str
+            Members that have it or get it from the peer; if empty, all that combine
+            reports now.
         """
-        outboxes = list(self._update_outboxes().values())
+        outboxes = [
+            outbox
+            for node_id, outbox in self._update_outboxes().items()
+            if not receiver_ids or node_id in receiver_ids
+        ]
         kept = self._reports
         for end in ends:
             key = build_key(end)
@@ -102,6 +117,7 @@
             for outbox in outboxes:
                 outbox.mark_served_sent(cause_id, served_at)
         self._discard_excess()
+        self.flush()
 
     def tick(self) -> None:
         """Report to members that have begun to combine the reports."""
@@ -155,6 +171,7 @@
             if node_id not in self._outbox_by_node_id:
                 outbox = ReportOutbox(self._peers, member, self._reports)
                 self._outbox_by_node_id[node_id] = outbox
+        self._reports.receiver_ids = tuple(keepers)
         return self._outbox_by_node_id
 
     def _discard_excess(self) -> None:
--- a/packages/persimmonlink-router/src/persimmonlink_router/peer_messages.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/peer_messages.py
@@ -330,11 +330,14 @@
         Ends of servers under requests of the sender.
     served_age_s_by_part : dict of str to float
         Times since suspect prompt parts were served, in seconds.
+    receiver_ids : tuple of str
+        Nodes that get this from the sender; empty if it doesn't say so.
     """
 
     sender: Sender
     crashes: tuple[CrashReport, ...]
     served_age_s_by_part: dict[str, float] = field(default_factory=dict)
+    receiver_ids: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True)
--- a/packages/persimmonlink-router/src/persimmonlink_router/report_outbox.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/report_outbox.py
@@ -53,10 +53,13 @@
         Ends, by server and causes.
     served_at_by_cause : dict of str to float
         Boot times at which suspect causes were served, in seconds.
+    receiver_ids : tuple of str
+        Members that get all of this from this node.
     """
 
     end_by_key: dict[EndKey, ServerEnd] = field(default_factory=dict)
     served_at_by_cause: dict[str, float] = field(default_factory=dict)
+    receiver_ids: tuple[str, ...] = ()
 
     def __bool__(self) -> bool:
         return bool(self.end_by_key or self.served_at_by_cause)
@@ -131,6 +134,7 @@
             self._channels.sender,
             tuple(build_report(self._reports.end_by_key[key], now) for key in keys),
             {cause_id: now - served_at for cause_id, served_at in served.items()},
+            self._reports.receiver_ids,
         )
         channel = self._channels.channel(self._member.peer_address)
         reply = await channel.call(message, Acknowledgement, REPORT_TIMEOUT_S)
--- a/tests/router/test_crash_reports.py
+++ b/tests/router/test_crash_reports.py
@@ -175,3 +175,19 @@
         assert (peers.count_ends("n1"), peers.count_ends("n2")) == (0, 1)
 
     asyncio.run(scenario())
+
+
+def test_a_member_that_the_reporting_node_does_not_know_gets_its_report():
+    async def scenario():
+        peers = Peers([make_member(n) for n in ("n1", "new", "own")])
+        reporter = CrashReporter(peers)
+        served_at = boot_time()
+        receiver_ids = ("seer", "n1", "n2", "own")
+        reporter.keep_reports([make_end()], {CAUSE: served_at}, receiver_ids)
+        await asyncio.sleep(SEND_S)
+        assert (peers.count_ends("n1"), peers.count_ends("new")) == (0, 1)
+        report = peers.reports_by_node_id["new"][0]
+        assert CAUSE in report.served_age_s_by_part
+        assert report.receiver_ids == ("n1", "new")
+
+    asyncio.run(scenario())
