Hand places of brittle servers over, and give up those without a reply

Two faults of the same bookkeeping, which can't be split sensibly.

They are handed over (message `HandPlacesOver`), and a node that leaves passes on what peers ask and tell it, once.

A place whose grant got no reply in time counted as held for the request's whole time. Places have ids, and one of which the granter didn't reply is given up at once (message `GiveUpPlace`), which frees no other place and may be sent again.

--- a/packages/persimmonlink-router/src/persimmonlink_router/peer_handlers.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/peer_handlers.py
@@ -13,6 +13,8 @@
     EndPlace,
     FindStreamVersion,
     FoundStreamVersion,
+    GiveUpPlace,
+    HandPlacesOver,
     MirrorPull,
     MirrorUpdate,
     PermitReply,
@@ -74,6 +76,8 @@
     peers.register(AskReach, ReachReply, confirmer.handle_ask)
     peers.register(AskPlace, PermitReply, places.handle_ask)
     peers.register(EndPlace, Acknowledgement, places.handle_end)
+    peers.register(GiveUpPlace, Acknowledgement, places.handle_give_up)
+    peers.register(HandPlacesOver, Acknowledgement, places.handle_hand_over)
     peers.register(AskPermit, PermitReply, limiter.handle_ask)
 
 
--- a/packages/persimmonlink-router/src/persimmonlink_router/peer_messages.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/peer_messages.py
@@ -145,12 +145,18 @@
         Requests that the server runs at once.
     lease_s : float
         Time for which the place is held at most, in seconds.
+    is_passed_on : bool
+        Whether a node that leaves got it and passed it on.
+    place_id : str
+        Id by which the sender ends the place; empty from older builds.
     """
 
     sender: Sender
     limit: LimitNotice
     slots: int
     lease_s: float
+    is_passed_on: bool = False
+    place_id: str = ""
 
 
 @dataclass(frozen=True)
@@ -165,11 +171,63 @@
         Id, start time and address of the incarnation.
     was_rejected : bool
         Whether the server rejected the request.
+    is_passed_on : bool
+        Whether a node that leaves got it and passed it on.
+    place_id : str
+        Id of the place; empty from older builds.
     """
 
     sender: Sender
     server: ServerKey
     was_rejected: bool
+    is_passed_on: bool = False
+    place_id: str = ""
+
+
+@dataclass(frozen=True)
+class GiveUpPlace:
+    """Tells a peer that a place is not used, also if it was granted without a reply.
+
+    Unlike `EndPlace`, it frees no other place, so that it may be sent again.
+
+    Parameters
+    ----------
+    sender : Sender
+        Node that asked for the place.
+    server : tuple of str, int and str
+        Id, start time and address of the incarnation.
+    place_id : str
+        Id of the place.
+    is_passed_on : bool
+        Whether a node that leaves got it and passed it on.
+    """
+
+    sender: Sender
+    server: ServerKey
+    place_id: str
+    is_passed_on: bool = False
+
+
+@dataclass(frozen=True)
+class HandPlacesOver:
+    """Tells a peer which places at a brittle server are held, as it grants them now.
+
+    Parameters
+    ----------
+    sender : Sender
+        Node that granted them, and leaves.
+    server : tuple of str, int and str
+        Id, start time and address of the incarnation.
+    capacity : int
+        Places that the server was granted at most.
+    left_s_by_node : dict of str to tuple of float
+        Times for which they are held at most, in seconds, by node.
+    """
+
+    sender: Sender
+    server: ServerKey
+    capacity: int
+    left_s_by_node: dict[str, tuple[float, ...]]
 
 
 @dataclass(frozen=True)
@@ -477,6 +535,7 @@
     "AskPermit",
     "AskPlace",
     "EndPlace",
+    "GiveUpPlace",
     "AskReach",
     "ReachNotice",
     "ReachReply",
--- a/packages/persimmonlink-router/src/persimmonlink_router/router.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/router.py
@@ -388,6 +388,7 @@
     async def _leave(self) -> None:
         """Tell the other nodes and the store that this node leaves."""
         self.membership.mark_leaving()
+        self._tasks.spawn(self._places.succession.hand_over(), "places")
         self._scheduler.transfer_requests()
         await self._registration.deregister()
 
--- a/packages/persimmonlink-router/src/persimmonlink_router/server_places.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/server_places.py
@@ -2,24 +2,26 @@
 
 from __future__ import annotations
 
-import asyncio
+import secrets
 from typing import TYPE_CHECKING
 
 from loguru import logger
-from returns.result import Failure as Err
 
-from persimmonlink_model.rendezvous import choose_owner
 from persimmonlink_router.boot_clock import boot_time
 from persimmonlink_router.named_limits import NamedLimits
 from persimmonlink_router.peer_messages import (
     Acknowledgement,
     AskPlace,
     EndPlace,
+    GiveUpPlace,
+    HandPlacesOver,
     LimitNotice,
     PermitReply,
     SharedFacts,
 )
 from persimmonlink_router.place_counter import RETRY_S, PlaceCounter
+from persimmonlink_router.place_exchange import PlaceExchange
+from persimmonlink_router.place_succession import PlaceSuccession
 
 if TYPE_CHECKING:
     from collections.abc import Collection
@@ -32,12 +34,11 @@
     from persimmonlink_router.servers import Server, ServerKey
     from persimmonlink_router.wire_messages import ResponseInfo
 
-ASK_TIMEOUT_S = 0.2  # Timeout of a question to the node that grants places.
-END_TIMEOUT_S = 0.5  # Timeout of the message that frees a place.
 # Time after the end of a request by which its place is free if no message frees it.
 PLACE_MARGIN_S = 0.5
 # A brittle server that ends so soon after a rejection has ended of that.
 END_WINDOW_S = 1.5
+PLACE_ID_BYTES = 8
 
 
 class Place:
@@ -51,20 +52,32 @@
         The server.
     granter : Member or None
         Node that granted it; None for this node.
+    place_id : str
+        Its id among the places of this node; empty if it has none.
     """
 
     def __init__(
-        self, owner: ServerPlaces | None, server: Server, granter: Member | None
+        self,
+        owner: ServerPlaces | None,
+        server: Server,
+        granter: Member | None,
+        place_id: str = "",
     ) -> None:
         self._owner = owner
         self._server = server
         self._granter = granter
+        self._place_id = place_id
 
     def end(self, *, was_rejected: bool = False) -> None:
         """Free the place, once."""
         if self._owner is None:
             return
-        self._owner.end_place(self._server, self._granter, was_rejected=was_rejected)
+        self._owner.end_place(
+            self._server,
+            self._granter,
+            was_rejected=was_rejected,
+            place_id=self._place_id,
+        )
         self._owner = None
 
 
@@ -99,9 +112,10 @@
         self._metrics = metrics
         self._readings = NamedLimits()
         self._granted = PlaceCounter()
+        self.succession = PlaceSuccession(membership, self._granted)
         self._own_share = PlaceCounter()
         self._rejected_at_by_key: dict[ServerKey, float] = {}
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._exchange = PlaceExchange(membership)
 
     def explains_end(self, server: Server, ended_at: float) -> bool:
         """Whether a brittle server ended as it had just rejected requests."""
@@ -138,6 +152,11 @@
         """Whether a server is to be asked whether it is still brittle."""
         return self._readings.is_due(server.key, boot_time())
 
+    @property
+    def has_unsent(self) -> bool:
+        """Whether a place is being freed at the node that granted it."""
+        return self._exchange.has_unsent
+
     async def acquire(self, server: Server, lease_s: float) -> Place | None:
         """Return a place, or None if there is none; the server is paused then.
 
@@ -151,36 +170,61 @@
         limit = self.find_limit(server)
         if limit is None:
             return Place(None, server, None)
-        is_granted, granter = await self._ask(server, limit, lease_s + PLACE_MARGIN_S)
+        place_id = secrets.token_hex(PLACE_ID_BYTES)
+        is_granted, granter = await self._ask(
+            server, limit, lease_s + PLACE_MARGIN_S, place_id
+        )
         outcome = "granted" if is_granted else "refused"
         self._metrics.count("server_places_total", f'outcome="{outcome}"')
         if is_granted:
-            return Place(self, server, granter)
+            return Place(self, server, granter, place_id)
         self._cluster_view.servers.pause_for_limit(server, boot_time() + RETRY_S)
         return None
 
     def end_place(
-        self, server: Server, granter: Member | None, *, was_rejected: bool
+        self,
+        server: Server,
+        granter: Member | None,
+        *,
+        was_rejected: bool,
+        place_id: str = "",
     ) -> None:
         """Free a place at the node that granted it."""
         own_id = self._membership.own_member.node_id
         now = boot_time()
         if was_rejected:
             self._rejected_at_by_key[server.key] = now
+        message = EndPlace(
+            self._membership.sender, server.key, was_rejected, place_id=place_id
+        )
         if granter is None:
-            self._granted.end(server.key, own_id, now, was_rejected=was_rejected)
-            self._own_share.end(server.key, own_id, now, was_rejected=was_rejected)
+            was_held = [
+                counter.end(
+                    server.key,
+                    own_id,
+                    now,
+                    was_rejected=was_rejected,
+                    place_id=place_id,
+                )
+                for counter in (self._own_share, self._granted)
+            ]
+            if was_held[-1]:
+                self._exchange.spawn(self.succession.end(message))
             return
-        message = EndPlace(self._membership.sender, server.key, was_rejected)
-        task = asyncio.get_running_loop().create_task(self._send_end(granter, message))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self._exchange.spawn(self._exchange.end(granter, message))
 
     async def handle_ask(self, message: AskPlace) -> PermitReply:
         """Grant a peer a place, or none."""
         self._readings.apply_notice(message.limit, boot_time())
+        reply = await self.succession.ask(message)
+        if reply is not None:
+            return reply
         is_granted = self._grant(
-            message.limit, message.sender.node_id, message.slots, message.lease_s
+            message.limit,
+            message.sender.node_id,
+            message.slots,
+            message.lease_s,
+            message.place_id,
         )
         return PermitReply(is_granted, 0.0 if is_granted else RETRY_S)
 
@@ -191,7 +235,27 @@
             message.sender.node_id,
             boot_time(),
             was_rejected=message.was_rejected,
+            place_id=message.place_id,
+        )
+        await self.succession.end(message)
+        return Acknowledgement()
+
+    async def handle_give_up(self, message: GiveUpPlace) -> Acknowledgement:
+        """Free a place that a peer doesn't use, if it is held."""
+        self._granted.give_up(message.server, message.sender.node_id, message.place_id)
+        await self.succession.end(message)
+        return Acknowledgement()
+
+    async def handle_hand_over(self, message: HandPlacesOver) -> Acknowledgement:
+        """Count the places that a leaving peer granted."""
+        self._granted.take_over(
+            message.server, message.capacity, message.left_s_by_node, boot_time()
         )
+        logger.bind(
+            server=message.server[0],
+            member=message.sender.node_id,
+            held=sum(len(left) for left in message.left_s_by_node.values()),
+        ).info("server.places_taken_over")
         return Acknowledgement()
 
     def collect_facts(self) -> SharedFacts:
@@ -234,49 +298,45 @@
         self._metrics.set_gauge("brittle_servers", self.count_brittle())
 
     async def _ask(
-        self, server: Server, limit: float, lease_s: float
+        self, server: Server, limit: float, lease_s: float, place_id: str
     ) -> tuple[bool, Member | None]:
         own_id = self._membership.own_member.node_id
         key = server.key
         now = boot_time()
         notice = LimitNotice(key, limit, self._readings.read_age_s(key, now))
-        members = self._membership.list_serving_members()
-        member_by_id = {member.node_id: member for member in members}
-        granter_id = choose_owner(
-            "/".join(map(str, key)), list(member_by_id) or [own_id]
+        granter = self.succession.find_granter(key)
+        if granter is None:
+            is_granted = self._grant(notice, own_id, server.slots, lease_s, place_id)
+            return is_granted, None
+        message = AskPlace(
+            self._membership.sender, notice, server.slots, lease_s, place_id=place_id
         )
-        if granter_id == own_id:
-            return self._grant(notice, own_id, server.slots, lease_s), None
-        granter = member_by_id[granter_id]
-        message = AskPlace(self._membership.sender, notice, server.slots, lease_s)
-        channel = self._membership.channel(granter.peer_address)
-        reply = await channel.call(message, PermitReply, ASK_TIMEOUT_S)
-        if not isinstance(reply, Err):
-            return reply.unwrap().is_granted, granter
+        reply = await self._exchange.ask(granter, message)
+        if reply is not None:
+            return reply, granter
         share = server.slots // self._membership.count_known_addresses()
         if not share:
             return False, None
         now = boot_time()
-        return self._own_share.ask(key, own_id, share, limit, now, now + lease_s), None
+        is_granted = self._own_share.ask(
+            key, own_id, share, limit, now, now + lease_s, place_id
+        )
+        return is_granted, None
 
     def _grant(
-        self, notice: LimitNotice, node_id: str, slots: int, lease_s: float
+        self,
+        notice: LimitNotice,
+        node_id: str,
+        slots: int,
+        lease_s: float,
+        place_id: str,
     ) -> bool:
         now = boot_time()
         limit = self._readings.find_rate(notice.server) or notice.rate_per_s or 0.0
         return self._granted.ask(
-            notice.server, node_id, slots, limit, now, now + lease_s
+            notice.server, node_id, slots, limit, now, now + lease_s, place_id
         )
 
-    async def _send_end(self, granter: Member, message: EndPlace) -> None:
-        channel = self._membership.channel(granter.peer_address)
-        reply = await channel.call(message, Acknowledgement, END_TIMEOUT_S)
-        if isinstance(reply, Err):
-            # The place is free when its time is over.
-            logger.bind(server=message.server[0], member=granter.node_id).info(
-                "server.place_not_freed"
-            )
-
     def _log_change(self, key: ServerKey, limit: float | None, source: str) -> None:
         self._cluster_view.servers.end_limit_pause(key)
         logger.bind(server=key[0], max_rejections_per_s=limit, source=source).info(
