Have the next granter of permits count those still in force

The next granter of permits for a suspect request knew of none in force, so that such a request could run twice in the time of one trial. A node that leaves asks it for each permit that it granted lately.

--- a/packages/persimmonlink-router/src/persimmonlink_router/router.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/router.py
@@ -389,6 +389,7 @@
         """Tell the other nodes and the store that this node leaves."""
         self.membership.mark_leaving()
         self._tasks.spawn(self._places.succession.hand_over(), "places")
+        self._tasks.spawn(self._crash_guard.trials.hand_over(), "permits")
         self._scheduler.transfer_requests()
         await self._registration.deregister()
 
--- a/packages/persimmonlink-router/src/persimmonlink_router/trial_permits.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/trial_permits.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections import OrderedDict
 from typing import TYPE_CHECKING
 
@@ -67,6 +68,19 @@
             return PermitDecision(permit.is_granted, permit.wait_s)
         return self._decide(cause_id)
 
+    async def hand_over(self) -> None:
+        """Have the next member that grants permits count those still in force.
+
+        As this node leaves, that member is asked in its place.
+        """
+        since = boot_time() - TRIAL_INTERVAL_S
+        recent = [
+            cause_id
+            for cause_id, granted_at in self._granted_at_by_cause.items()
+            if granted_at > since
+        ]
+        await asyncio.gather(*(self.ask(cause_id) for cause_id in recent))
+
     async def handle_ask(self, message: AskTrial) -> PermitReply:
         """Decide on a peer's question."""
         decision = self._decide(message.cause_id)
