Wait at the end of a stop for what only this node knows

The stop waited for requests, not for what their ends had taught the node. Ends, decisions and places were tested with nodes ended at once, stops with requests; nothing tested both.

The stop asks each part whether something is unsent and waits, 1 s at most and within its limit; `process.stopped_with_unsent` names what was left. What a stop cuts at its limit still frees its places and results by their leases only.

--- a/packages/persimmonlink-router/src/persimmonlink_router/crash_guard.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/crash_guard.py
@@ -92,6 +92,11 @@
         self._suspect_until_by_cause: dict[str, float] = {}
         self._reported_at_by_cause: dict[str, float] = {}
 
+    @property
+    def has_unsent(self) -> bool:
+        """Whether other nodes or the store have not got what this node has learned."""
+        return self._reporter.has_unsent or self._records.has_unsent
+
     def find_hold(self, cause_ids: Sequence[str]) -> Hold | None:
         """Return the decision that holds a request with these causes back, or None."""
         return self.holds.find(cause_ids, boot_time())
--- a/packages/persimmonlink-router/src/persimmonlink_router/crash_reports.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/crash_reports.py
@@ -67,6 +67,14 @@
         own_id = self._peers.sender.node_id
         return any(member.node_id == own_id for member in self.list_keepers())
 
+    @property
+    def has_unsent(self) -> bool:
+        """Whether a member that combines the reports has not got all of them."""
+        if not self._reports:
+            return False
+        outboxes = self._update_outboxes().values()
+        return any(outbox.has_unsent for outbox in outboxes)
+
     def add_ends(self, ends: Sequence[ServerEnd]) -> None:
         """Report ends of servers under requests of this node."""
         for end in ends:
--- a/packages/persimmonlink-router/src/persimmonlink_router/fact_exchange.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/fact_exchange.py
@@ -48,6 +48,11 @@
         self._task: asyncio.Task[None] | None = None
         self._is_changed = False
 
+    @property
+    def has_unsent(self) -> bool:
+        """Whether news is being sent."""
+        return self._task is not None and not self._task.done()
+
     def attach(self, holder: FactHolder) -> None:
         """Add a part that knows facts of some kind."""
         self._holders.append(holder)
--- a/packages/persimmonlink-router/src/persimmonlink_router/graceful_stop.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/graceful_stop.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 from loguru import logger
 
@@ -22,6 +22,17 @@
 
 PEER_CALL_WAIT_S = 0.3  # Longest wait for replies to peers, requests of clients apart.
 STOP_POLL_INTERVAL_S = 0.05  # Interval of checking whether all requests have ended.
+# Longest wait for what other nodes and the store have to get, after all requests.
+HAND_OVER_WAIT_S = 1.0
+
+
+class SendingPart(Protocol):
+    """Sends to other nodes or the store what nobody else knows."""
+
+    @property
+    def has_unsent(self) -> bool:
+        """Whether they have not got some of it."""
+        ...
 
 
 class GracefulStop:
@@ -41,6 +52,8 @@
         Runs stages.
     peer_server : PeerServer
         Serves calls of peers.
+    sending_parts : sequence of SendingPart
+        Parts of the node that send what nobody else knows.
     """
 
     def __init__(
@@ -51,6 +64,7 @@
         request_service: RequestService,
         scheduler: StageScheduler,
         peer_server: PeerServer,
+        sending_parts: Sequence[SendingPart],
     ) -> None:
         self._clock = clock
         self._client_server = client_server
@@ -58,6 +72,7 @@
         self._request_service = request_service
         self._scheduler = scheduler
         self._peer_server = peer_server
+        self._sending_parts = sending_parts
         self._is_listening = True
 
     async def drain(self) -> None:
@@ -80,6 +95,10 @@
                 logger.exception("process.stop_step_failed")
             await asyncio.sleep(STOP_POLL_INTERVAL_S)
         clock.is_cutting = True
+        try:
+            await self._hand_over()
+        except Exception:
+            logger.exception("process.stop_step_failed")
         await self._peer_server.finish(
             max(0.0, min(PEER_CALL_WAIT_S, clock.ends_at - boot_time()))
         )
@@ -104,6 +123,16 @@
             self._request_service.active.end_unanswered()
         return False
 
+    async def _hand_over(self) -> None:
+        """Wait until other nodes and the store have got what only this node knows."""
+        ends_at = min(self._clock.ends_at, boot_time() + HAND_OVER_WAIT_S)
+        while unsent := [part for part in self._sending_parts if part.has_unsent]:
+            if boot_time() >= ends_at:
+                names = [type(part).__name__ for part in unsent]
+                logger.bind(parts=names).warning("process.stopped_with_unsent")
+                return
+            await asyncio.sleep(STOP_POLL_INTERVAL_S)
+
     def _is_busy(self) -> bool:
         return bool(
             any(server.connections for server in self._servers)
@@ -120,4 +149,4 @@
         ).info("process.stopped")
 
 
-__all__ = ("GracefulStop",)
+__all__ = ("GracefulStop", "SendingPart")
--- a/packages/persimmonlink-router/src/persimmonlink_router/hold_records.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/hold_records.py
@@ -37,6 +37,11 @@
         self._unsaved_by_key: dict[str, Hold] = {}
         self._task: asyncio.Task[None] | None = None
 
+    @property
+    def has_unsent(self) -> bool:
+        """Whether the store has not got a decision."""
+        return bool(self._unsaved_by_key)
+
     def save(self, hold: Hold) -> None:
         """Write a decision soon."""
         name = xxh3_64_hexdigest(",".join(sorted(hold.cause_ids)).encode())
--- a/packages/persimmonlink-router/src/persimmonlink_router/router.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/router.py
@@ -358,6 +358,13 @@
             self._request_service,
             self._scheduler,
             self._peer_server,
+            [
+                end_detector,
+                self._crash_guard,
+                self.membership.facts,
+                self._places,
+                self._version_exchange,
+            ],
         )
 
     async def start(self) -> None:
--- a/packages/persimmonlink-router/src/persimmonlink_router/server_ends.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/server_ends.py
@@ -110,6 +110,11 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._reach_checks: SharedChecks[ReachAfterResponse] = SharedChecks()
 
+    @property
+    def has_unsent(self) -> bool:
+        """Whether the fate of a server is not known yet."""
+        return bool(self._requests_by_key)
+
     def record_interruption(self, server: Server, request: InterruptedRequest) -> None:
         """Record a response that a server broke off, and check the server."""
         if server.key in self._requests_by_key:
--- a/packages/persimmonlink-router/src/persimmonlink_router/stream_version_exchange.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stream_version_exchange.py
@@ -90,6 +90,11 @@
         self._unsent_by_node_id: dict[str, dict[str, str]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
 
+    @property
+    def has_unsent(self) -> bool:
+        """Whether records are being sent to the members that keep them."""
+        return bool(self._tasks)
+
     def record_send(self, request_id: str, server: Server) -> None:
         """Record the version to which a request is sent, here and at the keepers."""
         self._sends.record(StreamSend(request_id, server, boot_time()))
