--- a/packages/persimmonlink-router/src/persimmonlink_router/background_tasks.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/background_tasks.py
@@ -54,10 +54,12 @@
         try:
             await work()
             return
-        except Exception:
+        except Exception as error:
             if boot_time() - began_at > LOOP_RECOVERY_S:
                 pause_s = LOOP_RESTART_PAUSE_S
-            logger.bind(task=name, pause_s=pause_s).exception("task.failed")
+            logger.bind(task=name, pause_s=pause_s, error=repr(error)).exception(
+                "task.failed"
+            )
         await asyncio.sleep(pause_s)
         pause_s = min(MAX_LOOP_RESTART_PAUSE_S, 2 * pause_s)
 
