Tell a request that ends servers from others of its path by method and query

Evidence now rests on two fingerprints, of account, path and body as the users name it, and the exact one as the server saw it. Ends under one exact fingerprint count once for the other, so that a new query each time is held after three of them. `exact_fingerprint` in `request.completed` and `server.ended`.

--- a/packages/persimmonlink-router/src/persimmonlink_router/crash_evidence.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/crash_evidence.py
@@ -16,8 +16,8 @@
     ENDS_TO_HOLD_REQUEST,
     ENDS_TO_SUSPECT,
     MORE_DOUBTFUL_ENDS,
-    count_distinct,
     count_ends_to_hold,
+    count_independent,
     has_enough_ends,
     is_suspicious,
 )
@@ -158,7 +158,7 @@
 
     def count_ends(self, cause_id: str) -> int:
         """Return the ends of servers since a cause was served, as they count."""
-        return count_distinct(cause_id, self._ends_by_cause.get(cause_id, ()))
+        return count_independent(cause_id, self._ends_by_cause.get(cause_id, ()))
 
     def list_suspects(self) -> list[str]:
         """Return the causes with so many ends that responses to them matter."""
@@ -254,7 +254,7 @@
     """Return the newest ends that count as at most `count`."""
     kept: list[ServerEnd] = []
     for end in sorted(ends, key=lambda e: e.ended_at, reverse=True):
-        if count_distinct(cause_id, [*kept, end]) > count:
+        if count_independent(cause_id, [*kept, end]) > count:
             break
         kept.append(end)
     return kept
--- a/packages/persimmonlink-router/src/persimmonlink_router/crash_guard.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/crash_guard.py
@@ -41,6 +41,7 @@
 # Responses to a suspect are reported so often; less than the delay of a decision.
 REPORT_INTERVAL_S = 0.15
 MAX_SUSPECTS = 256  # Suspects that are remembered and passed on, the first ones.
+MAX_SERVED_FINGERPRINTS = 8192  # Two of each request, those served last.
 MAX_LOGGED_SERVERS = 8  # Most servers that a log line names.
 
 
@@ -82,7 +83,7 @@
         self._metrics = metrics
         self._evidence = CrashEvidence()
         self._served_parts = ServedCauses()
-        self._served_requests = ServedCauses()
+        self._served_requests = ServedCauses(MAX_SERVED_FINGERPRINTS)
         self._cleared = ServedCauses()
         self._runs = ServerRuns()
         self._own_ends = OwnEnds()
@@ -101,19 +102,28 @@
         """Return the decision that holds a request with these causes back, or None."""
         return self.holds.find(cause_ids, boot_time())
 
-    def is_suspect(self, fingerprint: str) -> bool:
-        """Whether servers have ended under a request, which needs a permit for that."""
-        if fingerprint in self._suspect_until_by_cause:
-            return True
-        return self.find_hold([fingerprint]) is not None
+    def list_suspects(self, fingerprints: Sequence[str]) -> list[str]:
+        """Return those of a request's fingerprints under which servers have ended.
+
+        The request needs a permit for each of them.
+        """
+        suspects = [f for f in fingerprints if f in self._suspect_until_by_cause]
+        hold = self.find_hold(fingerprints)
+        if hold is None:
+            return suspects
+        return [f for f in fingerprints if f in suspects or f in hold.cause_ids]
+
+    def is_suspect(self, fingerprints: Sequence[str]) -> bool:
+        """Whether servers have ended under a request."""
+        return bool(self.list_suspects(fingerprints))
 
-    def record_served(self, part_ids: Sequence[str], fingerprint: str) -> None:
+    def record_served(self, part_ids: Sequence[str], *fingerprints: str) -> None:
         """Record a complete response to a request."""
         now = boot_time()
         self._served_parts.record(part_ids, now)
-        self._served_requests.record([fingerprint], now)
-        for cause_id in (*part_ids, fingerprint):
-            is_held = len(self.holds) and self.find_hold([cause_id]) is not None
+        self._served_requests.record(fingerprints, now)
+        for cause_id in (*part_ids, *fingerprints):
+            is_held = self.holds.is_on(cause_id, now)
             if cause_id not in self._suspect_until_by_cause and not is_held:
                 continue
             self._clear(cause_id, now)
@@ -146,7 +156,7 @@
             ]
             end = ServerEnd(
                 name,
-                frozenset([*part_ids, request.fingerprint]),
+                frozenset([*part_ids, *request.fingerprints]),
                 request.interrupted_at,
                 request.sent_at,
                 server.software,
@@ -265,7 +275,7 @@
         """Whether servers ended under a request that was not served since."""
         if self._evidence.count_ends(cause_id) >= ENDS_TO_SUSPECT:
             return True
-        if self.find_hold([cause_id]) is not None:
+        if self.holds.is_on(cause_id, boot_time()):
             return cause_id not in self._served_in_trial_at
         # The evidence may have gone with other nodes; one response is as good as it.
         served_since = boot_time() - SUSPICION_S
@@ -345,7 +355,7 @@
 
     def _clear(self, cause_id: str, served_at: float) -> None:
         self._cleared.record([cause_id], served_at)
-        if self.find_hold([cause_id]) is not None:
+        if self.holds.is_on(cause_id, boot_time()):
             self._served_in_trial_at[cause_id] = served_at
         count = self._evidence.record_served(cause_id, served_at)
         if not count:
--- a/packages/persimmonlink-router/src/persimmonlink_router/end_counts.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/end_counts.py
@@ -4,7 +4,11 @@
 
 from typing import TYPE_CHECKING
 
-from persimmonlink_router.request_fingerprint import is_fingerprint
+from persimmonlink_router.request_fingerprint import (
+    is_exact_fingerprint,
+    is_fingerprint,
+    list_exact_fingerprints,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Sequence
@@ -31,14 +35,38 @@
     """Whether so many servers ended that a cause is held back."""
     needed = count_ends_to_hold(cause_id)
     certain = [end for end in ends if not end.is_doubtful]
-    if count_distinct(cause_id, certain) >= needed:
+    if count_independent(cause_id, certain) >= needed:
         return True
-    return count_distinct(cause_id, ends) >= needed + MORE_DOUBTFUL_ENDS
+    return count_independent(cause_id, ends) >= needed + MORE_DOUBTFUL_ENDS
 
 
 def is_suspicious(cause_id: str, ends: Sequence[ServerEnd]) -> bool:
     """Whether so many servers ended that responses to a cause matter."""
-    return count_distinct(cause_id, ends) >= ENDS_TO_SUSPECT
+    return count_independent(cause_id, ends) >= ENDS_TO_SUSPECT
+
+
+def count_independent(cause_id: str, ends: Sequence[ServerEnd]) -> int:
+    """Count the ends that speak against a cause itself.
+
+    Those under one request count once for all that share its account, path and body.
+    Nodes of older builds don't tell them apart, so that each of their ends counts.
+    """
+    if not is_fingerprint(cause_id) or is_exact_fingerprint(cause_id):
+        return count_distinct(cause_id, ends)
+    exact_ids_by_server: dict[str, set[str]] = {}
+    for end in sorted(ends, key=lambda e: e.ended_at):
+        exact_ids = list_exact_fingerprints(end.cause_ids)
+        if not exact_ids:
+            return count_distinct(cause_id, ends)
+        exact_ids_by_server.setdefault(end.server, set()).update(exact_ids)
+    counted_ids: set[str] = set()
+    servers = set()
+    for server, server_ids in exact_ids_by_server.items():
+        if server_ids & counted_ids:
+            continue
+        counted_ids |= server_ids
+        servers.add(server)
+    return count_distinct(cause_id, [end for end in ends if end.server in servers])
 
 
 def count_distinct(cause_id: str, ends: Iterable[ServerEnd]) -> int:
@@ -88,6 +116,7 @@
     "MORE_DOUBTFUL_ENDS",
     "count_distinct",
     "count_ends_to_hold",
+    "count_independent",
     "has_enough_ends",
     "is_suspicious",
 )
--- a/packages/persimmonlink-router/src/persimmonlink_router/held_requests.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/held_requests.py
@@ -59,17 +59,16 @@
 
     async def require_trial_permit(self, state: RequestState) -> None:
         """Raise `RequestHeldError` if a suspect request may not be sent now."""
-        if not self._crash_guard.is_suspect(state.fingerprint):
-            return
-        decision = await self._crash_guard.trials.ask(state.fingerprint)
-        outcome = "granted" if decision.is_granted else "refused"
-        self._metrics.count("trial_permits_total", f'outcome="{outcome}"')
-        if decision.is_granted:
-            return
-        raise RequestHeldError(
-            f"servers ended under request {state.fingerprint}, which is tried at times",
-            decision.wait_s,
-        )
+        for fingerprint in self._crash_guard.list_suspects(state.fingerprints):
+            decision = await self._crash_guard.trials.ask(fingerprint)
+            outcome = "granted" if decision.is_granted else "refused"
+            self._metrics.count("trial_permits_total", f'outcome="{outcome}"')
+            if decision.is_granted:
+                continue
+            raise RequestHeldError(
+                f"servers ended under request {fingerprint}, which is tried at times",
+                decision.wait_s,
+            )
 
 
 def _build_held_error(hold: Hold) -> RequestHeldError:
--- a/packages/persimmonlink-router/src/persimmonlink_router/holds.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/holds.py
@@ -142,6 +142,13 @@
             found = hold
         return found
 
+    def is_on(self, cause_id: str, now: float) -> bool:
+        """Whether a decision holds requests with a cause back, alone or with others."""
+        return any(
+            cause_id in hold.cause_ids and not hold.is_released and hold.ends_at > now
+            for hold in self._hold_by_causes.values()
+        )
+
     def covers(
         self, cause_ids: frozenset[str], software: frozenset[str], now: float
     ) -> bool:
--- a/packages/persimmonlink-router/src/persimmonlink_router/request_log.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/request_log.py
@@ -87,6 +87,7 @@
         logger.bind(
             request=state.metadata.request_id,
             fingerprint=state.fingerprint,
+            exact_fingerprint=state.exact_fingerprint,
             route=state.route.name,
             service=state.service,
             account=state.account_name,
--- a/packages/persimmonlink-router/src/persimmonlink_router/request_state.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/request_state.py
@@ -11,7 +11,10 @@
 from persimmonlink_router.http_messages import ResponseFraming
 from persimmonlink_router.http_server import Exchange
 from persimmonlink_router.relayed_exchange import RelayedExchange
-from persimmonlink_router.request_fingerprint import compute_fingerprint
+from persimmonlink_router.request_fingerprint import (
+    compute_exact_fingerprint,
+    compute_fingerprint,
+)
 from persimmonlink_router.retry_detector import (
     CLIENT_RETRY_OBJECTIVE_SHARE,
     CLIENT_RETRY_PRIORITY_OFFSET,
@@ -181,6 +184,7 @@
     relayed_from: str = ""
     last_forwarded_id: bytes = b""
     _fingerprint: str = ""
+    _exact_fingerprint: str = ""
 
     def __post_init__(self) -> None:
         self.silent_since = self.arrived_at
@@ -195,6 +199,21 @@
             )
         return self._fingerprint
 
+    @property
+    def exact_fingerprint(self) -> str:
+        """Digest by which it is told from others that have another method or query."""
+        if not self._exact_fingerprint:
+            request = self.exchange.request
+            self._exact_fingerprint = compute_exact_fingerprint(
+                self.fingerprint, request.method, request.target
+            )
+        return self._exact_fingerprint
+
+    @property
+    def fingerprints(self) -> tuple[str, ...]:
+        """Both digests, that of account, path and body first."""
+        return self.fingerprint, self.exact_fingerprint
+
     @property
     def may_begin_stream(self) -> bool:
         """Whether it begins a stream that its client may take up again."""
@@ -208,7 +227,7 @@
     @property
     def cause_ids(self) -> tuple[str, ...]:
         """Ids of what may end the servers that run the request."""
-        return (*self.metadata.shared_part_ids, self.fingerprint)
+        return (*self.metadata.shared_part_ids, *self.fingerprints)
 
     @property
     def origin(self) -> RequestOrigin:
--- a/packages/persimmonlink-router/src/persimmonlink_router/response_completion.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/response_completion.py
@@ -96,7 +96,7 @@
         key = response.server.key
         if is_complete and response.head.status < 500:
             self._crash_guard.record_served(
-                state.metadata.shared_part_ids, state.fingerprint
+                state.metadata.shared_part_ids, *state.fingerprints
             )
         state.response_end = ResponseEnd(
             response.head.framing,
@@ -175,6 +175,7 @@
                 first_event_at,
                 boot_time(),
                 state.origin,
+                state.exact_fingerprint,
             ),
         )
 
--- a/packages/persimmonlink-router/src/persimmonlink_router/served_causes.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/served_causes.py
@@ -12,9 +12,16 @@
 
 
 class ServedCauses:
-    """Time of the last complete response by cause."""
+    """Time of the last complete response by cause.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    max_causes : int
+        Causes that are remembered, the last served ones.
+    """
+
+    def __init__(self, max_causes: int = MAX_CAUSES) -> None:
+        self._max_causes = max_causes
         self._served_at_by_cause: OrderedDict[str, float] = OrderedDict()
 
     def record(self, cause_ids: Iterable[str], now: float) -> None:
@@ -22,7 +29,7 @@
         for cause_id in cause_ids:
             self._served_at_by_cause[cause_id] = now
             self._served_at_by_cause.move_to_end(cause_id)
-        while len(self._served_at_by_cause) > MAX_CAUSES:
+        while len(self._served_at_by_cause) > self._max_causes:
             self._served_at_by_cause.popitem(last=False)
 
     def find(self, cause_id: str) -> float | None:
--- a/packages/persimmonlink-router/src/persimmonlink_router/server_ends.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/server_ends.py
@@ -59,6 +59,8 @@
         Boot time of the interruption, in seconds.
     origin : RequestOrigin
         Where the request came from.
+    exact_fingerprint : str
+        Digest of the request with its method and query, empty if unknown.
     """
 
     request_id: str
@@ -68,6 +70,14 @@
     first_event_at: float | None
     interrupted_at: float
     origin: RequestOrigin = UNKNOWN_ORIGIN
+    exact_fingerprint: str = ""
+
+    @property
+    def fingerprints(self) -> tuple[str, ...]:
+        """The digests that are known, that of account, path and body first."""
+        if not self.exact_fingerprint:
+            return (self.fingerprint,)
+        return self.fingerprint, self.exact_fingerprint
 
     @property
     def response_age_s(self) -> float:
@@ -181,6 +191,7 @@
         {
             "request": request.request_id,
             "fingerprint": request.fingerprint,
+            "exact_fingerprint": request.exact_fingerprint,
             "prompt_parts": request.part_ids,
             "sent_s_before": round(request.interrupted_at - request.sent_at, 3),
             "has_events": request.first_event_at is not None,
--- a/packages/persimmonlink-router/src/persimmonlink_router/stage_dispatcher.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stage_dispatcher.py
@@ -235,6 +235,7 @@
                     None,
                     boot_time(),
                     RequestOrigin(job.account, job.path),
+                    job.exact_fingerprint,
                 ),
             )
 
--- a/packages/persimmonlink-router/src/persimmonlink_router/stage_job.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stage_job.py
@@ -84,6 +84,8 @@
         Digest by which the request is recognized if it comes again; empty if unknown.
     path : str
         Path of the request.
+    exact_fingerprint : str
+        Digest that tells methods and queries apart too; empty if unknown.
     """
 
     request_id: str
@@ -98,6 +100,13 @@
     made: tuple[TransferredResult, ...] = ()
     fingerprint: str = ""
     path: str = ""
+    exact_fingerprint: str = ""
+
+    @property
+    def fingerprints(self) -> tuple[str, ...]:
+        """The digests of the request that are known."""
+        both = (self.fingerprint, self.exact_fingerprint)
+        return tuple(fingerprint for fingerprint in both if fingerprint)
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/persimmonlink-router/src/persimmonlink_router/stage_queue.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stage_queue.py
@@ -157,13 +157,13 @@
         spec: BatchSpec,
         view: StageServerView,
         now: float,
-        is_suspect: Callable[[str], bool] = lambda _: False,
+        is_suspect: Callable[[Sequence[str]], bool] = lambda _: False,
     ) -> Batch:
         """Remove and return the pieces that a server runs next.
 
         Pieces of a request under which servers ended are sent in batches of their own,
         so that its fate tells whether it was the cause. `is_suspect` says so of its
-        fingerprint.
+        fingerprints.
 
         Pieces whose inputs expire soon go first, then those of requests that can still
         meet their objective, by priority and by the latest time at which the piece
@@ -196,15 +196,15 @@
 
 
 def _separate_suspects(
-    pieces: list[PendingPiece], is_suspect: Callable[[str], bool]
+    pieces: list[PendingPiece], is_suspect: Callable[[Sequence[str]], bool]
 ) -> list[PendingPiece]:
     """Return the pieces that may be in one batch with the first one."""
     if not pieces:
         return pieces
     first = pieces[0].chain
-    if is_suspect(first.job.fingerprint):
+    if is_suspect(first.job.fingerprints):
         return [piece for piece in pieces if piece.chain is first]
-    return [piece for piece in pieces if not is_suspect(piece.chain.job.fingerprint)]
+    return [piece for piece in pieces if not is_suspect(piece.chain.job.fingerprints)]
 
 
 def _sort_key(piece: PendingPiece, now: float) -> tuple[bool, bool, int, float]:
--- a/packages/persimmonlink-router/src/persimmonlink_router/stage_scheduler.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stage_scheduler.py
@@ -418,7 +418,7 @@
         """Whether a request is held back from the servers of a stage."""
         if not job.fingerprint:
             return False
-        hold = self._crash_guard.find_hold([job.fingerprint])
+        hold = self._crash_guard.find_hold(job.fingerprints)
         if hold is None:
             return False
         servers = self._cluster_view.servers
--- a/packages/persimmonlink-router/src/persimmonlink_router/stream_relay.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stream_relay.py
@@ -143,6 +143,7 @@
         needs,
         fingerprint=state.fingerprint,
         path=state.exchange.request.path,
+        exact_fingerprint=state.exact_fingerprint,
     )
     outcome = await stages.run(job)
     state.predicted_first_event_s = outcome.predicted_s
--- a/stand_ins/src/persimmonlink_stand_ins/routed_server.py
+++ b/stand_ins/src/persimmonlink_stand_ins/routed_server.py
@@ -188,6 +188,8 @@
         self.crash_point = CrashPoint.AFTER_HEAD
         # Bodies of requests, and keys of pieces, on which it ends after `work_s`.
         self.fatal_bodies: frozenset[bytes] = frozenset()
+        # Methods and targets of requests on which it ends after `work_s`.
+        self.fatal_lines: frozenset[str] = frozenset()
         # Requests a second that it says it accepts from all nodes; 0 names none.
         self.rate_limit_per_s = 0.0
         # Requests that it runs, and that may wait, at once; 0 bounds neither.
@@ -381,7 +383,8 @@
             except asyncio.CancelledError:
                 self.disconnected_ids.append(request_id)
                 raise
-        if request.body in self.fatal_bodies:
+        line = f"{request.method} {request.target}"
+        if request.body in self.fatal_bodies or line in self.fatal_lines:
             await asyncio.sleep(self.work_s)
             await self.crash()
             return False
--- a/tests/router/crashing_servers.py
+++ b/tests/router/crashing_servers.py
@@ -16,6 +16,7 @@
 class CrashingServers:
     """Servers of one service that end under requests with some bodies.
 
+    Those with some methods and targets end them too, such as "GET /look/1?id=6".
     Stage servers end under pieces whose key is such a body.
     """
 
@@ -27,6 +28,7 @@
     version: str = "v1"
     # Settings of the servers, also of those that start again.
     settings: dict[str, int] = field(default_factory=dict)
+    fatal_lines: frozenset[str] = frozenset()
     crashed_at: list[float] = field(default_factory=list)
     _restarts: set[asyncio.Task] = field(default_factory=set)
 
@@ -40,6 +42,7 @@
         """Let one server end under such requests, and start again at its address."""
         server = self.rig.server_by_id[server_id]
         server.fatal_bodies = self.fatal_bodies
+        server.fatal_lines = self.fatal_lines
         server.work_s = self.work_s
         server.first_event_s = self.work_s
         server.stage_call_s = max(server.stage_call_s, self.work_s)
@@ -71,6 +74,15 @@
             ]
         return sorted(times)
 
+    def list_fatal_line_arrivals(self) -> list[float]:
+        """Return the times at which requests with a fatal method and target ran."""
+        return sorted(
+            seen.started_at
+            for server in self.list_servers()
+            for seen in server.runs
+            if f"{seen.method} {seen.target}" in self.fatal_lines
+        )
+
     def _record_crash(self, server_id: str) -> None:
         loop = asyncio.get_running_loop()
         self.crashed_at.append(loop.time())
--- a/tests/router/test_crash_evidence.py
+++ b/tests/router/test_crash_evidence.py
@@ -18,6 +18,7 @@
 
 LATER_S = 1.0
 REQUEST = "request:1"
+EXACT = "request:exact:"
 CONTACT_S = 3.0  # The users' bound, in seconds after the fifth end.
 MAX_LATER_REQUESTS = 3
 
@@ -150,6 +151,64 @@
     assert evidence.count_ends(REQUEST) == 1
 
 
+def test_a_query_that_ends_servers_is_accused_among_sound_ones_of_its_path():
+    evidence = CrashEvidence()
+    fatal = f"{EXACT}fatal"
+    for index in range(ENDS_TO_HOLD_REQUEST):
+        record_ends(evidence, [REQUEST, fatal], 1, 2.0 * index, f"s{index}-")
+        for cause_id in (REQUEST, f"{EXACT}sound"):
+            evidence.record_served(cause_id, 2.0 * index + 1.0)
+    verdicts = evidence.judge(2.0 * index + 2.0)
+    assert [verdict.cause_ids for verdict in verdicts] == [{fatal}]
+
+
+def test_ends_under_one_query_accuse_no_other_one_of_its_path():
+    evidence = CrashEvidence()
+    last_at = record_ends(evidence, [REQUEST, f"{EXACT}1"], 2 * ENDS_TO_HOLD_REQUEST)
+    verdicts = evidence.judge(last_at + LATER_S)
+    assert [verdict.cause_ids for verdict in verdicts] == [{REQUEST, f"{EXACT}1"}]
+    assert evidence.list_suspects() == [f"{EXACT}1"]
+
+
+def test_a_request_that_comes_with_another_query_each_time_is_accused():
+    evidence = CrashEvidence()
+    for index in range(ENDS_TO_HOLD_REQUEST):
+        # The node sent it once more, to another server, each time.
+        causes = [REQUEST, f"{EXACT}{index}"]
+        last_at = record_ends(evidence, causes, 2, 3.0 * index, f"s{index}-")
+    verdicts = evidence.judge(last_at + LATER_S)
+    assert [verdict.cause_ids for verdict in verdicts] == [{REQUEST}]
+
+
+def test_others_that_ran_on_the_servers_under_a_fatal_query_count_once_with_it():
+    evidence = CrashEvidence()
+    fatal = f"{EXACT}fatal"
+    for index in range(ENDS_TO_HOLD_REQUEST):
+        for exact in (fatal, f"{EXACT}{index}"):
+            causes = frozenset([REQUEST, exact])
+            evidence.record_end(ServerEnd(f"s{index}", causes, float(index)), index)
+    verdicts = evidence.judge(index + LATER_S)
+    assert [verdict.cause_ids for verdict in verdicts] == [{REQUEST, fatal}]
+
+
+def test_ends_that_an_older_build_reports_without_the_query_count_for_the_path():
+    evidence = CrashEvidence()
+    record_ends(evidence, [REQUEST, f"{EXACT}1"], ENDS_TO_HOLD_REQUEST - 1)
+    last_at = record_ends(evidence, [REQUEST], 1, 5.0, "older")
+    verdicts = evidence.judge(last_at + LATER_S)
+    assert [verdict.cause_ids for verdict in verdicts] == [{REQUEST}]
+
+
+def test_a_query_on_probation_is_accused_again_after_one_more_end():
+    evidence = CrashEvidence()
+    causes = [REQUEST, f"{EXACT}1"]
+    last_at = record_ends(evidence, causes, ENDS_TO_HOLD_REQUEST + 2)
+    evidence.put_on_probation(causes)
+    assert not evidence.judge(last_at + LATER_S)
+    record_ends(evidence, causes, 1, last_at + 2, "new")
+    assert evidence.judge(last_at + 3)
+
+
 def record_outcome(keepers, ended_server, parts, now):
     """Record at all keepers that a server ended under a prompt, or served it."""
     for keeper in keepers:
--- a/tests/router/test_crash_guard.py
+++ b/tests/router/test_crash_guard.py
@@ -12,7 +12,12 @@
 from persimmonlink_router.crash_guard import CrashGuard
 from persimmonlink_router.crash_reports import CrashReporter
 from persimmonlink_router.metrics import RouterMetrics
-from persimmonlink_router.peer_messages import AskTrial, ReportCrashes, SharedFacts
+from persimmonlink_router.peer_messages import (
+    AskTrial,
+    HoldNotice,
+    ReportCrashes,
+    SharedFacts,
+)
 from persimmonlink_router.report_outbox import build_report
 from persimmonlink_router.server_ends import InterruptedRequest
 from persimmonlink_router.servers import Server
@@ -114,3 +119,16 @@
         assert observer._evidence.count_ends(CAUSE) == 1
 
     asyncio.run(scenario())
+
+
+def test_a_decision_of_an_older_node_on_a_path_holds_all_its_queries():
+    guard = make_guard()
+    notice = HoldNotice((CAUSE,), "older", 1.0, 60.0, 3, False, ("desk/v1",))
+    guard.apply_facts(SharedFacts((notice,), {}), "older")
+    assert guard.find_hold([CAUSE, "request:exact:1"]) is not None
+
+
+def test_a_suspect_of_an_older_node_takes_turns_with_it():
+    guard = make_guard()
+    guard.apply_facts(SUSPICION, "older")
+    assert guard.list_suspects([CAUSE, "request:exact:1"]) == [CAUSE]
