Count each server that ends under one resumed stream for its prompt's parts

Servers that ended under a request and its own repeat less than 0.1 s apart counted once for the parts of its prompt.

Ends closer together than that count each if they are one request's, sent again after the first of them. Those of different requests still count once: counting each held a sound part in a test.

--- a/packages/persimmonlink-router/src/persimmonlink_router/end_counts.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/end_counts.py
@@ -73,7 +73,8 @@
     """Count the servers that ended, those that ended together once.
 
     A whole request that was sent to a server after another one had ended under it is
-    evidence of its own, however soon that server ended.
+    evidence of its own, however soon that server ended. So it is for each part of its
+    prompt, but not other requests with such a part.
     """
     ends_by_server: dict[str, list[ServerEnd]] = {}
     for end in sorted(ends, key=lambda e: e.ended_at):
@@ -99,7 +100,15 @@
         return True
     if is_fingerprint(cause_id):
         return _is_one_after_another(first[0], second[0])
-    return False
+    return any(
+        _have_same_request(one, other) and _is_one_after_another(one, other)
+        for one in first
+        for other in second
+    )
+
+
+def _have_same_request(first: ServerEnd, second: ServerEnd) -> bool:
+    return any(map(is_fingerprint, first.cause_ids & second.cause_ids))
 
 
 def _is_one_after_another(first: ServerEnd, second: ServerEnd) -> bool:
--- a/tests/router/test_crash_evidence.py
+++ b/tests/router/test_crash_evidence.py
@@ -143,6 +143,27 @@
     assert evidence.count_ends(REQUEST) == 3
 
 
+def test_a_request_that_is_repeated_at_once_counts_each_end_for_its_part():
+    evidence = CrashEvidence()
+    for index in range(2):
+        ended_at = 5.0 + 0.03 * index
+        for causes in (["part", "request:sound"], ["part", REQUEST]):
+            sent_at = ended_at - 0.02
+            end = ServerEnd(f"s{index}", frozenset(causes), ended_at, sent_at)
+            evidence.record_end(end, ended_at)
+    assert evidence.count_ends("part") == 2
+
+
+def test_ends_of_different_requests_at_the_same_time_count_once_for_their_part():
+    evidence = CrashEvidence()
+    for index in range(10):
+        ended_at = 5.0 + 0.005 * index
+        causes = frozenset(["part", f"request:{index}"])
+        end = ServerEnd(f"s{index}", causes, ended_at, ended_at - 0.001)
+        evidence.record_end(end, ended_at)
+    assert evidence.count_ends("part") == 1
+
+
 def test_servers_that_end_at_the_same_time_under_one_request_count_once():
     evidence = CrashEvidence()
     for index in range(10):
--- a/tests/router/test_fatal_prompt_parts.py
+++ b/tests/router/test_fatal_prompt_parts.py
@@ -19,6 +19,7 @@
     stop_router,
 )
 
+from persimmonlink_router.crash_evidence import ENDS_TO_HOLD
 from persimmonlink_stand_ins.metadata_store import StoreFaults
 from persimmonlink_stand_ins.routed_server import CrashPoint
 
@@ -182,6 +183,33 @@
     run(scenario())
 
 
+@pytest.mark.timeout(60)
+def test_requests_that_end_two_servers_each_are_held_after_the_fifth_end():
+    async def scenario():
+        async with make_rig(routers=ROUTER_COUNT) as rig:
+            engines = await run_engines(rig, {"bad"}, CrashPoint.BEFORE_HEAD)
+            for number in range(3):
+                await send_fatal(rig, number)
+                await asyncio.sleep(CONTACT_S + 0.5)
+            await asyncio.gather(*(send_fatal(rig, number) for number in range(3, 9)))
+            assert len(engines.crashed_at) >= ENDS_TO_HOLD
+            late = count_late_fatal_runs(rig, engines)
+            assert late <= MAX_LATER_REQUESTS, f"{late}, {len(engines.crashed_at)} ends"
+
+    run(scenario())
+
+
+async def send_fatal(rig, number: int) -> None:
+    """Send a request with a fatal part that is resumed at a second server."""
+    prompt = f"c0:30,bad:30,e{number}:30"
+    await rig.send_request(
+        "/list/1",
+        node=number % ROUTER_COUNT,
+        body=prompt.encode(),
+        **{**STREAM, "Persimmonlink_Prompt_Prefix": prompt},
+    )
+
+
 @pytest.mark.timeout(60)
 def test_several_fatal_parts_at_once_are_held_back_at_nodes_that_start_meanwhile():
     async def scenario():
