Name the attempt in releases of stage results

A late release of stage results by a node that is not the coordinator dropped a newer run of the same request, whose stream hung until its client left.

Jobs and releases carry the attempt (`StageJob.attempt`, `ReleaseResults.attempts`, optional): a release leaves other runs alone, and a run that is dropped ends at once as failed. The stop waits for releases under way as well.

--- a/packages/persimmonlink-router/src/persimmonlink_router/peer_messages.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/peer_messages.py
@@ -486,10 +486,22 @@
 
 @dataclass(frozen=True)
 class ReleaseResults:
-    """Tells the coordinator that requests no longer need their stage results."""
+    """Tells the coordinator that requests no longer need their stage results.
+
+    Parameters
+    ----------
+    sender : Sender
+        Identity of the sending node.
+    request_ids : tuple of str
+        The requests.
+    attempts : tuple of str
+        The run of the stages of each of them; empty from nodes of older builds, whose
+        releases are for whichever run there is.
+    """
 
     sender: Sender
     request_ids: tuple[str, ...]
+    attempts: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True)
--- a/packages/persimmonlink-router/src/persimmonlink_router/router.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/router.py
@@ -364,6 +364,7 @@
                 self.membership.facts,
                 self._places,
                 self._version_exchange,
+                self._coordinator_client,
             ],
         )
 
--- a/packages/persimmonlink-router/src/persimmonlink_router/server_chooser.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/server_chooser.py
@@ -44,10 +44,13 @@
         Handles of the results.
     bytes_by_domain : Mapping of str to float
         Size of the results in each failure domain, in bytes.
+    attempt : str
+        Run of the stages that made the results, by which they are released.
     """
 
     handles: tuple[str, ...]
     bytes_by_domain: Mapping[str, float]
+    attempt: str = ""
 
 
 NO_INPUTS = StageInputs((), {})
--- a/packages/persimmonlink-router/src/persimmonlink_router/stage_coordinator_client.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stage_coordinator_client.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import replace
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
 from loguru import logger
@@ -30,6 +30,25 @@
 MAX_COORDINATORS_PER_REQUEST = 4  # Nodes that are tried for one request.
 
 
+@dataclass(frozen=True, slots=True)
+class CoordinatedRun:
+    """A run of a request's stages, and the node that coordinates it.
+
+    Parameters
+    ----------
+    request_id : str
+        Id of the request.
+    attempt : str
+        Tells the run from others of the request.
+    node_id : str
+        The coordinator.
+    """
+
+    request_id: str
+    attempt: str
+    node_id: str
+
+
 class StageCoordinatorClient:
     """Sends stage jobs to the coordinator, and to the next one if it fails.
 
@@ -56,8 +75,8 @@
         self._membership = membership
         self._scheduler = scheduler
         self._excluded_until_by_node_id: dict[str, float] = {}
-        self._coordinator_by_request_id: dict[str, str] = {}
-        self._releases_by_node_id: dict[str, list[str]] = {}
+        self._run_by_attempt: dict[str, CoordinatedRun] = {}
+        self._releases_by_node_id: dict[str, list[CoordinatedRun]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def run(self, job: StageJob) -> StageOutcome:
@@ -69,7 +88,9 @@
             if remaining_job.deadline_left_s <= 0:
                 return StageOutcome(StageState.FAILED)
             node_id = self._choose_coordinator(job)
-            self._coordinator_by_request_id[job.request_id] = node_id
+            self._run_by_attempt[job.attempt] = CoordinatedRun(
+                job.request_id, job.attempt, node_id
+            )
             outcome: StageOutcome | None
             try:
                 if node_id == self._membership.own_member.node_id:
@@ -78,8 +99,11 @@
                     outcome = await self._call_coordinator(node_id, remaining_job)
             except asyncio.CancelledError:
                 # The coordinator may have run the stages already, with its reply lost.
-                self.release(job.request_id)
+                self.release(job.attempt)
                 raise
+            if outcome is None or outcome.state is not StageState.DONE:
+                # There are no results to release.
+                self._run_by_attempt.pop(job.attempt, None)
             if outcome is not None and outcome.state is not StageState.MOVED:
                 return outcome
             if outcome is not None:
@@ -92,20 +116,26 @@
             )
         return StageOutcome(StageState.FAILED)
 
-    def release(self, request_id: str) -> None:
-        """Make the coordinator release the results of a request."""
-        node_id = self._coordinator_by_request_id.pop(request_id, None)
-        if node_id is None:
+    @property
+    def has_unsent(self) -> bool:
+        """Whether results are being released at their coordinator."""
+        return bool(self._tasks)
+
+    def release(self, attempt: str) -> None:
+        """Make the coordinator release the results of a run of stages, if any."""
+        run = self._run_by_attempt.pop(attempt, None)
+        if run is None:
             return
+        node_id = run.node_id
         if node_id == self._membership.own_member.node_id:
-            self._scheduler.release(request_id)
+            self._scheduler.release(run.request_id, attempt)
             return
         if node_id not in self._releases_by_node_id:
             self._releases_by_node_id[node_id] = []
             task = asyncio.get_running_loop().create_task(self._send_releases(node_id))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
-        self._releases_by_node_id[node_id].append(request_id)
+        self._releases_by_node_id[node_id].append(run)
 
     async def handle_prepare(self, message: PrepareStages) -> StageOutcome:
         """Run the stages of a peer's request, unless this node leaves."""
@@ -115,8 +145,9 @@
 
     async def handle_release(self, message: ReleaseResults) -> Acknowledgement:
         """Release the results of a peer's requests."""
-        for request_id in message.request_ids:
-            self._scheduler.release(request_id)
+        attempts = message.attempts or ("",) * len(message.request_ids)
+        for request_id, attempt in zip(message.request_ids, attempts, strict=False):
+            self._scheduler.release(request_id, attempt)
         return Acknowledgement()
 
     async def _run_here(self, job: StageJob) -> StageOutcome:
@@ -173,16 +204,20 @@
 
     async def _send_releases(self, node_id: str) -> None:
         await asyncio.sleep(RELEASE_DELAY_S)
-        request_ids = tuple(self._releases_by_node_id.pop(node_id))
+        runs = self._releases_by_node_id.pop(node_id)
         member = self._membership.members.find(node_id)
         if member is None:
             return
-        message = ReleaseResults(self._membership.sender, request_ids)
+        message = ReleaseResults(
+            self._membership.sender,
+            tuple(run.request_id for run in runs),
+            tuple(run.attempt for run in runs),
+        )
         channel = self._membership.channel(member.peer_address)
         reply = await channel.call(message, Acknowledgement, RELEASE_TIMEOUT_S)
         if isinstance(reply, Err):
             # The coordinator releases the results by itself after the deadlines.
-            logger.bind(member=node_id, requests=len(request_ids)).info(
+            logger.bind(member=node_id, requests=len(runs)).info(
                 "stages.release_failed"
             )
 
@@ -195,4 +230,4 @@
     )
 
 
-__all__ = ("StageCoordinatorClient",)
+__all__ = ("CoordinatedRun", "StageCoordinatorClient")
--- a/packages/persimmonlink-router/src/persimmonlink_router/stage_job.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stage_job.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from uuid import uuid4
 
 from persimmonlink_router.servers import Server
 
@@ -84,6 +85,9 @@
         Digest by which the request is recognized if it comes again; empty if unknown.
     path : str
         Path of the request.
+    attempt : str
+        Tells this run of the stages from others of the same request; empty from nodes
+        of older builds.
     exact_fingerprint : str
         Digest that tells methods and queries apart too; empty if unknown.
     """
@@ -100,6 +104,7 @@
     made: tuple[TransferredResult, ...] = ()
     fingerprint: str = ""
     path: str = ""
+    attempt: str = ""
     exact_fingerprint: str = ""
 
     @property
@@ -118,4 +123,9 @@
     size: int
 
 
-__all__ = ("StageJob", "StageNeed", "StageResult", "TransferredResult")
+def make_attempt() -> str:
+    """Return a name for a run of stages that no run of any node has."""
+    return uuid4().hex
+
+
+__all__ = ("StageJob", "StageNeed", "StageResult", "TransferredResult", "make_attempt")
--- a/packages/persimmonlink-router/src/persimmonlink_router/stage_scheduler.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stage_scheduler.py
@@ -159,8 +159,7 @@
         self._record_activity(now)
         previous = self._request_by_id.get(job.request_id)
         if previous is not None:
-            self._finish(previous, StageOutcome(StageState.FAILED))
-            self.release(job.request_id)
+            self._drop(previous)
         load_by_service = self._demand.list_loads(job, now)
         if load_by_service is None:
             return StageOutcome(StageState.UNKNOWN_SERVICE)
@@ -207,13 +206,23 @@
             if transferred.handle:
                 self.servers.state(server).held_bytes += transferred.size
 
-    def release(self, request_id: str) -> None:
-        """Stop a request, running or finished, and release its results."""
-        request = self._request_by_id.pop(request_id, None)
-        if request is None:
+    def release(self, request_id: str, attempt: str = "") -> None:
+        """Stop a request, running or finished, and release its results.
+
+        A release that names an attempt leaves other runs of the request alone.
+        """
+        request = self._request_by_id.get(request_id)
+        if request is None or attempt not in ("", request.chain.job.attempt):
             return
-        request.chain.is_closed = True
-        self._backlog.remove(request.chain)
+        self._drop(request)
+
+    def _drop(self, request: _StageRequest) -> None:
+        """Stop a request and release its results, unless this was done already."""
+        request_id = request.chain.job.request_id
+        if self._request_by_id.get(request_id) is not request:
+            return
+        del self._request_by_id[request_id]
+        self._finish(request, StageOutcome(StageState.FAILED))
         if request.is_transferred:
             return
         self._calls.release(request.chain.pop_all_results())
@@ -251,13 +260,13 @@
     def tick(self) -> None:
         """Expire and abandon requests, dispatch pieces, and queue deferred requests."""
         now = boot_time()
-        for request_id, request in list(self._request_by_id.items()):
+        for request in list(self._request_by_id.values()):
             is_unclaimed = (
                 request.outcome_future.done()
                 and now > request.finished_at + UNCLAIMED_RESULT_LIFE_S
             )
             if is_unclaimed or now > request.chain.deadline_at + EXPIRY_DELAY_S:
-                self.release(request_id)
+                self._drop(request)
             elif not request.outcome_future.done() and self._is_held(request.chain.job):
                 self._finish(request, StageOutcome(StageState.FAILED))
             elif not request.outcome_future.done():
@@ -281,13 +290,13 @@
                 # Shielded: a cancelled caller must not leave a cancelled future behind.
                 outcome = await asyncio.shield(request.outcome_future)
         except TimeoutError:
-            self.release(job.request_id)
+            self._drop(request)
             return StageOutcome(StageState.FAILED)
         except asyncio.CancelledError:
-            self.release(job.request_id)
+            self._drop(request)
             raise
         if outcome.state is not StageState.DONE:
-            self.release(job.request_id)
+            self._drop(request)
         return outcome
 
     def _record_activity(self, now: float) -> None:
--- a/packages/persimmonlink-router/src/persimmonlink_router/stream_relay.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stream_relay.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from functools import partial
 from typing import TYPE_CHECKING
 
 from loguru import logger
@@ -27,11 +28,13 @@
     StageInputs,
     estimate_response_s,
 )
-from persimmonlink_router.stage_job import StageJob, StageNeed
+from persimmonlink_router.stage_job import StageJob, StageNeed, make_attempt
 from persimmonlink_router.stage_outcome import StageState
 from persimmonlink_router.stream_rest import NotTheRestError, expect_rest
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from persimmonlink_router.request_state import RequestState
     from persimmonlink_router.response_completion import OpenResponse
     from persimmonlink_router.server_sender import ServerSender
@@ -78,12 +81,12 @@
                     await sender.version_pinning.require_server(state)
                 timeout_s = _first_event_timeout_s(state)
                 response = await sender.send(state, inputs, splitter.last_id, timeout_s)
+                release_inputs = partial(stages.release, inputs.attempt)
                 is_done = await _forward_response(
-                    state, sender, stages, response, splitter
+                    state, sender, release_inputs, response, splitter
                 )
             finally:
-                if inputs is not NO_INPUTS:
-                    stages.release(state.metadata.request_id)
+                stages.release(inputs.attempt)
             if is_done:
                 return
         except (
@@ -143,12 +146,13 @@
         needs,
         fingerprint=state.fingerprint,
         path=state.exchange.request.path,
+        attempt=make_attempt(),
         exact_fingerprint=state.exact_fingerprint,
     )
     outcome = await stages.run(job)
     state.predicted_first_event_s = outcome.predicted_s
     if outcome.state is StageState.DONE:
-        return StageInputs(outcome.handles, outcome.bytes_by_domain)
+        return StageInputs(outcome.handles, outcome.bytes_by_domain, job.attempt)
     if outcome.state is StageState.REFUSED:
         client_retry_after_s = choose_retry_after_s(
             outcome.retry_after_s, state.time_left_s
@@ -174,7 +178,7 @@
 async def _forward_response(
     state: RequestState,
     sender: ServerSender,
-    stages: StageCoordinatorClient,
+    release_inputs: Callable[[], None],
     response: OpenResponse,
     splitter: EventSplitter,
 ) -> bool:
@@ -198,7 +202,7 @@
             with sender.body_budget.hold(body):
                 await state.exchange.respond(response.head.status, headers, body)
             return True
-        await _forward_events(state, sender, stages, response, splitter)
+        await _forward_events(state, sender, release_inputs, response, splitter)
         is_complete = True
         return True
     except (ConnectionLostError, EventTooLongError, NotTheRestError) as error:
@@ -214,7 +218,7 @@
 async def _forward_events(
     state: RequestState,
     sender: ServerSender,
-    stages: StageCoordinatorClient,
+    release_inputs: Callable[[], None],
     response: OpenResponse,
     splitter: EventSplitter,
 ) -> None:
@@ -239,7 +243,7 @@
                 response.first_event_at = boot_time()
                 state.stream_version = response.server.software_version
                 sender.responses.record_start(state, response)
-                stages.release(state.metadata.request_id)
+                release_inputs()
                 if state.first_event_s is None:
                     state.first_event_s = boot_time() - state.arrived_at
             if not exchange.has_started:
--- a/tests/router/test_stage_scheduler.py
+++ b/tests/router/test_stage_scheduler.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
 
 import pytest
+from tests.router.chains import make_job
 from tests.router.rig import STAGED, make_rig, wait_until
 
 from persimmonlink_router.stage_outcome import StageOutcome, StageState
@@ -97,3 +99,38 @@
             assert len(job_ids) <= 5
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize(
+    ("attempt", "expected"),
+    [
+        ("first", StageState.DONE),
+        ("second", StageState.FAILED),
+        ("", StageState.FAILED),
+    ],
+)
+def test_late_release_of_an_earlier_run_leaves_the_newer_one_alone(attempt, expected):
+    async def scenario():
+        async with make_rig(servers=1) as rig:
+            scheduler = rig.routers[0]._scheduler
+            job = replace(make_job(), attempt="first")
+            assert (await scheduler.run(job)).state is StageState.DONE
+            newer = asyncio.ensure_future(scheduler.run(replace(job, attempt="second")))
+            await asyncio.sleep(0.01)
+            scheduler.release(job.request_id, attempt)
+            async with asyncio.timeout(1.0):
+                assert (await newer).state is expected
+
+    asyncio.run(scenario())
+
+
+def test_release_with_an_attempt_leaves_the_run_of_an_older_node_alone():
+    async def scenario():
+        async with make_rig(servers=1) as rig:
+            scheduler = rig.routers[0]._scheduler
+            running = asyncio.ensure_future(scheduler.run(make_job()))
+            await asyncio.sleep(0.01)
+            scheduler.release("r1", "of-another-node")
+            assert (await running).state is StageState.DONE
+
+    asyncio.run(scenario())
