Read heads, trailers and chunk lines in linear time

A head, trailer or chunk line with a long run of blanks stopped a router for seconds: h11's patterns try each way to divide the run if the line doesn't match. http_framing.py gives h11 patterns that match the same texts and don't. Found by the fuzzing of tests/fuzz, which compares the cost of two sizes side by side.

--- a/packages/persimmonlink-router/src/persimmonlink_router/http_client.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/http_client.py
@@ -8,6 +8,7 @@
 
 import h11
 
+from persimmonlink_router.http_framing import create_framing
 from persimmonlink_router.http_messages import Headers, HttpResponseHead
 from persimmonlink_router.socket_options import bound_silence
 
@@ -91,7 +92,7 @@
 
     def __init__(self, address: str) -> None:
         self.address = address
-        self._h11 = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
+        self._h11 = create_framing(h11.CLIENT, MAX_HEAD_BYTES)
         self._transport: asyncio.Transport | None = None
         self._wake = asyncio.Event()
         self._error: Exception | None = None
@@ -271,7 +272,7 @@
                 f"{self.address}: an unexpected response is truncated"
             )
         rest, is_closed = self._h11.trailing_data
-        self._h11 = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
+        self._h11 = create_framing(h11.CLIENT, MAX_HEAD_BYTES)
         self._h11.send(self._request)
         if self._h11.our_state is h11.SEND_BODY:
             self._h11.send_failed()
--- a/packages/persimmonlink-router/src/persimmonlink_router/http_connection.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/http_connection.py
@@ -18,6 +18,7 @@
     Exchange,
     validate_head,
 )
+from persimmonlink_router.http_framing import create_framing
 from persimmonlink_router.http_messages import HttpRequest
 from persimmonlink_router.socket_options import (
     count_unacknowledged_bytes,
@@ -47,9 +48,7 @@
 
     def __init__(self, server: HttpServer) -> None:
         self._server = server
-        self._h11 = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=server.limits.header_bytes + 4096
-        )
+        self._h11 = create_framing(h11.SERVER, server.limits.header_bytes + 4096)
         self._transport: asyncio.Transport | None = None
         self._wake = asyncio.Event()
         self._can_write = asyncio.Event()
