Reject settings that no router can start with, and name the field

An address that nobody can have, an infinite number, a name that is no Unicode or a file that nests deeply passed the check or raised something unexpected; a reload of such a file ended all later ones. Each is a named fault now, and the path of the value stands in the fault also where msgspec puts it at the end of its message.

--- a/packages/persimmonlink-model/src/persimmonlink_model/validation.py
+++ b/packages/persimmonlink-model/src/persimmonlink_model/validation.py
@@ -58,7 +58,7 @@
         value = msgspec.convert(raw, type_)
     except msgspec.ValidationError as error:
         faults = _list_faults(raw, type_, path, allow_unknown=allow_unknown)
-        return Failed(faults or (Fault(path, str(error)),))
+        return Failed(faults or (_convert_message(str(error), path),))
     if allow_unknown or _has_only_known_keys(raw, msgspec.to_builtins(value)):
         return Success(value)
     faults = _list_faults(raw, type_, path, allow_unknown=False)
@@ -108,6 +108,14 @@
     return schema
 
 
+def _convert_message(text: str, path: str) -> Fault:
+    """Convert a message of msgspec, which ends with the path of the value."""
+    message, _, error_path = text.rstrip("`").partition(" - at `$")
+    if path or not error_path:
+        return Fault(path + error_path, message)
+    return Fault(error_path.removeprefix("."), message)
+
+
 def _convert_error(error: ValidationError, path: str) -> list[Fault]:
     """Convert an error of the schema validation to faults."""
     error_path = _join_path(path, error.absolute_path)
--- a/packages/persimmonlink-router/src/persimmonlink_router/router_settings.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/router_settings.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import asdict, dataclass
 from typing import TYPE_CHECKING, Annotated
 
 import jsonc
@@ -10,6 +10,7 @@
 from returns.result import Failure as Err
 
 from persimmonlink_model.validation import Fault, validate
+from persimmonlink_router.foreign_values import MAX_PORT, is_address
 
 if TYPE_CHECKING:
     from pathlib import Path
@@ -17,7 +18,9 @@
     from returns.result import Result
 
 Address = Annotated[str, Meta(pattern=r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$")]
-NonNegative = Annotated[float, Meta(ge=0)]
+MAX_NUMBER = 1e9  # Larger limits, times and shares say nothing of use.
+NonNegative = Annotated[float, Meta(ge=0, le=MAX_NUMBER)]
+Positive = Annotated[float, Meta(gt=0, le=MAX_NUMBER)]
 
 
 @dataclass(frozen=True)
@@ -68,12 +71,12 @@
     """
 
     retry_ratio: NonNegative
-    retry_window_s: Annotated[float, Meta(gt=0)]
+    retry_window_s: Positive
     retry_slack: NonNegative
     cold_burst_factor: NonNegative
     cold_slack: NonNegative
-    stop_s: Annotated[float, Meta(gt=0)]
-    directory_ttl_s: Annotated[float, Meta(gt=0)]
+    stop_s: Positive
+    directory_ttl_s: Positive
 
 
 @dataclass(frozen=True)
@@ -110,8 +113,8 @@
     store: Address
     seeds: tuple[Address, ...]
     limits: LimitSettings
-    core_share: Annotated[float, Meta(gt=0)] = 1.0
-    core_speed: Annotated[float, Meta(gt=0)] = 1.0
+    core_share: Positive = 1.0
+    core_speed: Positive = 1.0
     region: str = ""
     log_level: Annotated[str, Meta(pattern="^(DEBUG|INFO|WARNING|ERROR)$")] = "INFO"
 
@@ -120,9 +123,41 @@
     """Read and check a settings file; a failure holds every fault found."""
     try:
         raw = jsonc.loads(path.read_text(encoding="utf-8"))
-    except (OSError, ValueError) as error:
+        result = validate(raw, RouterSettings)
+    except (OSError, ValueError, RecursionError) as error:
         return Err((Fault("", str(error)),))
-    return validate(raw, RouterSettings)
+    if isinstance(result, Err):
+        return result
+    faults = _list_faults(result.unwrap())
+    return Err(faults) if faults else result
+
+
+def _list_faults(settings: RouterSettings) -> tuple[Fault, ...]:
+    """Return the faults that the types of the fields don't tell."""
+    text_by_path = {
+        "node": settings.node,
+        "domain": settings.domain,
+        "region": settings.region,
+    }
+    address_by_path = {
+        "store": settings.store,
+        **{f"seeds[{index}]": each for index, each in enumerate(settings.seeds)},
+    }
+    for name, address in asdict(settings.listen).items():
+        host, _, port = address.rpartition(":")
+        # The system chooses the port of one that is 0.
+        address_by_path[f"listen.{name}"] = f"{host}:1" if port == "0" else address
+    faults = []
+    for path, text in text_by_path.items():
+        try:
+            text.encode()
+        except UnicodeEncodeError as error:
+            faults.append(Fault(path, str(error)))
+    for path, address in address_by_path.items():
+        if not is_address(address):
+            expected = f"an IPv4 address with a port from 1 to {MAX_PORT}"
+            faults.append(Fault(path, f"{address[:40]} is not {expected}"))
+    return tuple(faults)
 
 
 __all__ = (
