Bound the numbers in messages of peers, and refuse jobs that can't run

A peer's message with a time, rate or count that no node sends (NaN, infinite, over 64 bits) was taken, and failed where it was used. A job whose stages have no order fails by itself (`stages.job_invalid`) and no longer in the middle of the coordinator.

--- a/packages/persimmonlink-router/src/persimmonlink_router/peer_messages.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/peer_messages.py
@@ -7,6 +7,13 @@
 
 from persimmonlink_model.membership import Member
 from persimmonlink_peers.message import Sender
+from persimmonlink_router.foreign_values import (
+    AnyNumber,
+    Count,
+    Integer,
+    Rate,
+    Seconds,
+)
 from persimmonlink_router.servers import ServerKey
 from persimmonlink_router.stage_job import StageJob
 
@@ -45,8 +52,8 @@
         Prompt tokens of these requests that the server has not processed yet.
     """
 
-    in_flight: int
-    unread_tokens: int
+    in_flight: Integer
+    unread_tokens: Integer
 
 
 @dataclass(frozen=True)
@@ -79,9 +86,9 @@
 
     part_ids: tuple[str, ...]
     decided_by: str
-    age_s: float
-    left_s: float
-    server_ends: int
+    age_s: Seconds
+    left_s: AnyNumber
+    server_ends: Count
     is_released: bool = False
     software: tuple[str, ...] = ()
     account: str = ""
@@ -103,8 +110,8 @@
     """
 
     server: ServerKey
-    rate_per_s: float | None
-    age_s: float
+    rate_per_s: Rate | None
+    age_s: Seconds
 
 
 @dataclass(frozen=True)
@@ -128,7 +135,7 @@
     """
 
     is_granted: bool
-    wait_s: float
+    wait_s: Seconds
 
 
 @dataclass(frozen=True)
@@ -153,8 +160,8 @@
 
     sender: Sender
     limit: LimitNotice
-    slots: int
-    lease_s: float
+    slots: Count
+    lease_s: Seconds
     is_passed_on: bool = False
     place_id: str = ""
 
@@ -226,8 +233,8 @@
 
     sender: Sender
     server: ServerKey
-    capacity: int
-    left_s_by_node: dict[str, tuple[float, ...]]
+    capacity: Count
+    left_s_by_node: dict[str, tuple[Seconds, ...]]
 
 
 @dataclass(frozen=True)
@@ -246,7 +253,7 @@
 
     node_id: str
     services: tuple[str, ...]
-    age_s: float
+    age_s: Seconds
 
 
 @dataclass(frozen=True)
@@ -265,7 +272,7 @@
 
     sender: Sender
     server: ServerKey
-    quiet_s: float
+    quiet_s: Seconds
 
 
 class ReachState(StrEnum):
@@ -322,11 +329,11 @@
     """
 
     holds: tuple[HoldNotice, ...] = ()
-    suspect_left_s_by_part: dict[str, float] = field(default_factory=dict)
+    suspect_left_s_by_part: dict[str, Seconds] = field(default_factory=dict)
     limits: tuple[LimitNotice, ...] = ()
     unreached: tuple[ReachNotice, ...] = ()
     brittle: tuple[LimitNotice, ...] = ()
-    store_returned_age_s: float | None = None
+    store_returned_age_s: Seconds | None = None
 
 
 @dataclass(frozen=True)
@@ -367,8 +374,8 @@
 
     server: str
     part_ids: tuple[str, ...]
-    age_s: float
-    sent_age_s: float | None = None
+    age_s: Seconds
+    sent_age_s: Seconds | None = None
     software: str = ""
     account: str = ""
     path: str = ""
@@ -394,7 +401,7 @@
 
     sender: Sender
     crashes: tuple[CrashReport, ...]
-    served_age_s_by_part: dict[str, float] = field(default_factory=dict)
+    served_age_s_by_part: dict[str, Seconds] = field(default_factory=dict)
     receiver_ids: tuple[str, ...] = ()
 
 
@@ -427,13 +434,13 @@
 
     sender: Sender
     member: RouterMember
-    revision: int
+    revision: Count
     is_in_contact: bool
     silent_ids: tuple[str, ...] = ()
     load_by_server: dict[str, EngineLoad] = field(default_factory=dict)
     facts: SharedFacts = SharedFacts()
-    store_age_s: float | None = None
-    store_steady_s: float = 0.0
+    store_age_s: Seconds | None = None
+    store_steady_s: Seconds = 0.0
 
 
 @dataclass(frozen=True)
@@ -441,7 +448,7 @@
     """Asks a peer for the store changes after a revision."""
 
     sender: Sender
-    revision: int
+    revision: Count
 
 
 @dataclass(frozen=True)
@@ -450,7 +457,7 @@
 
     key: str
     value: bytes | None
-    revision: int
+    revision: Count
 
 
 @dataclass(frozen=True)
@@ -471,9 +478,9 @@
     """
 
     items: tuple[MirroredItem, ...]
-    revision: int
+    revision: Count
     is_in_contact: bool
-    steady_s: float = 0.0
+    steady_s: Seconds = 0.0
 
 
 @dataclass(frozen=True)
--- a/packages/persimmonlink-router/src/persimmonlink_router/relay_messages.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/relay_messages.py
@@ -6,6 +6,7 @@
 from enum import StrEnum
 
 from persimmonlink_peers.message import Sender
+from persimmonlink_router.foreign_values import Count, Seconds, Status
 from persimmonlink_router.http_messages import Headers
 
 
@@ -60,12 +61,12 @@
     target: bytes
     headers: Headers
     body: bytes
-    configuration_version: int
+    configuration_version: Count
     service: str
     account: str | None
-    elapsed_s: float
-    sends: int = 0
-    runs: int = 0
+    elapsed_s: Seconds
+    sends: Count = 0
+    runs: Count = 0
     is_client_retry: bool = False
     last_event_id: bytes = b""
     stream_version: str | None = None
@@ -92,7 +93,7 @@
     """
 
     refusal: RelayRefusal = RelayRefusal.NONE
-    status: int = 0
+    status: Status = 0
     headers: Headers = ()
     body: bytes = b""
     is_stream: bool = False
--- a/packages/persimmonlink-router/src/persimmonlink_router/stage_coordinator_client.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stage_coordinator_client.py
@@ -141,6 +141,11 @@
         """Run the stages of a peer's request, unless this node leaves."""
         if self._membership.own_member.leaving:
             return StageOutcome(StageState.MOVED, made=message.job.made)
+        if not message.job.can_run:
+            logger.bind(
+                request=message.job.request_id, member=message.sender.node_id
+            ).warning("stages.job_invalid")
+            return StageOutcome(StageState.FAILED)
         return await self._scheduler.run(message.job)
 
     async def handle_release(self, message: ReleaseResults) -> Acknowledgement:
--- a/packages/persimmonlink-router/src/persimmonlink_router/stage_job.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stage_job.py
@@ -3,9 +3,14 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from typing import Annotated
 from uuid import uuid4
 
+from msgspec import Meta
+
+from persimmonlink_router.foreign_values import Count, Integer, PieceCount, Seconds
 from persimmonlink_router.servers import Server
+from persimmonlink_router.stage_order import MAX_STAGES, find_impossible_stage
 
 
 @dataclass(frozen=True, slots=True)
@@ -26,8 +31,8 @@
 
     service: str
     after: tuple[int, ...]
-    result_bytes: int
-    pieces: int
+    result_bytes: Count
+    pieces: PieceCount
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,11 +53,11 @@
         Size of the result, in bytes.
     """
 
-    stage: int
-    number: int
+    stage: Count
+    number: Count
     handle: str
     server_id: str
-    size: int
+    size: Count
 
 
 @dataclass(frozen=True, slots=True)
@@ -94,13 +99,13 @@
 
     request_id: str
     account: str
-    priority: int
-    objective_left_s: float
-    deadline_left_s: float
-    answer_s: float
+    priority: Integer
+    objective_left_s: Seconds
+    deadline_left_s: Seconds
+    answer_s: Seconds
     answer_domain: str
     piece_key: str
-    stages: tuple[StageNeed, ...]
+    stages: Annotated[tuple[StageNeed, ...], Meta(max_length=MAX_STAGES)]
     made: tuple[TransferredResult, ...] = ()
     fingerprint: str = ""
     path: str = ""
@@ -113,6 +118,17 @@
         both = (self.fingerprint, self.exact_fingerprint)
         return tuple(fingerprint for fingerprint in both if fingerprint)
 
+    @property
+    def can_run(self) -> bool:
+        """Whether its stages can be run in some order, and have the results it says."""
+        if find_impossible_stage([need.after for need in self.stages]) is not None:
+            return False
+        return all(
+            result.stage < len(self.stages)
+            and result.number < self.stages[result.stage].pieces
+            for result in self.made
+        )
+
 
 @dataclass(frozen=True, slots=True)
 class StageResult:
--- a/packages/persimmonlink-router/src/persimmonlink_router/stage_outcome.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stage_outcome.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
+from persimmonlink_router.foreign_values import AnyNumber, Seconds
 from persimmonlink_router.stage_job import TransferredResult
 
 
@@ -42,9 +43,9 @@
 
     state: StageState
     handles: tuple[str, ...] = ()
-    bytes_by_domain: dict[str, float] = field(default_factory=dict)
-    retry_after_s: float = 0.0
-    predicted_s: float = 0.0
+    bytes_by_domain: dict[str, AnyNumber] = field(default_factory=dict)
+    retry_after_s: Seconds = 0.0
+    predicted_s: AnyNumber = 0.0
     made: tuple[TransferredResult, ...] = ()
 
 
