Read tens of thousands of changes of the store in turns

A store that tells of tens of thousands of changes at once stopped a node for seconds: a page was decoded and applied without a turn of the loop.

--- a/packages/persimmonlink-router/src/persimmonlink_router/cluster_membership.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/cluster_membership.py
@@ -381,7 +381,7 @@
             is_settled=update.steady_s >= OUTAGE_EXPIRY_GRACE_S,
         )
         items = [StoredItem(i.key, i.value, i.revision) for i in update.items]
-        count = self._mirror.apply(items, origin)
+        count = await self._mirror.apply_in_turns(items, origin)
         self._mirror.advance(update.revision)
         if update.is_in_contact:
             self._cluster_view.mark_refreshed_by_peer()
--- a/packages/persimmonlink-router/src/persimmonlink_router/store_follower.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/store_follower.py
@@ -124,7 +124,7 @@
                 page = await self._read_changes(revision)
                 if page is None:
                     continue
-                self._apply_page(page)
+                await self._apply_page(page)
                 self._backoff.record_success()
                 has_listed_again = False
                 self._has_failed = False
@@ -291,16 +291,17 @@
             if self._is_restored:
                 self._cluster_view.record_restore(boot_time())
             origin = _build_origin(ChangeSource.LISTING, last_contact_at)
+            await self._mirror.apply_in_turns(items, origin)
             self._mirror.apply_listing(prefix, items, listing_revision, origin)
         self._mirror.advance(watch_revision)
         self._is_restored = False
         return watch_revision
 
-    def _apply_page(self, page: ItemPage) -> None:
+    async def _apply_page(self, page: ItemPage) -> None:
         origin = _build_origin(ChangeSource.WATCH, self._cluster_view.last_contact_at)
         self._cluster_view.record_contact(boot_time())
         mirrored = [i for i in page.items if i.key.startswith(self._prefixes)]
-        self._mirror.apply(mirrored, origin)
+        await self._mirror.apply_in_turns(mirrored, origin)
         self._mirror.advance(page.revision)
 
 
--- a/packages/persimmonlink-router/src/persimmonlink_router/store_mirror.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/store_mirror.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING
 
 from loguru import logger
@@ -14,9 +15,12 @@
 from persimmonlink_router.store import StoredItem
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Callable, Iterable, Sequence
 
 MAX_TOMBSTONES = 2000  # Deletions kept for peers that have not seen them.
+# Changes that are applied before other work of the loop gets a turn: a page may hold
+# many thousands.
+MAX_CHANGES_PER_TURN = 200
 
 
 class StoreMirror:
@@ -63,6 +67,19 @@
                 self._report(item)
         return applied_count
 
+    async def apply_in_turns(
+        self, items: Sequence[StoredItem], origin: ChangeOrigin = UNKNOWN_ORIGIN
+    ) -> int:
+        """Apply changes as `apply` does, with turns of the loop between many."""
+        applied_count = 0
+        for start in range(0, len(items), MAX_CHANGES_PER_TURN):
+            if start:
+                await asyncio.sleep(0)
+            applied_count += self.apply(
+                items[start : start + MAX_CHANGES_PER_TURN], origin
+            )
+        return applied_count
+
     def _report(self, item: StoredItem) -> None:
         """Report a change; an error concerns this item alone, not those behind it."""
         try:
