Use a place or permit though another request was refused one meanwhile

A place at a brittle server, or a permit of a named limit, went unused if another request was refused one while its own was granted: the refusal paused the server for the node, and the check right before the send counted that pause too. The check now counts only pauses that the server itself asked for.

The test makes another request be refused just as a place is granted, for each kind of request.

--- a/packages/persimmonlink-router/src/persimmonlink_router/cluster_view.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/cluster_view.py
@@ -166,8 +166,11 @@
         return now - self._last_tick_at < SUSPENSION_GAP_S and now >= self._stale_until
 
     def may_send(self, server: Server) -> bool:
-        """Whether a server may get new requests at this moment."""
-        if self.servers.pause_left_s(server, boot_time()) > 0:
+        """Whether a server may get a request now that its limits have permitted.
+
+        That another request was refused since then doesn't take the permit back.
+        """
+        if self.servers.is_paused(server, boot_time()):
             return False
         return self.is_fresh() and self.servers.is_usable(server)
 
--- a/packages/persimmonlink-router/src/persimmonlink_router/servers.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/servers.py
@@ -234,6 +234,10 @@
         )
         return max(0.0, until - now)
 
+    def is_paused(self, server: Server, now: float) -> bool:
+        """Whether an incarnation is to get no requests, its limits apart."""
+        return self._paused_until_by_key.get(server.key, 0.0) > now
+
     def pause_for_limit(self, server: Server, until: float) -> None:
         """Send an incarnation nothing until a boot time, as its limit is reached."""
         self._limited_until_by_key[server.key] = until
--- a/tests/router/test_brittle_servers.py
+++ b/tests/router/test_brittle_servers.py
@@ -18,6 +18,9 @@
 )
 from tests.router.test_fatal_requests import BAD, MAX_LATER_SENDS, count_late_sends
 
+from persimmonlink_router.boot_clock import boot_time
+from persimmonlink_router.place_counter import RETRY_S
+
 ROUTER_COUNT = 6
 SERVER_COUNT = 3
 SLOTS = 2
@@ -161,6 +164,35 @@
     run(scenario())
 
 
+@pytest.mark.parametrize(("path", "service", "headers"), KINDS)
+@pytest.mark.timeout(60)
+def test_a_place_is_used_though_another_request_is_refused_meanwhile(
+    path, service, headers
+):
+    async def scenario():
+        async with make_rig(routers=1, servers=1) as rig:
+            await asyncio.sleep(0.5)
+            places = rig.routers[0]._places
+            servers = rig.routers[0].cluster_view.servers
+            acquire = places.acquire
+            granted = []
+
+            async def acquire_beside_a_refused_one(server, lease_s):
+                place = await acquire(server, lease_s)
+                if server.service == service:
+                    granted.append(place)
+                    servers.pause_for_limit(server, boot_time() + RETRY_S)
+                return place
+
+            places.acquire = acquire_beside_a_refused_one
+            response = await rig.send_request(path, **headers)
+            assert response.status == 200
+            calls = rig.server_by_id[f"{service}-0"]
+            assert len(granted) == len(calls.runs) + len(calls.batch_sizes)
+
+    run(scenario())
+
+
 @pytest.mark.timeout(60)
 def test_traffic_comes_back_to_servers_that_are_no_longer_brittle():
     async def scenario():
