Let the streams of two stop tests last as long as they say

Two tests of a stop with streams set a field of the stand-in that nothing reads (`events`), so that their streams were over before the SIGTERM and the tests showed nothing. They set `event_count`. This makes them stricter.

--- a/tests/router/test_process_failures.py
+++ b/tests/router/test_process_failures.py
@@ -46,7 +46,7 @@
     async def scenario():
         async with run_process_rig(tmp_path, routers=2) as rig:
             for server in rig.server_by_id.values():
-                server.events = 60
+                server.event_count = 60
             tasks = [
                 asyncio.ensure_future(
                     rig.send_request("/claim/1", node=i % 2, **STREAM)
--- a/tests/router/test_whole_path.py
+++ b/tests/router/test_whole_path.py
@@ -405,7 +405,7 @@
                 )
             )
             for server in rig.server_by_id.values():
-                server.events = 40
+                server.event_count = 40
             task = asyncio.ensure_future(rig.send_request("/claim/1", **STREAM))
             await wait_until(lambda: rig.count_runs("id-0"))
             stop = asyncio.ensure_future(rig.routers[0].stop())
