Play the whole deployment as real processes under planned work

This builds the users' deployment from its sheet, with clients that look nodes up, keep connections, repeat and take streams up, and an operator that stops, releases and reconfigures by a seed. Findings rest on what clients, servers and the operator saw. A second play puts bookings close before and into the stops.

--- /dev/null
+++ b/tests/planned_work/test_planned_work.py
@@ -0,0 +1,98 @@
+"""Randomized run of the whole deployment under planned work, judged from outside.
+
+CI runs the seeds in `SEEDS`. By hand, `PLAY_SEEDS=10:20 PLAY_SECONDS=50` runs others;
+`PLAY_LOAD` is a factor of the load, `PLAY_TREE`, `PLAY_TREE_AFTER` and `PLAY_TREES`
+choose the sources of the nodes (see `choose_trees`), and runs with findings are copied
+into the folder `PLAY_KEEP`.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import os
+import random
+import shutil
+from collections import Counter
+from pathlib import Path
+
+import pytest
+from tests.planned_work.checks import check_all
+from tests.planned_work.clients import send_load
+from tests.planned_work.dense_operator import DenseOperator
+from tests.planned_work.deployment import Deployment
+from tests.planned_work.operator import Operator
+from tests.planned_work.plan import BOOKINGS, MIXED, Plan
+from tests.planned_work.record import Record
+
+SEEDS = (1, 2)
+BOOKING_SEEDS = (5,)
+DURATION_S = float(os.environ.get("PLAY_SECONDS", "20"))
+LOAD_FACTOR = float(os.environ.get("PLAY_LOAD", "1.0"))
+MIN_SERVED_SHARE = 0.4  # The users allow that 60 % are refused or fail.
+
+
+def choose_seeds(seeds: tuple[int, ...]) -> list[int]:
+    first, _, last = os.environ.get("PLAY_SEEDS", "").partition(":")
+    return list(range(int(first), int(last))) if last else list(seeds)
+
+
+@pytest.mark.timeout(DURATION_S + 120)
+@pytest.mark.parametrize("seed", choose_seeds(SEEDS))
+def test_planned_work_loses_nothing(tmp_path, seed):
+    check_run(seed, tmp_path, MIXED)
+
+
+@pytest.mark.timeout(DURATION_S + 120)
+@pytest.mark.parametrize("seed", choose_seeds(BOOKING_SEEDS))
+def test_bookings_around_stops_are_answered(tmp_path, seed):
+    check_run(seed, tmp_path, BOOKINGS)
+
+
+def check_run(seed: int, tmp_path: Path, plan: Plan) -> None:
+    """Run the deployment by a plan, and judge what was seen."""
+    record = asyncio.run(run_deployment(seed, tmp_path, plan))
+    findings, notes = check_all(record, tmp_path)
+    outcomes = Counter((a.entry.name, a.status, a.end) for a in record.attempts)
+    lines = [
+        f"{name} {status} {end}: {n}"
+        for (name, status, end), n in sorted(outcomes.items())
+    ]
+    lines += notes + [finding.text for finding in findings]
+    report = "\n".join(lines)
+    (tmp_path / "findings.txt").write_text(report + "\n")
+    counts = Counter(finding.rule for finding in findings)
+    print(f"seed {seed}: {dict(counts)}")
+    if os.environ.get("PLAY_KEEP"):
+        target = Path(os.environ["PLAY_KEEP"]) / f"{plan.name}-{seed}"
+        shutil.copytree(tmp_path, target, dirs_exist_ok=True)
+    served = sum(
+        1
+        for chain in record.chains
+        if chain.attempts
+        and chain.attempts[-1].is_complete
+        and chain.attempts[-1].status == 200
+    )
+    assert served >= MIN_SERVED_SHARE * len(record.chains), report
+    assert not findings, report
+
+
+async def run_deployment(seed: int, folder: Path, plan: Plan) -> Record:
+    rng = random.Random(seed)
+    record = Record()
+    deployment = Deployment(folder, record, random.Random(rng.random()), plan)
+    gc.disable()  # Its pauses would count as time of the nodes.
+    try:
+        await deployment.start()
+        operate = DenseOperator if plan.has_dense_stops else Operator
+        operator = operate(
+            deployment, random.Random(rng.random()), has_kills=seed % 3 == 2
+        )
+        await asyncio.gather(
+            send_load(deployment, random.Random(rng.random()), DURATION_S, LOAD_FACTOR),
+            operator.run(DURATION_S - 10.0),
+        )
+    finally:
+        gc.enable()
+        await deployment.stop()
+    return record
