Fail a call to a peer that resets the new connection as unreachable

A request that is passed on by such a call ends with an unexpected error as well (by reading).

Cause: a peer that ends resets connections that it has accepted or that wait to be. If the reset comes between the end of connect() and the next turn of the caller, grpclib hands out a connection that it has already closed, and begins a stream on it. The peer channel catches what a call can raise by its type, and this type says nothing of a connection.

Change: the channel asks whether the connection is closing before a call begins on it, and reports a reset.

--- a/packages/persimmonlink-peers/src/persimmonlink_peers/peer_channel.py
+++ b/packages/persimmonlink-peers/src/persimmonlink_peers/peer_channel.py
@@ -5,7 +5,7 @@
 from collections import Counter
 from typing import TYPE_CHECKING, Any
 
-from grpclib.client import Channel, UnaryStreamMethod, UnaryUnaryMethod
+from grpclib.client import UnaryStreamMethod, UnaryUnaryMethod
 from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
 from loguru import logger
 from returns.result import Failure as Err
@@ -13,6 +13,7 @@
 
 from persimmonlink_model.result_code import Failure, ResultCode, RunState
 from persimmonlink_peers.codec import CODE_BY_STATUS, MessagePackCodec
+from persimmonlink_peers.grpc_channel import GrpcChannel
 from persimmonlink_peers.peer_server import build_method_path
 from persimmonlink_peers.ping import build_ping_configuration
 
@@ -64,8 +65,8 @@
     ) -> None:
         self.address = address
         self._config = build_ping_configuration(ping_interval_s, ping_timeout_s)
-        self._channel: Channel | None = None
-        self._calls_by_channel: Counter[Channel] = Counter()
+        self._channel: GrpcChannel | None = None
+        self._calls_by_channel: Counter[GrpcChannel] = Counter()
 
     async def call(
         self, message: Any, reply_type: type, timeout_s: float
@@ -156,7 +157,7 @@
             self._channel.close()
             self._channel = None
 
-    def _release_channel(self, channel: Channel) -> None:
+    def _release_channel(self, channel: GrpcChannel) -> None:
         self._calls_by_channel[channel] -= 1
         if self._calls_by_channel[channel]:
             return
@@ -172,10 +173,10 @@
             logger.warning("result code {}: peer call failed: {}", code.value, detail)
         return Failure(code, detail, RunState.UNKNOWN)
 
-    def _get_channel(self) -> Channel:
+    def _get_channel(self) -> GrpcChannel:
         if self._channel is None:
             host, _, port = self.address.rpartition(":")
-            self._channel = Channel(
+            self._channel = GrpcChannel(
                 host, int(port), codec=MessagePackCodec(), config=self._config
             )
         return self._channel
