--- a/packages/persimmonlink-router/src/persimmonlink_router/connection_pool.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/connection_pool.py
@@ -6,7 +6,7 @@
 
 from persimmonlink_router.boot_clock import boot_time
 from persimmonlink_router.http_client import ConnectError, HttpClientConnection
-from persimmonlink_router.peer_messages import ReachState
+from persimmonlink_router.reach_messages import ReachState
 
 if TYPE_CHECKING:
     from collections.abc import Collection, Hashable
--- a/packages/persimmonlink-router/src/persimmonlink_router/crash_guard.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/crash_guard.py
@@ -24,10 +24,11 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Sequence
 
+    from persimmonlink_router.crash_messages import ReportCrashes
     from persimmonlink_router.crash_reports import CrashReporter, PeerDirectory
     from persimmonlink_router.hold_records import HoldRecords
     from persimmonlink_router.metrics import RouterMetrics
-    from persimmonlink_router.peer_messages import HoldNotice, ReportCrashes
+    from persimmonlink_router.peer_messages import HoldNotice
     from persimmonlink_router.server_ends import InterruptedRequest
     from persimmonlink_router.servers import Server
     from persimmonlink_router.store import StoredItem
--- a/packages/persimmonlink-router/src/persimmonlink_router/end_confirmer.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/end_confirmer.py
@@ -9,7 +9,11 @@
 from returns.result import Failure as Err
 
 from persimmonlink_router.boot_clock import boot_time
-from persimmonlink_router.peer_messages import AskReach, ReachReply, ReachState
+from persimmonlink_router.reach_messages import (
+    AskReach,
+    ReachReply,
+    ReachState,
+)
 
 if TYPE_CHECKING:
     import random
--- a/packages/persimmonlink-router/src/persimmonlink_router/peer_handlers.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/peer_handlers.py
@@ -4,31 +4,33 @@
 
 from typing import TYPE_CHECKING
 
+from persimmonlink_router.crash_messages import ReportCrashes
 from persimmonlink_router.peer_messages import (
     Acknowledgement,
+    MirrorPull,
+    MirrorUpdate,
+    RouterHeartbeat,
+    SharedFacts,
+    ShareFacts,
+)
+from persimmonlink_router.permit_messages import (
     AskPermit,
     AskPlace,
-    AskReach,
     AskTrial,
     EndPlace,
-    FindStreamVersion,
-    FoundStreamVersion,
     GiveUpPlace,
     HandPlacesOver,
-    MirrorPull,
-    MirrorUpdate,
     PermitReply,
-    PrepareStages,
-    ReachReply,
-    RecordStreamVersions,
-    ReleaseResults,
-    ReportCrashes,
-    RouterHeartbeat,
-    SharedFacts,
-    ShareFacts,
 )
+from persimmonlink_router.reach_messages import AskReach, ReachReply
 from persimmonlink_router.relay_messages import RelayPart, RelayRequest
+from persimmonlink_router.stage_messages import PrepareStages, ReleaseResults
 from persimmonlink_router.stage_outcome import StageOutcome
+from persimmonlink_router.stream_version_messages import (
+    FindStreamVersion,
+    FoundStreamVersion,
+    RecordStreamVersions,
+)
 
 if TYPE_CHECKING:
     from persimmonlink_peers.peer_server import PeerServer
--- a/packages/persimmonlink-router/src/persimmonlink_router/peer_messages.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/peer_messages.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from enum import StrEnum
 
 from persimmonlink_model.membership import Member
 from persimmonlink_peers.message import Sender
@@ -15,7 +14,6 @@
     Seconds,
 )
 from persimmonlink_router.servers import ServerKey
-from persimmonlink_router.stage_job import StageJob
 
 
 @dataclass(frozen=True)
@@ -114,129 +112,6 @@
     age_s: Seconds
 
 
-@dataclass(frozen=True)
-class AskPermit:
-    """Asks a peer for a permit to send one request to a server with a limit."""
-
-    sender: Sender
-    limit: LimitNotice
-
-
-@dataclass(frozen=True)
-class PermitReply:
-    """Reply to `AskPermit`, `AskTrial` or `AskPlace`: a permit, or when to ask again.
-
-    Parameters
-    ----------
-    is_granted : bool
-        Whether the request may be sent now.
-    wait_s : float
-        Time after which to ask again, in seconds.
-    """
-
-    is_granted: bool
-    wait_s: Seconds
-
-
-@dataclass(frozen=True)
-class AskPlace:
-    """Asks a peer for a place in flight at a server that is brittle.
-
-    Parameters
-    ----------
-    sender : Sender
-        Identity of the asking node.
-    limit : LimitNotice
-        Rejections a second that the server bears, as it has said.
-    slots : int
-        Requests that the server runs at once.
-    lease_s : float
-        Time for which the place is held at most, in seconds.
-    is_passed_on : bool
-        Whether a node that leaves got it and passed it on.
-    place_id : str
-        Id by which the sender ends the place; empty from older builds.
-    """
-
-    sender: Sender
-    limit: LimitNotice
-    slots: Count
-    lease_s: Seconds
-    is_passed_on: bool = False
-    place_id: str = ""
-
-
-@dataclass(frozen=True)
-class EndPlace:
-    """Tells a peer that a request which had a place has ended.
-
-    Parameters
-    ----------
-    sender : Sender
-        Node that held the place.
-    server : tuple of str, int and str
-        Id, start time and address of the incarnation.
-    was_rejected : bool
-        Whether the server rejected the request.
-    is_passed_on : bool
-        Whether a node that leaves got it and passed it on.
-    place_id : str
-        Id of the place; empty from older builds.
-    """
-
-    sender: Sender
-    server: ServerKey
-    was_rejected: bool
-    is_passed_on: bool = False
-    place_id: str = ""
-
-
-@dataclass(frozen=True)
-class GiveUpPlace:
-    """Tells a peer that a place is not used, also if it was granted without a reply.
-
-    Unlike `EndPlace`, it frees no other place, so that it may be sent again.
-
-    Parameters
-    ----------
-    sender : Sender
-        Node that asked for the place.
-    server : tuple of str, int and str
-        Id, start time and address of the incarnation.
-    place_id : str
-        Id of the place.
-    is_passed_on : bool
-        Whether a node that leaves got it and passed it on.
-    """
-
-    sender: Sender
-    server: ServerKey
-    place_id: str
-    is_passed_on: bool = False
-
-
-@dataclass(frozen=True)
-class HandPlacesOver:
-    """Tells a peer which places at a brittle server are held, as it grants them now.
-
-    Parameters
-    ----------
-    sender : Sender
-        Node that granted them, and leaves.
-    server : tuple of str, int and str
-        Id, start time and address of the incarnation.
-    capacity : int
-        Places that the server was granted at most.
-    left_s_by_node : dict of str to tuple of float
-        Times for which they are held at most, in seconds, by node.
-    """
-
-    sender: Sender
-    server: ServerKey
-    capacity: Count
-    left_s_by_node: dict[str, tuple[Seconds, ...]]
-
-
 @dataclass(frozen=True)
 class ReachNotice:
     """What a node says of its way to the servers.
@@ -256,56 +131,6 @@
     age_s: Seconds
 
 
-@dataclass(frozen=True)
-class AskReach:
-    """Asks a peer whether it reaches a server.
-
-    Parameters
-    ----------
-    sender : Sender
-        Identity of the asking node.
-    server : tuple of str, int and str
-        Id, start time and address of the incarnation.
-    quiet_s : float
-        Time since the asking node found the server gone, in seconds.
-    """
-
-    sender: Sender
-    server: ServerKey
-    quiet_s: Seconds
-
-
-class ReachState(StrEnum):
-    """What a node knows of a server."""
-
-    REACHED = "reached"
-    REFUSED = "refused"
-    UNKNOWN = "unknown"
-
-
-@dataclass(frozen=True)
-class ReachReply:
-    """Reply to `AskReach`."""
-
-    state: ReachState
-
-
-@dataclass(frozen=True)
-class AskTrial:
-    """Asks whether a request that servers ended under may be sent now.
-
-    Parameters
-    ----------
-    sender : Sender
-        Identity of the asking node.
-    cause_id : str
-        Fingerprint of the request.
-    """
-
-    sender: Sender
-    cause_id: str
-
-
 @dataclass(frozen=True)
 class SharedFacts:
     """What some nodes have learnt and all nodes must know.
@@ -344,67 +169,6 @@
     facts: SharedFacts
 
 
-@dataclass(frozen=True)
-class CrashReport:
-    """A server that ended soon after a node had sent it a request.
-
-    Parameters
-    ----------
-    server : str
-        Incarnation of the server.
-    part_ids : tuple of str
-        Possible causes: the fingerprint of the request, and the parts of its prompt
-        that the node has not served lately.
-    age_s : float
-        Time since the end, in seconds.
-    sent_age_s : float or None
-        Time since the request was sent, in seconds; None if unknown.
-    software : str
-        Service and software version of the server, empty if unknown.
-    account : str
-        Client account of the request, empty if unknown.
-    path : str
-        Path of the request, empty if unknown.
-    is_doubtful : bool
-        Whether something else may have ended the server.
-    apart_from : tuple of str
-        Servers that the node saw end before it sent the request, or whose requests it
-        sent after the end.
-    """
-
-    server: str
-    part_ids: tuple[str, ...]
-    age_s: Seconds
-    sent_age_s: Seconds | None = None
-    software: str = ""
-    account: str = ""
-    path: str = ""
-    is_doubtful: bool = False
-    apart_from: tuple[str, ...] = ()
-
-
-@dataclass(frozen=True)
-class ReportCrashes:
-    """Tells a peer of servers that ended, and of suspect parts that were served.
-
-    Parameters
-    ----------
-    sender : Sender
-        Identity of the sending node.
-    crashes : tuple of CrashReport
-        Ends of servers under requests of the sender.
-    served_age_s_by_part : dict of str to float
-        Times since suspect prompt parts were served, in seconds.
-    receiver_ids : tuple of str
-        Nodes that get this from the sender; empty if it doesn't say so.
-    """
-
-    sender: Sender
-    crashes: tuple[CrashReport, ...]
-    served_age_s_by_part: dict[str, Seconds] = field(default_factory=dict)
-    receiver_ids: tuple[str, ...] = ()
-
-
 @dataclass(frozen=True)
 class RouterHeartbeat:
     """Heartbeat of a node; the reply is the heartbeat of the receiver.
@@ -483,67 +247,6 @@
     steady_s: Seconds = 0.0
 
 
-@dataclass(frozen=True)
-class PrepareStages:
-    """Asks the coordinator to run the stages of a request."""
-
-    sender: Sender
-    job: StageJob
-
-
-@dataclass(frozen=True)
-class ReleaseResults:
-    """Tells the coordinator that requests no longer need their stage results.
-
-    Parameters
-    ----------
-    sender : Sender
-        Identity of the sending node.
-    request_ids : tuple of str
-        The requests.
-    attempts : tuple of str
-        The run of the stages of each of them; empty from nodes of older builds, whose
-        releases are for whichever run there is.
-    """
-
-    sender: Sender
-    request_ids: tuple[str, ...]
-    attempts: tuple[str, ...] = ()
-
-
-@dataclass(frozen=True)
-class RecordStreamVersions:
-    """Asks a peer to keep the server software versions at which streams began."""
-
-    sender: Sender
-    version_by_request_id: dict[str, str]
-
-
-@dataclass(frozen=True)
-class FindStreamVersion:
-    """Asks a peer at which software version of a service a stream began."""
-
-    sender: Sender
-    request_id: str
-    service: str
-
-
-@dataclass(frozen=True)
-class FoundStreamVersion:
-    """Reply to `FindStreamVersion`.
-
-    Parameters
-    ----------
-    version : str or None
-        Version at which the stream began; None if the peer has no record of it.
-    recent_versions : tuple of str
-        Versions of the service's servers that the peer has seen lately.
-    """
-
-    version: str | None
-    recent_versions: tuple[str, ...] = ()
-
-
 @dataclass(frozen=True)
 class Acknowledgement:
     """Empty reply to a message that needs no result."""
@@ -551,28 +254,13 @@
 
 __all__ = (
     "Acknowledgement",
-    "AskPermit",
-    "AskPlace",
-    "EndPlace",
-    "GiveUpPlace",
-    "AskReach",
     "ReachNotice",
-    "ReachReply",
-    "ReachState",
-    "AskTrial",
-    "CrashReport",
     "EngineLoad",
-    "FindStreamVersion",
-    "FoundStreamVersion",
     "HoldNotice",
     "LimitNotice",
     "MirrorPull",
     "MirrorUpdate",
     "MirroredItem",
-    "PrepareStages",
-    "RecordStreamVersions",
-    "ReleaseResults",
-    "ReportCrashes",
     "RouterHeartbeat",
     "RouterMember",
     "ShareFacts",
--- a/packages/persimmonlink-router/src/persimmonlink_router/place_exchange.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/place_exchange.py
@@ -8,8 +8,8 @@
 from loguru import logger
 from returns.result import Failure as Err
 
-from persimmonlink_router.peer_messages import (
-    Acknowledgement,
+from persimmonlink_router.peer_messages import Acknowledgement
+from persimmonlink_router.permit_messages import (
     EndPlace,
     GiveUpPlace,
     PermitReply,
@@ -21,7 +21,7 @@
 
     from persimmonlink_model.membership import Member
     from persimmonlink_router.cluster_membership import ClusterMembership
-    from persimmonlink_router.peer_messages import AskPlace
+    from persimmonlink_router.permit_messages import AskPlace
     from persimmonlink_router.servers import ServerKey
 
 MAX_GIVE_UP_SENDS = 2  # Messages that free a place of which the granter didn't reply.
--- a/packages/persimmonlink-router/src/persimmonlink_router/place_succession.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/place_succession.py
@@ -10,8 +10,8 @@
 
 from persimmonlink_model.rendezvous import choose_owner
 from persimmonlink_router.boot_clock import boot_time
-from persimmonlink_router.peer_messages import (
-    Acknowledgement,
+from persimmonlink_router.peer_messages import Acknowledgement
+from persimmonlink_router.permit_messages import (
     AskPlace,
     EndPlace,
     GiveUpPlace,
--- a/packages/persimmonlink-router/src/persimmonlink_router/report_outbox.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/report_outbox.py
@@ -11,11 +11,8 @@
 
 from persimmonlink_router.boot_clock import boot_time
 from persimmonlink_router.crash_evidence import NEVER, RequestOrigin, ServerEnd
-from persimmonlink_router.peer_messages import (
-    Acknowledgement,
-    CrashReport,
-    ReportCrashes,
-)
+from persimmonlink_router.crash_messages import CrashReport, ReportCrashes
+from persimmonlink_router.peer_messages import Acknowledgement
 
 if TYPE_CHECKING:
     from persimmonlink_model.membership import Member
--- a/packages/persimmonlink-router/src/persimmonlink_router/server_ends.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/server_ends.py
@@ -11,7 +11,7 @@
 
 from persimmonlink_router.boot_clock import boot_time
 from persimmonlink_router.crash_evidence import UNKNOWN_ORIGIN, RequestOrigin
-from persimmonlink_router.peer_messages import ReachState
+from persimmonlink_router.reach_messages import ReachState
 from persimmonlink_router.shared_check import SharedChecks
 
 if TYPE_CHECKING:
--- a/packages/persimmonlink-router/src/persimmonlink_router/server_limiter.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/server_limiter.py
@@ -11,12 +11,8 @@
 from persimmonlink_model.rendezvous import choose_owner
 from persimmonlink_router.boot_clock import boot_time
 from persimmonlink_router.named_limits import MIN_RATE_PER_S, NamedLimits
-from persimmonlink_router.peer_messages import (
-    AskPermit,
-    LimitNotice,
-    PermitReply,
-    SharedFacts,
-)
+from persimmonlink_router.peer_messages import LimitNotice, SharedFacts
+from persimmonlink_router.permit_messages import AskPermit, PermitReply
 from persimmonlink_router.shared_rate import PermitDecision, SharedRate
 
 if TYPE_CHECKING:
--- a/packages/persimmonlink-router/src/persimmonlink_router/server_places.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/server_places.py
@@ -11,13 +11,15 @@
 from persimmonlink_router.named_limits import NamedLimits
 from persimmonlink_router.peer_messages import (
     Acknowledgement,
+    LimitNotice,
+    SharedFacts,
+)
+from persimmonlink_router.permit_messages import (
     AskPlace,
     EndPlace,
     GiveUpPlace,
     HandPlacesOver,
-    LimitNotice,
     PermitReply,
-    SharedFacts,
 )
 from persimmonlink_router.place_counter import RETRY_S, PlaceCounter
 from persimmonlink_router.place_exchange import PlaceExchange
--- a/packages/persimmonlink-router/src/persimmonlink_router/stage_coordinator_client.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stage_coordinator_client.py
@@ -10,11 +10,8 @@
 from returns.result import Failure as Err
 
 from persimmonlink_router.boot_clock import boot_time
-from persimmonlink_router.peer_messages import (
-    Acknowledgement,
-    PrepareStages,
-    ReleaseResults,
-)
+from persimmonlink_router.peer_messages import Acknowledgement
+from persimmonlink_router.stage_messages import PrepareStages, ReleaseResults
 from persimmonlink_router.stage_outcome import StageOutcome, StageState
 
 if TYPE_CHECKING:
--- a/packages/persimmonlink-router/src/persimmonlink_router/stream_version_exchange.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stream_version_exchange.py
@@ -11,13 +11,13 @@
 
 from persimmonlink_router.boot_clock import boot_time
 from persimmonlink_router.keepers import choose_keepers
-from persimmonlink_router.peer_messages import (
-    Acknowledgement,
+from persimmonlink_router.peer_messages import Acknowledgement
+from persimmonlink_router.stream_sends import StreamSend, StreamSends
+from persimmonlink_router.stream_version_messages import (
     FindStreamVersion,
     FoundStreamVersion,
     RecordStreamVersions,
 )
-from persimmonlink_router.stream_sends import StreamSend, StreamSends
 from persimmonlink_router.stream_versions import (
     UNCERTAIN_VERSION,
     FoundVersion,
--- a/packages/persimmonlink-router/src/persimmonlink_router/trial_permits.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/trial_permits.py
@@ -13,7 +13,7 @@
 from returns.result import Failure as Err
 
 from persimmonlink_router.boot_clock import boot_time
-from persimmonlink_router.peer_messages import AskTrial, PermitReply
+from persimmonlink_router.permit_messages import AskTrial, PermitReply
 from persimmonlink_router.shared_rate import PermitDecision
 
 if TYPE_CHECKING:
--- a/packages/persimmonlink-router/src/persimmonlink_router/version_search.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/version_search.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from persimmonlink_router.peer_messages import FindStreamVersion
+from persimmonlink_router.stream_version_messages import FindStreamVersion
 from persimmonlink_router.stream_versions import FoundVersion
 
 if TYPE_CHECKING:
--- a/tests/fuzz/test_peer_messages.py
+++ b/tests/fuzz/test_peer_messages.py
@@ -16,25 +16,64 @@
 
 from persimmonlink_peers.codec import MessagePackCodec
 from persimmonlink_peers.message import Sender
-from persimmonlink_router import peer_messages as messages
+from persimmonlink_router.crash_messages import (
+    CrashReport,
+    ReportCrashes,
+)
+from persimmonlink_router.peer_messages import (
+    Acknowledgement,
+    EngineLoad,
+    HoldNotice,
+    LimitNotice,
+    MirroredItem,
+    MirrorPull,
+    MirrorUpdate,
+    ReachNotice,
+    RouterHeartbeat,
+    RouterMember,
+    SharedFacts,
+    ShareFacts,
+)
+from persimmonlink_router.permit_messages import (
+    AskPermit,
+    AskPlace,
+    AskTrial,
+    EndPlace,
+    HandPlacesOver,
+    PermitReply,
+)
+from persimmonlink_router.reach_messages import (
+    AskReach,
+    ReachReply,
+    ReachState,
+)
 from persimmonlink_router.relay_messages import RelayPart, RelayRequest
 from persimmonlink_router.stage_job import StageJob, StageNeed, TransferredResult
+from persimmonlink_router.stage_messages import (
+    PrepareStages,
+    ReleaseResults,
+)
 from persimmonlink_router.stage_outcome import StageOutcome, StageState
+from persimmonlink_router.stream_version_messages import (
+    FindStreamVersion,
+    FoundStreamVersion,
+    RecordStreamVersions,
+)
 
 CODEC = MessagePackCodec()
 SENDER = Sender("entry-1", "7")
 KEY = ("desk-0", 17, "10.1.0.9:80")
-LIMIT = messages.LimitNotice(KEY, 2.5, 0.1)
-HOLD = messages.HoldNotice(("zz",), "entry-1", 1.0, 5.0, 4, software=("desk/v1",))
-FACTS = messages.SharedFacts(
+LIMIT = LimitNotice(KEY, 2.5, 0.1)
+HOLD = HoldNotice(("zz",), "entry-1", 1.0, 5.0, 4, software=("desk/v1",))
+FACTS = SharedFacts(
     (HOLD,),
     {"zz": 1.5},
     (LIMIT,),
-    (messages.ReachNotice("entry-2", ("desk",), 0.5),),
+    (ReachNotice("entry-2", ("desk",), 0.5),),
     (LIMIT,),
     3.0,
 )
-MEMBER = messages.RouterMember("entry-1", "7", "a", "10.1.0.1:80", "10.1.0.1:81")
+MEMBER = RouterMember("entry-1", "7", "a", "10.1.0.1:80", "10.1.0.1:81")
 MADE = TransferredResult(0, 0, "h1", "stage-0", 1000)
 JOB = StageJob(
     "id-1",
@@ -54,44 +93,44 @@
     HOLD,
     FACTS,
     JOB,
-    messages.AskPermit(SENDER, LIMIT),
-    messages.PermitReply(is_granted=True, wait_s=0.5),
-    messages.AskPlace(SENDER, LIMIT, 4, 5.0),
-    messages.EndPlace(SENDER, KEY, was_rejected=True),
-    messages.HandPlacesOver(SENDER, KEY, 4, {"entry-2": (1.0, 2.0)}),
-    messages.AskReach(SENDER, KEY, 0.5),
-    messages.ReachReply(messages.ReachState.REACHED),
-    messages.AskTrial(SENDER, "zz"),
-    messages.ShareFacts(SENDER, FACTS),
-    messages.ReportCrashes(
+    AskPermit(SENDER, LIMIT),
+    PermitReply(is_granted=True, wait_s=0.5),
+    AskPlace(SENDER, LIMIT, 4, 5.0),
+    EndPlace(SENDER, KEY, was_rejected=True),
+    HandPlacesOver(SENDER, KEY, 4, {"entry-2": (1.0, 2.0)}),
+    AskReach(SENDER, KEY, 0.5),
+    ReachReply(ReachState.REACHED),
+    AskTrial(SENDER, "zz"),
+    ShareFacts(SENDER, FACTS),
+    ReportCrashes(
         SENDER,
-        (messages.CrashReport("desk-0", ("zz",), 1.0, 2.0, "desk/v1"),),
+        (CrashReport("desk-0", ("zz",), 1.0, 2.0, "desk/v1"),),
         {"yy": 0.5},
         ("entry-2",),
     ),
-    messages.RouterHeartbeat(
+    RouterHeartbeat(
         SENDER,
         MEMBER,
         7,
         is_in_contact=True,
         silent_ids=("entry-3",),
-        load_by_server={"desk-0": messages.EngineLoad(1, 100)},
+        load_by_server={"desk-0": EngineLoad(1, 100)},
         facts=FACTS,
         store_age_s=0.1,
         store_steady_s=9.0,
     ),
-    messages.MirrorPull(SENDER, 7),
-    messages.MirrorUpdate(
-        (messages.MirroredItem("a", b"1", 7), messages.MirroredItem("b", None, 8)),
+    MirrorPull(SENDER, 7),
+    MirrorUpdate(
+        (MirroredItem("a", b"1", 7), MirroredItem("b", None, 8)),
         8,
         is_in_contact=True,
     ),
-    messages.PrepareStages(SENDER, JOB),
-    messages.ReleaseResults(SENDER, ("id-1",)),
-    messages.RecordStreamVersions(SENDER, {"id-1": "v1"}),
-    messages.FindStreamVersion(SENDER, "id-1", "engines"),
-    messages.FoundStreamVersion("v1", ("v1", "v2")),
-    messages.Acknowledgement(),
+    PrepareStages(SENDER, JOB),
+    ReleaseResults(SENDER, ("id-1",)),
+    RecordStreamVersions(SENDER, {"id-1": "v1"}),
+    FindStreamVersion(SENDER, "id-1", "engines"),
+    FoundStreamVersion("v1", ("v1", "v2")),
+    Acknowledgement(),
     StageOutcome(StageState.DONE, ("h1",), {"a": 1000.0}, 0.5, 0.2, (MADE,)),
     RelayRequest(SENDER, b"GET", b"/", HEADERS, b"", 1, "desk", "acme", 0.1),
     RelayPart(status=200, headers=HEADERS, body=b"ok", is_last=True),
@@ -151,7 +190,7 @@
             name
         )
     assert decode(CODEC.encode(message, type(sound)), type(sound)) == message
-    if isinstance(message, messages.PrepareStages):
+    if isinstance(message, PrepareStages):
         assert message.job.can_run in (True, False)
 
 
@@ -160,13 +199,13 @@
     (HOLD, "age_s"),
     (LIMIT, "age_s"),
     (LIMIT, "rate_per_s"),
-    (messages.ReachNotice("n", ("desk",), 0.5), "age_s"),
-    (messages.PermitReply(is_granted=False, wait_s=0.5), "wait_s"),
-    (messages.AskPlace(SENDER, LIMIT, 4, 5.0), "lease_s"),
-    (messages.AskReach(SENDER, KEY, 0.5), "quiet_s"),
-    (messages.CrashReport("desk-0", ("zz",), 1.0), "age_s"),
-    (messages.MirrorUpdate((), 8, is_in_contact=True), "revision"),
-    (messages.MirrorUpdate((), 8, is_in_contact=True), "steady_s"),
+    (ReachNotice("n", ("desk",), 0.5), "age_s"),
+    (PermitReply(is_granted=False, wait_s=0.5), "wait_s"),
+    (AskPlace(SENDER, LIMIT, 4, 5.0), "lease_s"),
+    (AskReach(SENDER, KEY, 0.5), "quiet_s"),
+    (CrashReport("desk-0", ("zz",), 1.0), "age_s"),
+    (MirrorUpdate((), 8, is_in_contact=True), "revision"),
+    (MirrorUpdate((), 8, is_in_contact=True), "steady_s"),
     (JOB, "deadline_left_s"),
     (StageNeed("stage", (), 1000, 1), "pieces"),
     (StageNeed("stage", (), 1000, 1), "result_bytes"),
@@ -184,7 +223,7 @@
 def test_a_hold_whose_time_is_no_number_is_rejected():
     raw = {**msgspec.to_builtins(HOLD), "left_s": math.nan}
     with pytest.raises(GRPCError):
-        CODEC.decode(msgspec.msgpack.encode(raw), messages.HoldNotice)
+        CODEC.decode(msgspec.msgpack.encode(raw), HoldNotice)
 
 
 @pytest.mark.parametrize("after", [[7], [0], [1], [-1], [2**63]])
@@ -222,4 +261,4 @@
         raw = {**msgspec.to_builtins(HOLD), field: msgspec.Raw(LARGE_PARTS[name](size))}
         return msgspec.msgpack.encode(raw)
 
-    assert_linear(lambda data: decode(data, messages.HoldNotice), make, 20000)
+    assert_linear(lambda data: decode(data, HoldNotice), make, 20000)
--- a/tests/router/test_crash_guard.py
+++ b/tests/router/test_crash_guard.py
@@ -10,14 +10,11 @@
 from persimmonlink_peers.message import Sender
 from persimmonlink_router.boot_clock import boot_time
 from persimmonlink_router.crash_guard import CrashGuard
+from persimmonlink_router.crash_messages import ReportCrashes
 from persimmonlink_router.crash_reports import CrashReporter
 from persimmonlink_router.metrics import RouterMetrics
-from persimmonlink_router.peer_messages import (
-    AskTrial,
-    HoldNotice,
-    ReportCrashes,
-    SharedFacts,
-)
+from persimmonlink_router.peer_messages import HoldNotice, SharedFacts
+from persimmonlink_router.permit_messages import AskTrial
 from persimmonlink_router.report_outbox import build_report
 from persimmonlink_router.server_ends import InterruptedRequest
 from persimmonlink_router.servers import Server
--- a/tests/router/test_peers_of_a_stop.py
+++ b/tests/router/test_peers_of_a_stop.py
@@ -22,7 +22,8 @@
 from persimmonlink_peers.peer_channel import PeerChannel
 from persimmonlink_peers.peer_server import PeerServer
 from persimmonlink_router.client_use_times import DIRECTORY_EXPIRY_WAIT_S
-from persimmonlink_router.peer_messages import Acknowledgement, ReleaseResults
+from persimmonlink_router.peer_messages import Acknowledgement
+from persimmonlink_router.stage_messages import ReleaseResults
 from persimmonlink_stand_ins.link import Cut
 
 EVENT_INTERVAL_S = 0.45
--- a/tests/router/test_records_of_older_builds.py
+++ b/tests/router/test_records_of_older_builds.py
@@ -7,11 +7,12 @@
 
 from persimmonlink_peers.message import Sender
 from persimmonlink_peers.peer_channel import PeerChannel
-from persimmonlink_router.peer_messages import Acknowledgement, RecordStreamVersions
+from persimmonlink_router.peer_messages import Acknowledgement
 from persimmonlink_router.stream_version_exchange import (
     MAX_RECORDS_PER_MESSAGE,
     MAX_RESENT,
 )
+from persimmonlink_router.stream_version_messages import RecordStreamVersions
 
 TIMEOUT_S = 10.0
 
--- a/tests/router/test_stage_coordinator_client.py
+++ b/tests/router/test_stage_coordinator_client.py
@@ -10,13 +10,10 @@
 from tests.router.chains import make_job
 from tests.router.rig import wait_until
 
-from persimmonlink_router.peer_messages import (
-    Acknowledgement,
-    PrepareStages,
-    ReleaseResults,
-)
+from persimmonlink_router.peer_messages import Acknowledgement
 from persimmonlink_router.reach_board import ReachBoard
 from persimmonlink_router.stage_coordinator_client import StageCoordinatorClient
+from persimmonlink_router.stage_messages import PrepareStages, ReleaseResults
 
 
 class SilentChannel:
--- a/tests/router/test_stream_versions_in_a_roll.py
+++ b/tests/router/test_stream_versions_in_a_roll.py
@@ -18,7 +18,7 @@
     wait_until,
 )
 
-from persimmonlink_router.peer_messages import RecordStreamVersions
+from persimmonlink_router.stream_version_messages import RecordStreamVersions
 from persimmonlink_router.stream_version_saver import STREAM_PREFIX
 
 STREAM_COUNT = 6
--- a/tests/router/test_trial_permits.py
+++ b/tests/router/test_trial_permits.py
@@ -7,7 +7,7 @@
 
 from returns.result import Success
 
-from persimmonlink_router.peer_messages import AskTrial
+from persimmonlink_router.permit_messages import AskTrial
 from persimmonlink_router.trial_permits import TrialPermits
 
 
--- a/tests/router/test_unanswered_places.py
+++ b/tests/router/test_unanswered_places.py
@@ -15,7 +15,7 @@
 )
 
 from persimmonlink_router.boot_clock import boot_time
-from persimmonlink_router.peer_messages import AskPlace, EndPlace
+from persimmonlink_router.permit_messages import AskPlace, EndPlace
 
 LEASE_S = 30.0
 
--- a/tests/upgrade/test_stage_releases.py
+++ b/tests/upgrade/test_stage_releases.py
@@ -13,7 +13,7 @@
 from tests.upgrade.trees import COMMITS
 
 from persimmonlink_peers.codec import MessagePackCodec
-from persimmonlink_router.peer_messages import PrepareStages, ReleaseResults
+from persimmonlink_router.stage_messages import PrepareStages, ReleaseResults
 from persimmonlink_router.stage_outcome import StageState
 
 SCRIPT = Path(__file__).with_name("message_samples.py")
