Give stage calls more time after calls that were given up

Callers saw 503, "the stages ended with failed", at their deadline.

Cause: a stage call is given up after 1.8 times its expected time and 0.2 s. A server that turns slow, such as from 0.02 to 0.3 s a call, ends no call in that time; and a call that was given up taught the node nothing of its latency. So its next one was given up after the same 0.24 s, for as long as the request had time, and its results were thrown away; the inputs of a later stage, released once read, had to be made anew. Beside a server that was known to be slow it even came first, as it was known for failures only. Class: the absence of a sign taken for a sign.

Change: a call that is given up raises the mean of the server's latency by half of what it took beyond that, so that the next one is given more time, and a slow server that answers comes before one that doesn't.

The two unit tests fail without the change.

--- a/packages/persimmonlink-router/src/persimmonlink_router/server_health.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/server_health.py
@@ -11,6 +11,8 @@
     from collections.abc import Collection, Hashable
 
 LATENCY_WEIGHT = 0.25  # Weight of the newest response in the mean latency ratio.
+# Weight of the time after which the newest response was given up in that ratio.
+TIMEOUT_WEIGHT = 0.5
 FAILURE_WEIGHT = 0.35  # Weight of the newest response in the failure share.
 STALL_AFTER_S = 1.2  # Time without a response after which a request counts as stalled.
 # Time from the start of a stall until the failure share of the server reaches 1.
@@ -82,6 +84,12 @@
         record = self._decay(key, now)
         record.failure_share += FAILURE_WEIGHT * (1 - record.failure_share)
 
+    def record_timeout(self, key: Hashable, latency_ratio: float, now: float) -> None:
+        """Record that a response takes over `latency_ratio` times the expected time."""
+        record = self._decay(key, now)
+        excess = max(0.0, latency_ratio - record.latency_ratio)
+        record.latency_ratio += TIMEOUT_WEIGHT * excess
+
     def record_unreachable(self, key: Hashable, now: float) -> None:
         """Record that a server could not be reached: its failure share becomes 1."""
         self._decay(key, now).failure_share = 1.0
--- a/packages/persimmonlink-router/src/persimmonlink_router/stage_dispatcher.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stage_dispatcher.py
@@ -210,6 +210,9 @@
             if isinstance(error, ConnectionLostError):
                 self._record_interruption(server, batch, started_at)
             self._record_call_failure(server, error, is_unreachable=False)
+            if isinstance(error, TimeoutError):
+                ratio = timeout_s / expected_s
+                self._servers.record_call_timeout(server, ratio, boot_time())
             self._free_memory_later(service, server, batch_bytes)
         finally:
             self._servers.record_call_end(server, boot_time())
--- a/packages/persimmonlink-router/src/persimmonlink_router/stage_servers.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stage_servers.py
@@ -278,6 +278,14 @@
             UNREACHABLE_BACKOFF_S if is_unreachable else BACKOFF_S
         )
 
+    def record_call_timeout(self, server: Server, ratio: float, now: float) -> None:
+        """Record that a call takes over `ratio` times the expected time.
+
+        The next one is given more time: a server that has turned slow would otherwise
+        never end a call.
+        """
+        self._health.record_timeout(server.key, ratio, now)
+
     def mark_all_shared(self, now: float) -> None:
         """Mark all servers as shared with the previous coordinator."""
         for server in self._cluster_view.servers.server_by_id.values():
--- a/tests/router/test_stage_servers.py
+++ b/tests/router/test_stage_servers.py
@@ -65,3 +65,22 @@
     state = StageServerState()
     state.record_no_room(spec, 0.0, 10.0)
     assert state.room_bytes(spec, 10.0) == spec.result_capacity_bytes
+
+
+def test_a_call_is_given_more_time_after_calls_that_were_given_up():
+    servers, server = make_servers(), make_server()
+    timeouts_s = []
+    for now in (0.0, 0.3, 0.8):
+        timeouts_s.append(servers.compute_call_timeout_s(server, 0.02, now))
+        servers.record_call_failure(server, now, is_unreachable=False)
+        servers.record_call_timeout(server, timeouts_s[-1] / 0.02, now)
+    assert timeouts_s[1] > 1.3 * timeouts_s[0]
+    assert timeouts_s[2] > 1.3 * timeouts_s[1]
+
+
+def test_a_server_whose_calls_are_given_up_is_not_preferred_to_a_slow_one():
+    servers, silent, slow = make_servers(), make_server("s1"), make_server("s2")
+    servers.record_response(slow, [PieceResult("h")], 14.0, 0.0)
+    servers.record_call_failure(silent, 0.0, is_unreachable=False)
+    servers.record_call_timeout(silent, 12.0, 0.0)
+    assert servers.slowness(silent, 0.1) > servers.slowness(slow, 0.1)
