Start and close the HTTP servers of a router as one part

`router.py` opened and closed its four HTTP servers in three places, the client server apart from the others.

--- a/packages/persimmonlink-router/src/persimmonlink_router/graceful_stop.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/graceful_stop.py
@@ -44,8 +44,8 @@
         When the stop began.
     client_server : HttpServer
         Server of the clients' requests.
-    other_servers : sequence of HttpServer
-        Servers of the directory, readiness checks and metrics.
+    servers : sequence of HttpServer
+        That one, and those of the directory, readiness checks and metrics.
     request_service : RequestService
         Serves requests of clients and peers.
     scheduler : StageScheduler
@@ -60,7 +60,7 @@
         self,
         clock: StopClock,
         client_server: HttpServer,
-        other_servers: Sequence[HttpServer],
+        servers: Sequence[HttpServer],
         request_service: RequestService,
         scheduler: StageScheduler,
         peer_server: PeerServer,
@@ -68,7 +68,7 @@
     ) -> None:
         self._clock = clock
         self._client_server = client_server
-        self._servers = (client_server, *other_servers)
+        self._servers = servers
         self._request_service = request_service
         self._scheduler = scheduler
         self._peer_server = peer_server
--- /dev/null
+++ b/packages/persimmonlink-router/src/persimmonlink_router/http_listeners.py
@@ -0,0 +1,54 @@
+"""The HTTP servers of a router, each with the address that it listens on."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from persimmonlink_router.http_server import HttpServer, RequestLimits
+
+if TYPE_CHECKING:
+    from persimmonlink_router.http_server import Handler
+
+
+class HttpListeners:
+    """Starts and closes HTTP servers together."""
+
+    def __init__(self) -> None:
+        self._addressed_servers: list[tuple[str, HttpServer]] = []
+
+    @property
+    def servers(self) -> list[HttpServer]:
+        """All servers, in the order in which they were added."""
+        return [server for _, server in self._addressed_servers]
+
+    def add(
+        self, address: str, handler: Handler, limits: RequestLimits | None = None
+    ) -> HttpServer:
+        """Return a new server, which does not listen yet.
+
+        Parameters
+        ----------
+        address : str
+            `IP:PORT` to listen on.
+        handler : callable
+            Coroutine function that serves one exchange.
+        limits : RequestLimits or None
+            Limits on client requests; None for the default ones.
+        """
+        server = HttpServer(handler, limits or RequestLimits())
+        self._addressed_servers.append((address, server))
+        return server
+
+    async def start(self) -> None:
+        """Start to listen at all addresses."""
+        for address, server in self._addressed_servers:
+            host, _, port = address.rpartition(":")
+            await server.start(host, int(port))
+
+    def close(self) -> None:
+        """Stop listening, and close all connections."""
+        for server in self.servers:
+            server.close()
+
+
+__all__ = ("HttpListeners",)
--- a/packages/persimmonlink-router/src/persimmonlink_router/router.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/router.py
@@ -25,7 +25,8 @@
 from persimmonlink_router.end_confirmer import EndConfirmer
 from persimmonlink_router.graceful_stop import GracefulStop
 from persimmonlink_router.hold_records import HOLD_PREFIX, HoldRecords
-from persimmonlink_router.http_server import HttpServer, RequestLimits
+from persimmonlink_router.http_listeners import HttpListeners
+from persimmonlink_router.http_server import RequestLimits
 from persimmonlink_router.loop_lag import LoopLagMonitor
 from persimmonlink_router.member_registration import MemberRegistration
 from persimmonlink_router.metrics import RouterMetrics
@@ -308,8 +309,9 @@
             StoreBackoff(self._get_outage_interval_s, self._rng),
         )
         self._client_limits = RequestLimits()
-        self._client_server = HttpServer(
-            self._request_service.handle, self._client_limits
+        self._listeners = HttpListeners()
+        self._client_server = self._listeners.add(
+            settings.listen.clients, self._request_service.handle, self._client_limits
         )
         status = RouterStatus(
             self.metrics,
@@ -336,25 +338,14 @@
             lambda: min(DIRECTORY_TTL_S, self._settings.limits.directory_ttl_s),
             self._rng,
         )
-        self._auxiliary_servers = [
-            (
-                settings.listen.readiness,
-                HttpServer(self._respond_readiness, RequestLimits()),
-            ),
-            (
-                settings.listen.directory,
-                HttpServer(directory.handle, RequestLimits()),
-            ),
-            (
-                settings.listen.metrics,
-                HttpServer(operator_api.handle, RequestLimits()),
-            ),
-        ]
+        self._listeners.add(settings.listen.readiness, self._respond_readiness)
+        self._listeners.add(settings.listen.directory, directory.handle)
+        self._listeners.add(settings.listen.metrics, operator_api.handle)
         self._peer_server = PeerServer(self._count_invalid_message)
         self._graceful_stop = GracefulStop(
             self._stop_clock,
             self._client_server,
-            [server for _, server in self._auxiliary_servers],
+            self._listeners.servers,
             self._request_service,
             self._scheduler,
             self._peer_server,
@@ -371,9 +362,7 @@
     async def start(self) -> None:
         """Open all listeners, then start the timers and background tasks."""
         await self._start_peers()
-        await self._listen(self._settings.listen.clients, self._client_server)
-        for address, server in self._auxiliary_servers:
-            await self._listen(address, server)
+        await self._listeners.start()
         self._timers.every(TICK_INTERVAL_S, self._tick, "tick")
         self._timers.every(SWEEP_INTERVAL_S, self._sweep, "sweep")
         self._timers.every(DISPATCH_INTERVAL_S, self._scheduler.tick, "stages")
@@ -412,9 +401,7 @@
 
     def _close(self) -> None:
         self._timers.stop()
-        self._client_server.close()
-        for _, server in self._auxiliary_servers:
-            server.close()
+        self._listeners.close()
         self._tasks.cancel()
         self.membership.close()
 
@@ -437,10 +424,6 @@
         host, _, port = self._settings.listen.peers.rpartition(":")
         await peers.start(host, int(port))
 
-    async def _listen(self, address: str, server: HttpServer) -> None:
-        host, _, port = address.rpartition(":")
-        await server.start(host, int(port))
-
     async def _register(self) -> None:
         """Register this node in the store once it has a configuration."""
         while self.cluster_view.configuration is None:
