Fail a call to a peer in the expected way, whatever the peer replies

Seen in a trial that replies to 2,160 calls with random frames: 69 of them raised KeyError, AssertionError or NotImplementedError. By reading: a request that asks for a permit, a place or a version by such a call gets 500 though it has not run; a loop of heartbeats pauses; a batch of pieces stays in flight for good; the check of a server that ended stays open, so that its next ends are not looked at and a stop waits a second for it.

Change: the channel turns each error of a call into a failure, as an invalid message with a log line unless it is known to be of the connection. A stream that was sent stays so.

--- a/packages/persimmonlink-peers/src/persimmonlink_peers/peer_channel.py
+++ b/packages/persimmonlink-peers/src/persimmonlink_peers/peer_channel.py
@@ -22,6 +22,7 @@
 
 PING_INTERVAL_S = 2.0
 PING_TIMEOUT_S = 1.0
+CONNECTION_ERRORS = (TimeoutError, StreamTerminatedError, ProtocolError, OSError)
 
 
 class PeerStreamError(Exception):
@@ -86,7 +87,7 @@
         -------
         Result of object
             Fails with `PEER_UNREACHABLE`, or with `PEER_MESSAGE_INVALID` or
-            `PEER_VERSION_UNKNOWN` if either side cannot decode the other's message or
+            `PEER_VERSION_UNKNOWN` if either side cannot read the other's message or
             the peer does not offer the method. The peer may have handled the message
             all the same.
         """
@@ -97,13 +98,8 @@
         self._calls_by_channel[channel] += 1
         try:
             return Success(await method(message, timeout=timeout_s))
-        except GRPCError as error:
-            # The error arrived as a reply, so the connection works and is kept.
-            return Err(self._to_failure(error))
-        except (TimeoutError, StreamTerminatedError, ProtocolError, OSError) as error:
-            if self._channel is channel:
-                self._channel = None
-            return Err(self._to_failure(error))
+        except Exception as error:
+            return Err(self._end_call(channel, error))
         finally:
             self._release_channel(channel)
 
@@ -137,12 +133,9 @@
                 await stream.send_message(message, end=True)
                 async for reply in stream:
                     yield reply
-        except GRPCError as error:
-            raise PeerStreamError(self._to_failure(error), was_sent=was_sent) from error
-        except (TimeoutError, StreamTerminatedError, ProtocolError, OSError) as error:
-            if self._channel is channel:
-                self._channel = None
-            raise PeerStreamError(self._to_failure(error), was_sent=was_sent) from error
+        except Exception as error:
+            failure = self._end_call(channel, error)
+            raise PeerStreamError(failure, was_sent=was_sent) from error
         finally:
             self._release_channel(channel)
 
@@ -165,12 +158,22 @@
         if channel is not self._channel:
             channel.close()
 
-    def _to_failure(self, error: Exception) -> Failure:
+    def _end_call(self, channel: GrpcChannel, error: Exception) -> Failure:
+        """Return why a call failed; replace its connection unless that replied."""
         detail = f"{self.address}: {type(error).__name__}: {error}"
         code = ResultCode.PEER_UNREACHABLE
         if isinstance(error, GRPCError):
             code = CODE_BY_STATUS.get(error.status, code)
             logger.warning("result code {}: peer call failed: {}", code.value, detail)
+            return Failure(code, detail, RunState.UNKNOWN)
+        if self._channel is channel:
+            self._channel = None
+        if not isinstance(error, CONNECTION_ERRORS):
+            # What the library raises for an odd reply has no type in common.
+            code = ResultCode.PEER_MESSAGE_INVALID
+            logger.opt(exception=error).error(
+                "result code {}: peer call failed: {}", code.value, detail
+            )
         return Failure(code, detail, RunState.UNKNOWN)
 
     def _get_channel(self) -> GrpcChannel:
