Send a request elsewhere if its connection closed before the send

Seen by callers: 502, which promises nothing, for a request of which no byte was sent. An unsafe one may not be tried again then; an idempotent one has used up an attempt.

Cause: a kept connection is taken before a permit or place is asked for, which may take 0.2 s each. A server that leaves, or whose idle time is over, closes it meanwhile. The send then fails as if the request had been under way: what the node saw as it took the connection was taken for what held as it sent.

Change: the connection is looked at again once the permit is there; if it is closed the request has not run and goes to another server.

--- a/packages/persimmonlink-router/src/persimmonlink_router/server_sender.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/server_sender.py
@@ -374,7 +374,7 @@
             self._health.record_unreachable(server.key, boot_time())
             raise UnreachableError(str(error)) from error
         try:
-            return connection, await self._acquire_place(server, state)
+            place = await self._acquire_place(server, state)
         except NotRunError:
             self._pool.release(server.key, connection)
             raise
@@ -382,6 +382,10 @@
             # The client has left, or the node stops, while a peer was asked.
             connection.close()
             raise
+        if not connection.is_reusable:
+            place.end()
+            raise NotRunError("the server closed the connection before the send")
+        return connection, place
 
     async def _acquire_place(self, server: Server, state: RequestState) -> Place:
         """Return a place; raise `NotRunError` if the server may get no work now."""
