Answer a request whose response head can't be sent on

Seen by callers: a connection that is closed without an answer, if a peer that serves a request replies with a status or header that HTTP/1.1 doesn't allow. The log says that the client left. A peer's part is read as a number from 0 to 999 and as any bytes.

Cause: h11 raises LocalProtocolError for such a head, which the service passed on as if the connection had failed; the response counted as begun before its head was built.

Change: the head is built before the response counts as begun, and the error gets its own type and 502. Any other error that ends a request is logged as an internal error, no more as a client that left.

--- a/packages/persimmonlink-router/src/persimmonlink_router/http_exchange.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/http_exchange.py
@@ -39,6 +39,10 @@
         self.status = status
 
 
+class InvalidHeadError(Exception):
+    """A status or header of a response can't be sent in HTTP/1.1."""
+
+
 def validate_head(headers: Headers, target: bytes, limits: RequestLimits) -> None:
     """Raise `BadRequestError` if the head is ambiguous or over the limits."""
     names = [name for name, _ in headers]
@@ -104,9 +108,13 @@
     def _start(self, status: int, headers: list[tuple[bytes, bytes]]) -> None:
         must_close = self._connection.must_close()
         headers = [*headers, *_build_connection_headers(self._connection, must_close)]
+        try:
+            head = h11.Response(status_code=status, headers=headers)
+        except h11.LocalProtocolError as error:
+            raise InvalidHeadError(str(error)) from error
         self._connection.use.record_begin(is_last=must_close)
         self.has_started = True
-        self._connection.send(h11.Response(status_code=status, headers=headers))
+        self._connection.send(head)
 
 
 def _build_connection_headers(
@@ -128,6 +136,7 @@
     "BadRequestError",
     "ClientDisconnectedError",
     "Exchange",
+    "InvalidHeadError",
     "RequestLimits",
     "validate_head",
 )
--- a/packages/persimmonlink-router/src/persimmonlink_router/request_service.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/request_service.py
@@ -6,12 +6,12 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-import h11
 from loguru import logger
 
 from persimmonlink_router.active_requests import ActiveRequests, EndedByStopError
 from persimmonlink_router.boot_clock import boot_time
 from persimmonlink_router.configuration import RequestKind
+from persimmonlink_router.http_exchange import InvalidHeadError
 from persimmonlink_router.http_messages import HttpRequest
 from persimmonlink_router.http_server import ClientDisconnectedError
 from persimmonlink_router.plain_relay import relay_plain
@@ -186,6 +186,9 @@
             status, reason = await self._serve_in_time(state)
         except ClientDisconnectedError:
             reason = "left"
+        except Exception:
+            reason = "internal error"
+            raise
         finally:
             if reason == "left" and self._stop_clock.is_cutting:
                 reason = "cut by the stop"
@@ -248,7 +251,9 @@
                 reply = LocalReply(502, str(error))
         except RequestFailedError as error:
             reply = LocalReply(error.status, str(error))
-        except (ClientDisconnectedError, h11.LocalProtocolError):
+        except InvalidHeadError as error:
+            reply = LocalReply(502, f"the response can't be passed on: {error}")
+        except ClientDisconnectedError:
             raise
         except Exception:
             # The request may have run, and its client must not wait for the deadline.
