Test whole responses without length after a peer call that failed

With Python 3.11.2, a whole 200 of a sound server was lost at a node that ran on: whether the server outlives its response is learned by a wait that ends by a time limit, which a failed peer call earlier on the connection had turned into a cancellation. Callers saw a closed connection without an answer (plain routes), or a stream without its end.

--- a/tests/router/test_requests_after_lost_peer_calls.py
+++ b/tests/router/test_requests_after_lost_peer_calls.py
@@ -123,3 +123,20 @@
             assert [r["extra"]["status"] for r in ended] == [504, 504]
 
     run(scenario())
+
+
+@pytest.mark.parametrize("path", PATHS)
+def test_a_response_without_length_is_whole_after_a_lost_peer_call(path):
+    async def scenario():
+        async with (
+            make_limited_rig() as (rig, granters),
+            ask_in_vain(rig, path, granters) as (_, connection),
+        ):
+            for server in rig.server_by_id.values():
+                server.faults.withholds_responses = False
+                server.faults.omits_length = True
+            for number in range(2):
+                response = await send_on(connection, path, f"id-{number}", 4000)
+                assert (response.status, response.is_complete) == (200, True)
+
+    run(scenario())
