Run pieces again after an unexpected error in their call

Seen by callers: 503 at the deadline, for a request whose pieces were in a call that failed by an error nobody foresaw. A coordinator that stops can't transfer such a request either, since it waits for the pieces.

Cause: only foreseen errors told the scheduler that the call had ended; with any other the pieces counted as in flight for good.

Change: any error ends the call without results, with a log line; its memory stays reserved until results have expired, since the pieces may have run.

Measured: the two new tests failed before (503 after 3 s) and pass.

--- a/packages/persimmonlink-router/src/persimmonlink_router/stage_dispatcher.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stage_dispatcher.py
@@ -214,6 +214,12 @@
                 ratio = timeout_s / expected_s
                 self._servers.record_call_timeout(server, ratio, boot_time())
             self._free_memory_later(service, server, batch_bytes)
+        except Exception as error:
+            # The pieces must not stay in flight; they may have run.
+            logger.bind(server=server.server_id, error=repr(error)).exception(
+                "stages.batch_internal_error"
+            )
+            self._free_memory_later(service, server, batch_bytes)
         finally:
             self._servers.record_call_end(server, boot_time())
         log_batch(server, batch, results, started_at, expected_s, bases)
--- a/tests/router/test_unexpected_errors.py
+++ b/tests/router/test_unexpected_errors.py
@@ -3,7 +3,13 @@
 from __future__ import annotations
 
 import pytest
-from tests.router.rig import make_configuration, make_rig, run, wait_until
+from tests.router.rig import (
+    STAGED,
+    make_configuration,
+    make_rig,
+    run,
+    wait_until,
+)
 
 
 class UnexpectedError(Exception):
@@ -55,3 +61,15 @@
             await wait_until(lambda: len(calls) >= 3, 8.0)
 
     run(scenario())
+
+
+@pytest.mark.parametrize("name", ["build_batch_request", "parse_batch_response"])
+def test_stages_run_again_after_an_unexpected_error(name):
+    async def scenario():
+        async with make_rig() as rig:
+            calls = fail_once(rig.routers[0]._scheduler._calls._wire, name)
+            response = await rig.send_request("/chain/1", deadline_ms=3000, **STAGED)
+            assert (response.status, response.is_complete) == (200, True)
+            assert len(calls) > 1
+
+    run(scenario())
