Check a server again after an unexpected error in its check

Seen by reading: if the check whether a server has ended fails by an error nobody foresaw, the server is never checked again by this node, so that ends under fatal requests go uncounted; a stop waits a second for the check.

Cause: the entry of the server is removed only by a check that goes to its end.

Change: the error is logged, and the check counts as one that found no end.

Measured: the new test failed before (the check was still open after 5 s) and passes.

--- a/packages/persimmonlink-router/src/persimmonlink_router/server_ends.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/server_ends.py
@@ -137,14 +137,11 @@
 
     async def _check(self, server: Server) -> None:
         has_ended = False
-        for delay_s in CHECK_DELAYS_S:
-            await asyncio.sleep(delay_s)
-            has_ended = await self._refuses_connections(server)
-            if has_ended:
-                break
-        if has_ended:
-            since = self._requests_by_key[server.key][0].interrupted_at
-            has_ended = await self._confirmer.has_ended(server, since)
+        try:
+            has_ended = await self._has_ended(server)
+        except Exception:
+            # What is recorded from now on needs a check of its own.
+            logger.bind(server=server.server_id).exception("server.end_check_failed")
         requests = self._requests_by_key.pop(server.key)
         if has_ended:
             self._metrics.count("server_ends_total", f'service="{server.service}"')
@@ -153,6 +150,15 @@
             return
         _log_requests("server.interrupted_responses", server, requests)
 
+    async def _has_ended(self, server: Server) -> bool:
+        for delay_s in CHECK_DELAYS_S:
+            await asyncio.sleep(delay_s)
+            if not await self._refuses_connections(server):
+                continue
+            since = self._requests_by_key[server.key][0].interrupted_at
+            return await self._confirmer.has_ended(server, since)
+        return False
+
     async def find_reach_after_response(self, server: Server) -> ReachAfterResponse:
         """Find out whether a server runs on after it closed a response's connection.
 
--- a/tests/router/test_unexpected_errors.py
+++ b/tests/router/test_unexpected_errors.py
@@ -4,6 +4,7 @@
 
 import pytest
 from tests.router.rig import (
+    PLAIN_SERVICE,
     STAGED,
     make_configuration,
     make_rig,
@@ -73,3 +74,17 @@
             assert len(calls) > 1
 
     run(scenario())
+
+
+def test_a_server_is_checked_again_after_an_unexpected_error():
+    async def scenario():
+        async with make_rig() as rig:
+            detector = rig.routers[0]._sender.responses._end_detector
+            fail_once(detector._pool, "check_address")
+            server = rig.server_by_id[f"{PLAIN_SERVICE}-0"]
+            server.faults.resets_connections = True
+            rig.server_by_id[f"{PLAIN_SERVICE}-1"].faults.resets_connections = True
+            assert (await rig.send_request("/book/1")).status == 502
+            await wait_until(lambda: not detector.has_unsent)
+
+    run(scenario())
