Keep signals from killing a router that has stopped

Seen by operators: a process that was told to stop ends by SIGTERM or SIGHUP (-15, -1) if that comes again as it exits, without its last log lines, which are those about the stop.

Cause: the loop gives its signal handlers up as it closes, and the default of these signals ends the process. Closing the loop and writing what a slow reader of the log has not taken (up to 0.1 s) come after it.

Change: the signals are blocked from the end of the stop on. No other thread runs then.

--- a/packages/persimmonlink-router/src/persimmonlink_router/run.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/run.py
@@ -20,6 +20,7 @@
     from pathlib import Path
 
 EXIT_BAD_SETTINGS = 2
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 SETTINGS_POLL_INTERVAL_S = 2.0  # Interval of reading the settings file for changes.
 
 
@@ -66,7 +67,7 @@
     loop = asyncio.get_running_loop()
     stop_requested = asyncio.Event()
     reload_requested = asyncio.Event()
-    for signal_number in (signal.SIGTERM, signal.SIGINT):
+    for signal_number in STOP_SIGNALS:
         loop.add_signal_handler(signal_number, stop_requested.set)
     loop.add_signal_handler(signal.SIGHUP, reload_requested.set)
     router = Router(settings, create_adapters(settings))
@@ -77,6 +78,8 @@
     await stop_requested.wait()
     watcher.cancel()
     await router.stop()
+    # The loop gives up its handlers before the process has written its last lines.
+    signal.pthread_sigmask(signal.SIG_BLOCK, (*STOP_SIGNALS, signal.SIGHUP))
 
 
 async def _watch_settings(
--- a/tests/router/test_signals_of_a_stop.py
+++ b/tests/router/test_signals_of_a_stop.py
@@ -12,6 +12,7 @@
 from tests.router.rig import wait_until
 
 GRACE_S = 8.0
+SIGNAL_INTERVAL_S = 0.0005  # Less than the end of the process takes.
 
 
 def catches_sigterm(pid: int) -> bool:
@@ -69,3 +70,19 @@
             assert events.count("process.stopping") == 1
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("number", [signal.SIGHUP, signal.SIGTERM])
+def test_signals_until_the_end_of_a_stop_leave_it_in_order(tmp_path, number):
+    async def scenario():
+        async with run_process_rig(tmp_path, routers=1) as rig:
+            process = rig.processes[0].process
+            rig.processes[0].signal(signal.SIGTERM)
+            while process.poll() is None:
+                process.send_signal(number)
+                await asyncio.sleep(SIGNAL_INTERVAL_S)
+            assert process.returncode == 0
+            events = [line["event"] for line in rig.processes[0].read_log()]
+            assert "process.stopped" in events
+
+    asyncio.run(scenario())
