Keep a connection open for the idle time that its client was told

Seen by callers: a request crosses the close of its connection, within the time that `Keep-Alive` allows, if a configuration shortens the idle timeout while a response that has begun goes on (a stream).

Change: the connection keeps the announced time, and is not closed before it.

--- a/packages/persimmonlink-router/src/persimmonlink_router/client_use_times.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/client_use_times.py
@@ -50,6 +50,8 @@
         Responses that have begun.
     has_said_close : bool
         Whether one of them carried `Connection: close`.
+    announced_idle_s : float
+        Idle time that the last response allowed the client, in seconds; 0 for none.
     """
 
     opened_at: float
@@ -57,12 +59,27 @@
     answered_at: float | None = None
     responses: int = 0
     has_said_close: bool = False
+    announced_idle_s: float = 0.0
 
-    def record_begin(self, *, is_last: bool) -> None:
-        """Record a response that begins; the last one tells the client so."""
+    def record_begin(self, announced_idle_s: float, *, is_last: bool) -> None:
+        """Record a response that begins, and what it tells the client."""
         self.responses += 1
+        self.announced_idle_s = announced_idle_s
         self.has_said_close = self.has_said_close or is_last
 
+    def choose_idle_timeout_s(self, idle_timeout_s: float) -> float:
+        """Return the idle time after which the connection is closed, in seconds.
+
+        Parameters
+        ----------
+        idle_timeout_s : float
+            The configured one, in seconds; a longer one may have been announced when
+            the last response began.
+        """
+        if not self.announced_idle_s:
+            return idle_timeout_s
+        return max(idle_timeout_s, self.announced_idle_s + CLIENT_DELAY_S)
+
     def record_end(self, now: float) -> None:
         """Record the end of a response at a boot time in seconds."""
         self.answered_at = self.active_at = now
--- a/packages/persimmonlink-router/src/persimmonlink_router/http_connection.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/http_connection.py
@@ -288,7 +288,8 @@
 
     async def _read_request(self) -> HttpRequest | None:
         limits = self._server.limits
-        first = await self._next_event(limits.idle_timeout_s)
+        idle_timeout_s = self.use.choose_idle_timeout_s(limits.idle_timeout_s)
+        first = await self._next_event(idle_timeout_s)
         if not isinstance(first, h11.Request):
             return None
         self.is_serving = True
--- a/packages/persimmonlink-router/src/persimmonlink_router/http_exchange.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/http_exchange.py
@@ -107,23 +107,28 @@
 
     def _start(self, status: int, headers: list[tuple[bytes, bytes]]) -> None:
         must_close = self._connection.must_close()
-        headers = [*headers, *_build_connection_headers(self._connection, must_close)]
+        keep_alive_s = choose_keep_alive_s(self._connection.idle_timeout_s)
+        if must_close:
+            keep_alive_s = 0
+        headers = [
+            *headers,
+            *_build_connection_headers(keep_alive_s, must_close=must_close),
+        ]
         try:
             head = h11.Response(status_code=status, headers=headers)
         except h11.LocalProtocolError as error:
             raise InvalidHeadError(str(error)) from error
-        self._connection.use.record_begin(is_last=must_close)
+        self._connection.use.record_begin(keep_alive_s, is_last=must_close)
         self.has_started = True
         self._connection.send(head)
 
 
 def _build_connection_headers(
-    connection: HttpServerConnection, must_close: bool
+    keep_alive_s: int, *, must_close: bool
 ) -> list[tuple[bytes, bytes]]:
     """Return the headers that say how long the client may use its connection."""
     if must_close:
         return [(b"connection", b"close")]
-    keep_alive_s = choose_keep_alive_s(connection.idle_timeout_s)
     if not keep_alive_s:
         return []
     return [
--- a/tests/router/test_client_use_times.py
+++ b/tests/router/test_client_use_times.py
@@ -42,3 +42,15 @@
     use = ConnectionUse(opened_at=10.0, active_at=10.0)
     assert not use.is_over(10.0 + HEADER_TIMEOUT_S, 1, HEADER_TIMEOUT_S)
     assert use.is_over(10.01 + HEADER_TIMEOUT_S, 1, HEADER_TIMEOUT_S)
+
+
+@pytest.mark.parametrize(
+    ("announced_s", "configured_s", "timeout_s"),
+    [(0, 0.4, 0.4), (0, 15.0, 15.0), (3, 15.0, 15.0), (3, 1.0, 3.5), (1, 0.0, 1.5)],
+)
+def test_the_idle_timeout_is_never_shorter_than_what_was_announced(
+    announced_s, configured_s, timeout_s
+):
+    use = ConnectionUse(0.0, 0.0)
+    use.record_begin(announced_s, is_last=False)
+    assert use.choose_idle_timeout_s(configured_s) == timeout_s
