Keep a member that never answers from counting as alive now and then

Callers would see: the directory of a node names another one that has ended, until two more heartbeats are missed, each 40 heartbeats (16 s); meanwhile it may also be chosen as the coordinator of stages, as a granter or as a keeper, as those that registered first are.

Cause: a member counts as alive if the store lists it and it missed fewer than two heartbeats in a row. The count of misses is dropped at 40, so that the absence of any sign is taken for a sign again. The store lists an ended node for longer than that while it is down with its leases paused, while this node is cut off from it, or if another writer left the entry without a lease.

Change: the count stays as long as the store lists the member, and heartbeats go on, so that its return is noticed.

--- a/packages/persimmonlink-router/src/persimmonlink_router/cluster_membership.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/cluster_membership.py
@@ -55,6 +55,8 @@
 # A load report is valid for two heartbeat intervals plus this margin.
 LOAD_VALIDITY_MARGIN_S = 0.5
 NODE_COUNT_WINDOW_S = 15.0  # Limits are split over the peak node count of this time.
+# Heartbeats that a member which the store doesn't list may miss before it is forgotten.
+MAX_MISSED_HEARTBEATS = 40
 
 
 class ClusterMembership:
@@ -316,9 +318,7 @@
         ids = [member.node_id for member in members if self._is_alive(member)]
         # Unresponsive nodes also get heartbeats, so that their recovery is detected.
         ids += [
-            node_id
-            for node_id in self._missed_heartbeats_by_id
-            if node_id not in ids and self._missed_heartbeats_by_id[node_id] < 40
+            node_id for node_id in self._missed_heartbeats_by_id if node_id not in ids
         ]
         chosen = list_successors(
             self.own_member.node_id, ids, FAN_OUT, LARGE_CLUSTER_FAN_OUT
@@ -502,8 +502,10 @@
         for member in self._registry.list_all():
             if self.members.find(member.node_id) is None:
                 self.members.apply_relayed_report(MemberReport(member, 0.0), now)
-        for node_id in list(self._missed_heartbeats_by_id):
-            if self._missed_heartbeats_by_id[node_id] >= 40:
+        for node_id, misses in list(self._missed_heartbeats_by_id.items()):
+            # One that the store lists would count as alive again without its misses.
+            is_listed = self._registry.find(node_id) is not None
+            if misses >= MAX_MISSED_HEARTBEATS and not is_listed:
                 del self._missed_heartbeats_by_id[node_id]
         self._loads.discard_expired(now)
 
