Take times of a peer that no node sends for the nearest that nodes send

Callers would see, after one message of a faulty peer: requests to servers that have left whenever a removal follows, for years; a server that one node uses no more; a prompt that is held back after its release.

Cause: messages bound times to 1e9 s in either direction, so that they can be passed on, and they are then believed. A negative age of the store's last answer gives a time in the future at which the store came back: the grace after an outage ends then, and each removal until then is put off. Ages of decisions, of ends and of responses in the future are newer than all that follows; the wait of a refused permit pauses a server for that long. The class is known: what others write is believed beyond its type. Sane nodes of either build measure ages by one clock of their own, so that none is under 0.

Change: ages are at least 0 where they are read, the wait at most that of a granter. The messages stay as they are, so that no older build rejects or loses any.

--- a/packages/persimmonlink-router/src/persimmonlink_router/cluster_membership.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/cluster_membership.py
@@ -427,9 +427,9 @@
             self._on_peer_revision(heartbeat.revision)
         if heartbeat.store_age_s is not None:
             # The message itself may have taken as long as its timeout.
-            age_s = heartbeat.store_age_s + HEARTBEAT_TIMEOUT_S
+            age_s = max(0.0, heartbeat.store_age_s) + HEARTBEAT_TIMEOUT_S
             self._cluster_view.record_served_peer(
-                now - age_s, now - heartbeat.store_steady_s
+                now - age_s, now - max(0.0, heartbeat.store_steady_s)
             )
         self._merge_registered_fields(member.node_id)
         self._suspected_until_by_id.pop(member.node_id, None)
--- a/packages/persimmonlink-router/src/persimmonlink_router/crash_guard.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/crash_guard.py
@@ -175,7 +175,7 @@
         now = boot_time()
         ends = [read_report(crash, now) for crash in message.crashes]
         served_at_by_cause = {
-            cause_id: now - age_s
+            cause_id: now - max(0.0, age_s)
             for cause_id, age_s in message.served_age_s_by_part.items()
         }
         receiver_ids = set(message.receiver_ids)
--- a/packages/persimmonlink-router/src/persimmonlink_router/holds.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/holds.py
@@ -111,7 +111,7 @@
         hold = Hold(
             frozenset(notice.part_ids),
             notice.decided_by,
-            now - notice.age_s,
+            now - max(0.0, notice.age_s),
             now + min(notice.left_s, HOLD_S),
             notice.server_ends,
             notice.is_released,
--- a/packages/persimmonlink-router/src/persimmonlink_router/report_outbox.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/report_outbox.py
@@ -181,8 +181,8 @@
     return ServerEnd(
         report.server,
         frozenset(report.part_ids),
-        now - report.age_s,
-        NEVER if report.sent_age_s is None else now - report.sent_age_s,
+        now - max(0.0, report.age_s),
+        NEVER if report.sent_age_s is None else now - max(0.0, report.sent_age_s),
         report.software,
         RequestOrigin(report.account, report.path),
         report.is_doubtful,
--- a/packages/persimmonlink-router/src/persimmonlink_router/server_limiter.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/server_limiter.py
@@ -13,7 +13,7 @@
 from persimmonlink_router.named_limits import MIN_RATE_PER_S, NamedLimits
 from persimmonlink_router.peer_messages import LimitNotice, SharedFacts
 from persimmonlink_router.permit_messages import AskPermit, PermitReply
-from persimmonlink_router.shared_rate import PermitDecision, SharedRate
+from persimmonlink_router.shared_rate import MAX_WAIT_S, PermitDecision, SharedRate
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection
@@ -88,7 +88,7 @@
         self._metrics.count("limit_permits_total", f'outcome="{outcome}"')
         if decision.is_granted:
             return True
-        wait_s = max(MIN_PAUSE_S, decision.wait_s)
+        wait_s = min(MAX_WAIT_S, max(MIN_PAUSE_S, decision.wait_s))
         self._cluster_view.servers.pause_for_limit(server, boot_time() + wait_s)
         logger.bind(
             server=server.server_id,
--- a/packages/persimmonlink-router/src/persimmonlink_router/shared_rate.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/shared_rate.py
@@ -102,4 +102,4 @@
     return max(1.0, BUCKET_FILL_S * rate_per_s)
 
 
-__all__ = ("PermitDecision", "SharedRate", "compute_capacity")
+__all__ = ("MAX_WAIT_S", "PermitDecision", "SharedRate", "compute_capacity")
