Keep one unexpected error from ending the heartbeats to all peers

Callers would see: nothing at first; peers take a sound node for dead.

Cause: the heartbeats of a round are gathered, so that an error of one ends the loop for 0.5 s, then 1, 2, 4, up to 30 s if it comes again. On the other side an error of one part that takes a heartbeat's facts (limits, places, decisions, reach) is answered as a failed call, which the sender counts as a missed heartbeat: after two it drops a node that answers. A registered member whose calls raised was never counted as missing any.

Change: each heartbeat, and each part that tells or takes facts, is tried by itself; what it raises is logged with the traceback, and an unexpected error counts as a missed heartbeat.

--- a/packages/persimmonlink-router/src/persimmonlink_router/cluster_membership.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/cluster_membership.py
@@ -296,7 +296,7 @@
             self._expire_stale_state()
             targets = self.choose_heartbeat_targets()
             calls = [
-                self._send_heartbeat(node_id, address) for node_id, address in targets
+                self._try_heartbeat(node_id, address) for node_id, address in targets
             ]
             if calls:
                 await asyncio.gather(*calls)
@@ -336,6 +336,17 @@
         known = {address for _, address in targets} | {self.own_member.peer_address}
         return targets + [("", s) for s in self._seeds if s not in known]
 
+    async def _try_heartbeat(self, node_id: str, address: str) -> None:
+        """Send a heartbeat; an unexpected error counts as none, and ends no other."""
+        try:
+            await self._send_heartbeat(node_id, address)
+        except Exception:
+            logger.bind(member=node_id, peer=address).exception(
+                "member.heartbeat_failed"
+            )
+            if node_id:
+                self._record_missed_heartbeat(node_id)
+
     async def _send_heartbeat(self, node_id: str, address: str) -> None:
         channel = self.channel(address)
         reply = await channel.call(
--- a/packages/persimmonlink-router/src/persimmonlink_router/fact_exchange.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/fact_exchange.py
@@ -5,6 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING, Protocol
 
+from loguru import logger
 from returns.result import Failure as Err
 
 from persimmonlink_router.peer_messages import SharedFacts, ShareFacts
@@ -66,7 +67,7 @@
         brittle: list[LimitNotice] = []
         store_returned_age_s: float | None = None
         for holder in self._holders:
-            facts = holder.collect_facts()
+            facts = _collect(holder)
             holds += facts.holds
             suspect_left_s_by_part |= facts.suspect_left_s_by_part
             limits += facts.limits
@@ -87,7 +88,7 @@
         """Apply what a peer knows, and pass on what is news."""
         is_news = False
         for holder in self._holders:
-            is_news |= holder.apply_facts(facts, member)
+            is_news |= _apply(holder, facts, member)
         if is_news:
             self.spread()
 
@@ -117,9 +118,34 @@
 
     async def _send_to(self, node_id: str, address: str, message: ShareFacts) -> None:
         channel = self._membership.channel(address)
-        reply = await channel.call(message, SharedFacts, SPREAD_TIMEOUT_S)
+        try:
+            reply = await channel.call(message, SharedFacts, SPREAD_TIMEOUT_S)
+        except Exception:
+            # The others get it all the same, and heartbeats repeat it.
+            logger.bind(member=node_id, peer=address).exception("facts.send_failed")
+            return
         if not isinstance(reply, Err):
             self.apply(reply.unwrap(), node_id)
 
 
+def _collect(holder: FactHolder) -> SharedFacts:
+    """Return what a part knows, nothing after an unexpected error."""
+    try:
+        return holder.collect_facts()
+    except Exception:
+        logger.bind(part=type(holder).__name__).exception("facts.collect_failed")
+        return SharedFacts()
+
+
+def _apply(holder: FactHolder, facts: SharedFacts, member: str) -> bool:
+    """Tell a part what a peer knows; an unexpected error concerns this part alone."""
+    try:
+        return holder.apply_facts(facts, member)
+    except Exception:
+        logger.bind(part=type(holder).__name__, member=member).exception(
+            "facts.apply_failed"
+        )
+        return False
+
+
 __all__ = ("FactExchange",)
