Take the store to be lost while the loop that follows it has ended

Callers would see: requests to servers that drain or are gone, for up to 30 s, from a node that logged task.failed and nothing of the store.

Cause: a node decides by what it believes of the store, and nothing took that belief back as an unexpected error ended the follower. The loop starts again after 0.5 s, then 1, 2, 4, up to 30 s if errors come again within a minute; meanwhile the node says that it is in contact, so that it pulls no changes from its peers, tells them the age of its last answer as if it were current, and puts nothing in doubt.

Evidence: two nodes, both calls of one's follower raise; a server of its view drains, or is removed, 2 s later.

Change: the follower records the loss before the error goes on, so that all that holds without the store holds: peers' changes are pulled with each heartbeat.

--- a/packages/persimmonlink-router/src/persimmonlink_router/store_follower.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/store_follower.py
@@ -110,7 +110,20 @@
             self._give_up_after(self._latency.find_limit_s())
 
     async def run(self) -> None:
-        """Follow the store until cancelled; list again after lost history.
+        """Follow the store until cancelled or an unexpected error.
+
+        After that, until it runs again, the node knows no more than without the store,
+        and hears of changes from its peers.
+        """
+        try:
+            await self._follow()
+        except Exception as error:
+            now = boot_time()
+            self._cluster_view.record_contact_loss(now, repr(error), now)
+            raise
+
+    async def _follow(self) -> None:
+        """Follow the store; list again after lost history.
 
         If it is lost again before a watch had an answer, a pause comes first.
         """
