Pause before a new registration if its lease has ended at once

Callers would see: a store that is overloaded by all nodes at once, and nodes that are busy with it.

Cause: a lease that has ended is the sign to register anew without a pause. It is also what the store says of a lease that it granted just now, if leases end at once, or if its answers state another era than those before; then the node registers again and again.

Change: only the loss of a registration that stood is followed at once; else the node pauses as after a call that failed.

--- a/packages/persimmonlink-router/src/persimmonlink_router/member_registration.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/member_registration.py
@@ -70,10 +70,11 @@
             try:
                 await self._renew()
                 self._backoff.record_success()
-            except LeaseExpiredError:
-                self._lease = 0
-                continue
-            except StoreUnavailableError as error:
+            except (StoreUnavailableError, LeaseExpiredError) as error:
+                if isinstance(error, LeaseExpiredError) and self._lease:
+                    # The next call, at once, registers anew.
+                    self._lease = 0
+                    continue
                 logger.bind(error=str(error)).debug("registration.failed")
                 spent_s = boot_time() - started_at
                 await asyncio.sleep(self._backoff.next_pause_s(spent_s))
