Remove a registration that is being written as its node stops

Callers would see: a node that stops, named by directories for the 4 s of its lease, in a cluster so large that not all nodes hear its heartbeats.

Cause: a node that stops revokes the lease that it knows. It knows none while the entry is being written, so that the entry appears after the node has left; and a single call that is lost or turned away left the entry to its lease.

Evidence: three new cases failed: the entry was in the store 1 s after a stop during its write (with a stub, and with a router and a store that answers in 0.3 s), and after a stop whose one call was turned away.

Change: a node that stops writes no entry any more, revokes the lease of one that it was writing, also if that failed here, and revokes again, paced as other calls to a store that fails, until the lease has ended by itself.

--- a/packages/persimmonlink-router/src/persimmonlink_router/member_registration.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/member_registration.py
@@ -84,19 +84,40 @@
     async def deregister(self) -> None:
         """Stop renewing and revoke the lease, which deletes the entry."""
         self._is_deregistering = True
-        if not self._lease:
+        if self._lease:
+            await self._revoke(self._lease)
+
+    async def _revoke(self, lease: int) -> None:
+        """Revoke a lease, again if that fails, until it expires by itself."""
+        ends_at = boot_time() + LEASE_TTL_S
+        while boot_time() < ends_at:
+            began_at = boot_time()
+            try:
+                await self._store.revoke_lease(lease)
+            except LeaseExpiredError:
+                return
+            except StoreUnavailableError as error:
+                # Heartbeats announce the leave to peers, too.
+                logger.bind(error=str(error)).info("registration.removal_failed")
+                spent_s = boot_time() - began_at
+                await asyncio.sleep(self._backoff.next_pause_s(spent_s))
+                continue
             return
-        try:
-            await self._store.revoke_lease(self._lease)
-        except (StoreUnavailableError, LeaseExpiredError) as error:
-            # The lease expires by itself, and heartbeats announce the leave to peers.
-            logger.bind(error=str(error)).info("registration.removal_failed")
 
     async def _renew(self) -> None:
         if self._lease:
             await self._store.renew_lease(self._lease)
             return
         lease = await self._store.grant_lease(LEASE_TTL_S)
+        try:
+            if not self._is_deregistering:
+                await self._write(lease)
+        finally:
+            if self._is_deregistering:
+                # The write may have been executed, also if it failed here.
+                await self._revoke(lease)
+
+    async def _write(self, lease: int) -> None:
         member = self._get_member()
         key = MEMBER_PREFIX + member.node_id
         value = msgspec.json.encode(member)
--- a/tests/router/test_member_registration.py
+++ b/tests/router/test_member_registration.py
@@ -5,8 +5,10 @@
 import asyncio
 import random
 
+from tests.router.rig import make_rig, run, wait_until
 from tests.router.test_cluster_membership import build_member
 
+from persimmonlink_router.cluster_membership import MEMBER_PREFIX
 from persimmonlink_router.member_registration import MemberRegistration
 from persimmonlink_router.store import LeaseExpiredError, StoreUnavailableError
 from persimmonlink_router.store_backoff import StoreBackoff
@@ -72,3 +74,56 @@
         assert len(store.calls) <= MAX_CALLS
 
     asyncio.run(scenario())
+
+
+def test_a_node_that_stops_while_its_registration_is_written_removes_it():
+    async def scenario():
+        store = Store()
+        registration = build_registration(store, random.Random(1))
+        task = asyncio.create_task(registration.run())
+        while "put" not in store.calls:
+            await asyncio.sleep(0)
+        stop = asyncio.create_task(registration.deregister())
+        await asyncio.sleep(0.1)
+        store.may_write.set()
+        await stop
+        await asyncio.sleep(PLAY_S)
+        task.cancel()
+        assert store.keys == set()
+
+    asyncio.run(scenario())
+
+
+def test_a_node_that_stops_removes_its_registration_though_a_call_fails():
+    async def scenario():
+        store = Store()
+        store.may_write.set()
+        store.failing_revokes = 1
+        registration = build_registration(store, random.Random(1))
+        task = asyncio.create_task(registration.run())
+        while not store.keys:
+            await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        await registration.deregister()
+        task.cancel()
+        assert store.keys == set()
+
+    asyncio.run(scenario())
+
+
+def test_a_node_that_stops_just_as_it_registers_is_not_listed_by_the_store():
+    async def scenario():
+        async with make_rig() as rig:
+            router = rig.routers[0]
+            await wait_until(lambda: router._registration._lease)
+            rig.store.faults.delay_s = 0.3
+            rig.store.expire_all_leases()
+            while router._registration._lease:
+                await asyncio.sleep(0.01)
+            router.membership.mark_leaving()
+            await router._registration.deregister()
+            await asyncio.sleep(PLAY_S)
+            listed = [k for k in rig.store.list_keys() if k.startswith(MEMBER_PREFIX)]
+            assert listed == []
+
+    run(scenario())
