Tell a node without the store which keys are gone, also from a later listing

Callers would see: a node that is cut off from the store goes on sending to servers that have left, as long as it is cut off, though it hears a peer that follows the store.

Cause: a peer's reply to a pull holds what changed after the asker's revision, and deletions as far as the peer has seen them. The asker took the reply for complete, and itself for as recent as the peer, so that it asked nobody else.

Change: a node knows from which revision on it knows all deletions; one that is asked for earlier ones replies with all that it has and says so (`is_whole`, optional: older builds neither say nor read it), and the asker takes keys that are missing for gone, as after a listing of its own, if no later revision of them is known.

--- a/packages/persimmonlink-router/src/persimmonlink_router/cluster_membership.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/cluster_membership.py
@@ -278,16 +278,21 @@
         return self._build_heartbeat()
 
     async def handle_pull(self, message: MirrorPull) -> MirrorUpdate:
-        """Return the store changes after the revision that a peer has."""
+        """Return the store changes after the revision that a peer has.
+
+        These are all items if the deletions after it are not known.
+        """
+        is_whole = not self._mirror.knows_deletions_since(message.revision)
         items = tuple(
             MirroredItem(i.key, i.value, i.revision)
-            for i in self._mirror.list_since(message.revision)
+            for i in self._mirror.list_since(0 if is_whole else message.revision)
         )
         return MirrorUpdate(
             items,
             self._mirror.revision,
             self._cluster_view.is_in_contact,
             self._cluster_view.find_steady_s(boot_time()),
+            is_whole,
         )
 
     async def run_heartbeats(self) -> None:
@@ -393,6 +398,8 @@
         )
         items = [StoredItem(i.key, i.value, i.revision) for i in update.items]
         count = await self._mirror.apply_in_turns(items, origin)
+        if update.is_whole:
+            self._mirror.apply_listing("", items, update.revision, origin)
         self._mirror.advance(update.revision)
         if update.is_in_contact:
             self._cluster_view.mark_refreshed_by_peer()
--- a/packages/persimmonlink-router/src/persimmonlink_router/peer_messages.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/peer_messages.py
@@ -239,12 +239,16 @@
     steady_s : float
         Time for which the store has answered the peer without an outage, in seconds;
         0 from nodes of older builds.
+    is_whole : bool
+        Whether these are all items of the peer, as it can't tell which keys were
+        deleted after the revision that was asked for: others are gone.
     """
 
     items: tuple[MirroredItem, ...]
     revision: Count
     is_in_contact: bool
     steady_s: Seconds = 0.0
+    is_whole: bool = False
 
 
 @dataclass(frozen=True)
--- a/packages/persimmonlink-router/src/persimmonlink_router/store_mirror.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/store_mirror.py
@@ -41,6 +41,7 @@
         # How the item came that `on_change` is called with.
         self.origin = UNKNOWN_ORIGIN
         self._listed_revision_by_prefix: dict[str, int] = {}
+        self._discarded_revision = 0  # Highest one of the deletions that were dropped.
 
     def find(self, key: str) -> StoredItem | None:
         """Return the item or tombstone of a key, or None if it is unknown."""
@@ -91,6 +92,8 @@
 
     def advance(self, revision: int) -> None:
         """Record that all changes up to a revision are known."""
+        if not self.revision:
+            self._discarded_revision = max(self._discarded_revision, revision)
         self.revision = max(self.revision, revision)
         self._discard_old_tombstones()
 
@@ -122,6 +125,14 @@
         changed.sort(key=lambda item: item.revision)
         return tuple(changed)
 
+    def knows_deletions_since(self, revision: int) -> bool:
+        """Whether the deletions of all keys after a revision are known.
+
+        Those before a listing are not: it lacks keys that this node never knew.
+        """
+        listed = max(self._listed_revision_by_prefix.values(), default=0)
+        return revision >= max(listed, self._discarded_revision)
+
     def _was_deleted(self, item: StoredItem, origin: ChangeOrigin) -> bool:
         """Whether the store has deleted an unknown key that a peer's copy still has.
 
@@ -142,6 +153,7 @@
         tombstones.sort(key=lambda item: item.revision)
         for item in tombstones[: len(tombstones) - MAX_TOMBSTONES // 2]:
             del self._item_by_key[item.key]
+            self._discarded_revision = max(self._discarded_revision, item.revision)
 
 
 __all__ = ("MAX_TOMBSTONES", "StoreMirror")
--- a/tests/router/test_store_mirror.py
+++ b/tests/router/test_store_mirror.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies as st
 
 from persimmonlink_router.store import StoredItem
-from persimmonlink_router.store_mirror import StoreMirror
+from persimmonlink_router.store_mirror import MAX_TOMBSTONES, StoreMirror
 
 
 def build_mirror() -> tuple[StoreMirror, list[StoredItem]]:
@@ -61,3 +61,34 @@
     mirror.apply([StoredItem("a", b"1", 1), StoredItem("b", b"1", 2)])
     mirror.apply([StoredItem("a", None, 3)])
     assert [i.key for i in mirror.list_since(1)] == ["b", "a"]
+
+
+def test_deletions_before_a_listing_are_not_known():
+    mirror, _ = build_mirror()
+    mirror.apply_listing("p/", [StoredItem("p/a", b"1", 1)], 9)
+    mirror.advance(9)
+    mirror.apply([StoredItem("p/a", None, 12)])
+    mirror.advance(12)
+    assert not mirror.knows_deletions_since(8)
+    assert mirror.knows_deletions_since(9)
+
+
+def test_deletions_that_were_discarded_are_not_known():
+    mirror, _ = build_mirror()
+    mirror.advance(1)
+    keys = [f"p/{number}" for number in range(MAX_TOMBSTONES + 1)]
+    mirror.apply([StoredItem(key, b"1", 2) for key in keys])
+    deleted = [StoredItem(key, None, 3 + index) for index, key in enumerate(keys)]
+    mirror.apply(deleted)
+    mirror.advance(deleted[-1].revision)
+    kept = [item.revision for item in mirror.list_since(2)]
+    assert not mirror.knows_deletions_since(min(kept) - 2)
+    assert mirror.knows_deletions_since(min(kept) - 1)
+
+
+def test_deletions_before_a_peer_s_copy_are_not_known():
+    mirror, _ = build_mirror()
+    mirror.apply([StoredItem("p/a", b"1", 5)])
+    mirror.advance(9)
+    assert not mirror.knows_deletions_since(8)
+    assert mirror.knows_deletions_since(9)
