Let a late entry of an ended run hide its successor no longer than it lasts

Callers would see: a node that directories of most other nodes don't name, in a cluster of more than 13 nodes, until it registers anew.

Cause: an entry with a higher seniority at an address is taken for that of a restart, and the entries of all other members there are forgotten. A write that got no answer may be executed seconds later, as the store says; such a first entry of a run that was killed as it registered is younger than that of the run that followed. It expires within 4 s, but the successor's entry doesn't change, so that nobody reads it again, and only neighbours hear its heartbeats.

Evidence: the new test failed: the successor was not listed after the late entry had expired.

Change: entries at the same address are kept and superseded by seniority; as the newest one goes, the next one counts again. A message of a member itself still forgets the others at its address.

--- a/packages/persimmonlink-router/src/persimmonlink_router/cluster_membership.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/cluster_membership.py
@@ -172,7 +172,8 @@
         self.members.apply_relayed_report(MemberReport(member, 0.0), now)
         self._merge_registered_fields(node_id)
         if not self._registry.is_superseded(member):
-            self._remove_superseded(member)
+            # Their entries stay: this one may be a late write of an ended run.
+            self._mark_superseded(member)
 
     def list_serving_members(self) -> list[Member]:
         """Return the live, configured members that are not leaving, sorted by id."""
@@ -476,17 +477,26 @@
         )
 
     def _remove_superseded(self, member: Member) -> None:
-        """Mark other members at a member's address as gone.
+        """Forget other members at the address of a member that sent a message."""
+        for other in self._mark_superseded(member):
+            self._registry.remove(other.node_id)
+
+    def _mark_superseded(self, member: Member) -> list[Member]:
+        """Mark other members at a member's address as gone, and return them.
 
         A restarted node keeps its address but has a new name.
         """
-        for other in list(self.members.member_by_id.values()):
-            is_same_address = other.peer_address == member.peer_address
-            if is_same_address and other.node_id != member.node_id:
-                self._registry.remove(other.node_id)
-                if self.members.is_live(other.node_id, boot_time()):
-                    self.members.mark_unresponsive(other.node_id, boot_time())
-                self._missed_heartbeats_by_id.pop(other.node_id, None)
+        others = [
+            other
+            for other in self.members.member_by_id.values()
+            if other.peer_address == member.peer_address
+            and other.node_id != member.node_id
+        ]
+        for other in others:
+            if self.members.is_live(other.node_id, boot_time()):
+                self.members.mark_unresponsive(other.node_id, boot_time())
+            self._missed_heartbeats_by_id.pop(other.node_id, None)
+        return others
 
     def _record_missed_heartbeat(self, node_id: str) -> None:
         misses = self._missed_heartbeats_by_id.get(node_id, 0) + 1
--- a/packages/persimmonlink-router/src/persimmonlink_router/member_registry.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/member_registry.py
@@ -33,8 +33,18 @@
         member = self._member_by_id.pop(node_id, None)
         if member is None:
             return
-        if self._newest_id_by_address.get(member.peer_address) == node_id:
-            del self._newest_id_by_address[member.peer_address]
+        address = member.peer_address
+        if self._newest_id_by_address.get(address) != node_id:
+            return
+        del self._newest_id_by_address[address]
+        others = [
+            other
+            for other in self._member_by_id.values()
+            if other.peer_address == address
+        ]
+        if others:
+            newest = max(others, key=lambda other: other.seniority)
+            self._newest_id_by_address[address] = newest.node_id
 
     def find(self, node_id: str) -> RouterMember | None:
         """Return a member's entry, or None if it has none."""
--- a/tests/router/test_cluster_membership.py
+++ b/tests/router/test_cluster_membership.py
@@ -228,3 +228,13 @@
     assert membership.choose_coordinator(set()) == "again"
     membership.apply_store_item(StoredItem(MEMBER_PREFIX + "former", None, 13))
     assert list_serving_ids(membership) == ["again", "me"]
+
+
+def test_a_late_entry_of_an_ended_run_hides_its_successor_no_longer_than_it_lasts():
+    membership = build_membership()
+    ended, successor = build_member("run-1"), build_member("run-2")
+    successor = replace(successor, peer_address=ended.peer_address)
+    apply_entry(membership, successor, 12)
+    apply_entry(membership, ended, 20)
+    membership.apply_store_item(StoredItem(MEMBER_PREFIX + "run-1", None, 30))
+    assert list_serving_ids(membership) == ["me", "run-2"]
