Ignore what a late message of an ended run says of its address

Callers would see: as with a late entry: a node that directories of some others don't name.

Cause: a message of a member was taken for the newest word on its address whenever it is read. A node that stood still reads, beside the entry of a restarted node, what the run before had sent; it then forgot the entry of the run that serves, which doesn't change any more. A late message makes a belief wrong.

Evidence: the new test failed: the successor was not listed after the late heartbeat.

Change: a member whose entry has a higher seniority than the sender of a message is not forgotten for it. A run that has not registered has none, and counts as the newest.

--- a/packages/persimmonlink-router/src/persimmonlink_router/cluster_membership.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/cluster_membership.py
@@ -491,6 +491,7 @@
             for other in self.members.member_by_id.values()
             if other.peer_address == member.peer_address
             and other.node_id != member.node_id
+            and not self._is_successor(other, member)
         ]
         for other in others:
             if self.members.is_live(other.node_id, boot_time()):
@@ -498,6 +499,15 @@
             self._missed_heartbeats_by_id.pop(other.node_id, None)
         return others
 
+    def _is_successor(self, other: Member, member: Member) -> bool:
+        """Whether a member registered after another one at the same address.
+
+        A message of an ended run may be read after its successor's entry.
+        """
+        registered = self._registry.find(other.node_id)
+        seniority = getattr(member, "seniority", 0)
+        return registered is not None and 0 < seniority < registered.seniority
+
     def _record_missed_heartbeat(self, node_id: str) -> None:
         misses = self._missed_heartbeats_by_id.get(node_id, 0) + 1
         self._missed_heartbeats_by_id[node_id] = misses
--- a/tests/router/test_cluster_membership.py
+++ b/tests/router/test_cluster_membership.py
@@ -238,3 +238,12 @@
     apply_entry(membership, ended, 20)
     membership.apply_store_item(StoredItem(MEMBER_PREFIX + "run-1", None, 30))
     assert list_serving_ids(membership) == ["me", "run-2"]
+
+
+def test_a_late_heartbeat_of_an_ended_run_does_not_hide_its_successor():
+    membership = build_membership()
+    ended, successor = build_member("run-1", 3), build_member("run-2")
+    successor = replace(successor, peer_address=ended.peer_address)
+    apply_entry(membership, successor, 12)
+    receive_heartbeat(membership, ended)
+    assert "run-2" in list_serving_ids(membership)
