Save versions of streams in values that the store takes, whatever their ids

Callers would see: after the loss of all nodes, streams of any client that can't be taken up (503), because another client gave its requests long ids.

Cause: up to 8,000 streams go into one value, the latest first. The ids are the clients' own; at 1,000 characters the value has 8 MB, where the store takes 1 MB. It is refused, and tried again with the same streams, so that no version is saved any more. What others write is believed beyond its type.

Change: a value holds as many ids as fit into 400,000 characters.

--- a/packages/persimmonlink-router/src/persimmonlink_router/stream_version_saver.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stream_version_saver.py
@@ -31,6 +31,10 @@
 # Members that save: the first, and one that saves what the first leaves unsaved.
 SAVERS = 2
 MAX_SAVED_AT_ONCE = 8000  # Streams in one value of the store.
+# Characters of their ids in one value of the store, which takes a megabyte; a character
+# takes two bytes at most.
+MAX_SAVED_CHARS = 400000
+ID_OVERHEAD_CHARS = 3  # Quotes and comma.
 # Streams that are saved at a time, which all nodes keep in memory.
 MAX_SAVED_STREAMS = 20000
 REFRESH_INTERVAL_S = 180.0  # Interval of saving unchanged versions of services.
@@ -172,7 +176,8 @@
         if room <= 0:
             return {}
         limit = min(room, MAX_SAVED_AT_ONCE)
-        return self._versions.list_unsaved(recorded_before, limit)
+        unsaved = self._versions.list_unsaved(recorded_before, limit)
+        return _take_that_fit(unsaved)
 
     def _are_services_due(
         self, names: dict[str, list[str]], delay_s: float, now: float
@@ -288,6 +293,18 @@
     return {service: sorted(by_version) for service, by_version in ages.items()}
 
 
+def _take_that_fit(version_by_request_id: dict[str, str]) -> dict[str, str]:
+    """Return the first requests whose ids fit into a value; clients choose them."""
+    fitting: dict[str, str] = {}
+    chars_left = MAX_SAVED_CHARS
+    for request_id, version in version_by_request_id.items():
+        chars_left -= len(request_id) + ID_OVERHEAD_CHARS
+        if chars_left < 0:
+            break
+        fitting[request_id] = version
+    return fitting
+
+
 def _group_by_version(version_by_request_id: dict[str, str]) -> dict[str, list[str]]:
     grouped: dict[str, list[str]] = {}
     for request_id, version in version_by_request_id.items():
