Take turns also while changes are read for a stream that is taken up

Callers would see: requests and heartbeats of a node that stand still for a time, as a stream is taken up just after thousands of entries were written.

Cause: the read that confirms the view applied all its changes at once. The follower takes a turn after 200 (MAX_CHANGES_PER_TURN); this read was left out.

Change: the read applies changes in turns, too.

--- a/packages/persimmonlink-router/src/persimmonlink_router/view_confirmer.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/view_confirmer.py
@@ -84,7 +84,8 @@
             logger.bind(error=repr(error)).info("store.view_not_confirmed")
             self._silent_at = boot_time()
             return False
-        self._mirror.apply(i for i in page.items if i.key.startswith(self._prefixes))
+        mirrored = [i for i in page.items if i.key.startswith(self._prefixes)]
+        await self._mirror.apply_in_turns(mirrored)
         return not page.has_more
 
 
--- a/tests/router/test_large_odd_entries.py
+++ b/tests/router/test_large_odd_entries.py
@@ -15,6 +15,7 @@
 CONFIGURATION_TIMEOUT_S = 3.0
 MANY_WRITES = 30000
 APPLY_TIMEOUT_S = 30.0
+MANY_CONFIRMED = 8000  # A read that takes longer is given up after 0.5 s.
 
 
 @pytest.mark.parametrize("is_one_key", [True, False])
@@ -64,3 +65,21 @@
             assert await turns < STALL_S
 
     run(scenario())
+
+
+def test_a_node_takes_turns_while_it_confirms_many_changes():
+    async def scenario():
+        async with make_rig() as rig:
+            router = rig.routers[0]
+            for task in router._tasks._tasks:
+                if task.get_name() == "store-follower":
+                    task.cancel()
+            for number in range(MANY_CONFIRMED):
+                rig.store.put(f"servers/odd-{number}", b"{}")
+            turns = asyncio.create_task(record_longest_turn())
+            await router._version_exchange._view_confirmer.confirm()
+            turns.cancel()
+            assert router._mirror.find(f"servers/odd-{MANY_CONFIRMED - 1}") is not None
+            assert await turns < STALL_S
+
+    run(scenario())
