Remove the registration of a node also if another step of its leave fails

Callers would see: a node that has ended, named by directories of nodes that don't hear it: it renews its registration until its end, and the entry lasts 4 s more.

Cause: the steps of the leave were done one after another without a guard; the work of the stop itself goes on after an error, the leave did not. No input is known that lets a step fail.

Evidence: both new cases failed: the node was still registered 0.5 s after the stop began.

Change: each step is guarded by itself.

--- a/packages/persimmonlink-router/src/persimmonlink_router/router.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/router.py
@@ -384,10 +384,16 @@
 
     async def _leave(self) -> None:
         """Tell the other nodes and the store that this node leaves."""
-        self.membership.mark_leaving()
-        self._tasks.spawn(self._places.succession.hand_over(), "places")
-        self._tasks.spawn(self._crash_guard.trials.hand_over(), "permits")
-        self._scheduler.transfer_requests()
+        places, permits = self._places.succession, self._crash_guard.trials
+        run_each(
+            "leave",
+            (
+                self.membership.mark_leaving,
+                lambda: self._tasks.spawn(places.hand_over(), "places"),
+                lambda: self._tasks.spawn(permits.hand_over(), "permits"),
+                self._scheduler.transfer_requests,
+            ),
+        )
         await self._registration.deregister()
 
     def reload(self, settings: RouterSettings) -> None:
--- a/tests/router/test_errors_in_a_stop.py
+++ b/tests/router/test_errors_in_a_stop.py
@@ -7,6 +7,10 @@
 import pytest
 from tests.router.rig import STREAM, STREAM_SERVICE, make_rig, run, wait_until
 
+from persimmonlink_router.cluster_membership import MEMBER_PREFIX
+
+LEAVE_S = 0.5  # Time in which the store knows that a node leaves.
+
 
 def fail(*_arguments, **_options):
     raise RuntimeError("unexpected")
@@ -35,3 +39,24 @@
             await stop
 
     run(scenario())
+
+
+@pytest.mark.parametrize("broken_part", ["leaving", "transfer"])
+def test_an_error_in_a_step_of_the_stop_leaves_no_node_registered(
+    monkeypatch, broken_part
+):
+    async def scenario():
+        async with make_rig(routers=2) as rig:
+            router = rig.routers[0]
+            key = MEMBER_PREFIX + router.membership.own_member.node_id
+            await wait_until(lambda: key in rig.store.list_keys())
+            owner, name = {
+                "leaving": (router.membership, "mark_leaving"),
+                "transfer": (router._scheduler, "transfer_requests"),
+            }[broken_part]
+            monkeypatch.setattr(owner, name, fail)
+            stop = asyncio.ensure_future(router.stop())
+            await wait_until(lambda: key not in rig.store.list_keys(), LEAVE_S)
+            await stop
+
+    run(scenario())
