Let no connection that is being accepted outlive the cut of a link

Cause of the class, shown by tests/stand_ins/test_link.py: the stand-in's cut resets the connections that it knows of. One that was accepted but whose handler had not begun (three to four steps of the loop) went on through the cut, and served; one that asyncio was accepting (two steps) was neither served nor closed. The end of a cut listened again at a link that listened already: one found in the same step, or one of another target than the cut's, which fails with "address already in use".

A link accepts by itself, counts its resets, and resets a connection that was accepted before the last one; it listens once. Products are not changed.

--- a/stand_ins/src/persimmonlink_stand_ins/link.py
+++ b/stand_ins/src/persimmonlink_stand_ins/link.py
@@ -16,6 +16,7 @@
 # Connections that fill the queue of a listener which accepts none, so that the opening
 # packets of further ones are dropped.
 FILLER_COUNT = 4
+BACKLOG = 100
 
 
 class Cut(StrEnum):
@@ -39,7 +40,9 @@
 
     def __init__(self, target: str, port: int) -> None:
         self._target = target
-        self._server: asyncio.Server | None = None
+        self._listener: socket.socket | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._resets = 0
         self._blocked: list[socket.socket] = []
         self._writers: set[asyncio.StreamWriter] = set()
         self._may_pass = asyncio.Event()
@@ -51,51 +54,85 @@
         """`IP:PORT` at which the node connects."""
         return f"{HOST}:{self._port}"
 
-    async def start(self) -> None:
-        """Start to relay connections."""
-        self._server = await asyncio.start_server(self._serve, HOST, self._port)
+    def start(self) -> None:
+        """Start to relay connections, if the link does not do so already."""
+        if self._listener is not None:
+            return
+        listener = self._open_listener(BACKLOG)
+        listener.setblocking(False)
+        asyncio.get_running_loop().add_reader(listener, self._accept, listener)
+        self._listener = listener
 
-    async def cut(self, how: Cut) -> None:
+    def cut(self, how: Cut) -> None:
         """Cut the link."""
-        if self._server is not None:
-            self._server.close()
+        self._stop_listening()
         if how is Cut.HANG:
             self._may_pass.clear()
-            self._block_listener()
+            if not self._blocked:
+                self._block_listener()
         elif how is Cut.RESET:
+            self._resets += 1
             for writer in list(self._writers):
                 reset_connection(writer)
 
-    async def mend(self) -> None:
+    def mend(self) -> None:
         """End the cut; what was held up goes on."""
         for sock in self._blocked:
             sock.close()
         self._blocked.clear()
-        await self.start()
+        self.start()
         self._may_pass.set()
 
-    async def stop(self) -> None:
+    def stop(self) -> None:
         """Close everything."""
-        if self._server is not None:
-            self._server.close()
+        self._stop_listening()
         for sock in self._blocked:
             sock.close()
         for writer in list(self._writers):
             writer.transport.abort()
 
-    def _block_listener(self) -> None:
-        """Listen without accepting, with a queue that is full."""
+    def _open_listener(self, backlog: int) -> socket.socket:
         listener = socket.socket()
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         listener.bind((HOST, self._port))
-        listener.listen(0)
-        self._blocked.append(listener)
+        listener.listen(backlog)
+        return listener
+
+    def _stop_listening(self) -> None:
+        if self._listener is None:
+            return
+        asyncio.get_running_loop().remove_reader(self._listener)
+        self._listener.close()
+        self._listener = None
+
+    def _block_listener(self) -> None:
+        """Listen without accepting, with a queue that is full."""
+        self._blocked.append(self._open_listener(0))
         for _ in range(FILLER_COUNT):
             filler = socket.socket()
             filler.setblocking(False)
             filler.connect_ex((HOST, self._port))
             self._blocked.append(filler)
 
+    def _accept(self, listener: socket.socket) -> None:
+        try:
+            accepted, _ = listener.accept()
+        except OSError:
+            # The peer has given the connection up.
+            return
+        accepted.setblocking(False)
+        task = asyncio.ensure_future(self._open(accepted, self._resets))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _open(self, accepted: socket.socket, resets: int) -> None:
+        """Relay a connection that was accepted after some resets of all of them."""
+        reader, writer = await asyncio.open_connection(sock=accepted)
+        if self._resets > resets:
+            reset_connection(writer)
+            return
+        await self._serve(reader, writer)
+
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -155,9 +192,9 @@
         if link is None:
             link = Link(target, self._find_port())
             self._link_by_ends[node, target] = link
-            await link.start()
+            link.start()
             if node in self._cut_by_node:
-                await link.cut(self._cut_by_node[node])
+                link.cut(self._cut_by_node[node])
         return link
 
     async def cut(
@@ -167,7 +204,7 @@
         nodes = set(nodes)
         for (node, target), link in list(self._link_by_ends.items()):
             if node in nodes and (targets is None or target in set(targets)):
-                await link.cut(how)
+                link.cut(how)
         if targets is None:
             self._cut_by_node |= dict.fromkeys(nodes, how)
 
@@ -178,7 +215,7 @@
             self._cut_by_node.pop(node, None)
         for (node, _), link in list(self._link_by_ends.items()):
             if node in nodes:
-                await link.mend()
+                link.mend()
 
     def list_ports(self) -> list[int]:
         """Return the ports of all links."""
@@ -188,7 +225,7 @@
     async def stop(self) -> None:
         """Close all links."""
         for link in self._link_by_ends.values():
-            await link.stop()
+            link.stop()
 
 
 __all__ = ("Cut", "Link", "Links")
