Keep the ports of servers that ended from other tests until they start again

Seen: no failure that is shown to come of it. Servers of the stand-ins listen at a port that the system chooses; one that ends frees it for the 0.2 to 0.5 s until it starts again there (tests/upgrade, tests/soak, tests/router), and for good where its entry stays in the store (tests/planned_work).

A server keeps its port bound without listening until it is stopped, which refuses connections as before. The system gives such a port to nobody; only a start that names it can listen there.

--- a/stand_ins/src/persimmonlink_stand_ins/raw_server.py
+++ b/stand_ins/src/persimmonlink_stand_ins/raw_server.py
@@ -43,14 +43,18 @@
     def __init__(self, handler: Handler) -> None:
         self._handler = handler
         self._server: asyncio.Server | None = None
+        self._reservation: socket.socket | None = None
         self._writers: set[asyncio.StreamWriter] = set()
         self.accepted_connections = 0
         self.address = ""
 
     async def start(self, port: int = 0) -> None:
-        """Start listening."""
+        """Start listening at a port, which stays reserved until `stop`."""
+        if self._reservation is None:
+            self._reservation = reserve_port(port)
+        port = self._reservation.getsockname()[1]
         self._server = await asyncio.start_server(self._serve, HOST, port)
-        self.address = f"{HOST}:{self._server.sockets[0].getsockname()[1]}"
+        self.address = f"{HOST}:{port}"
 
     def stop_listening(self) -> None:
         """Refuse new connections and keep the open ones."""
@@ -62,16 +66,23 @@
         return set(self._writers)
 
     async def stop(self) -> None:
+        """Stop listening, cut all connections and give the port back."""
+        self.cut()
+        if self._reservation is not None:
+            self._reservation.close()
+            self._reservation = None
+
+    def cut(self) -> None:
         """Stop listening and cut all connections."""
         self.stop_listening()
         for writer in list(self._writers):
             writer.transport.abort()
 
-    async def reset(self) -> None:
+    def reset(self) -> None:
         """Stop listening and reset all connections."""
         for writer in list(self._writers):
             reset_connection(writer)
-        await self.stop()
+        self.cut()
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -146,6 +157,17 @@
     return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
 
 
+def reserve_port(port: int = 0) -> socket.socket:
+    """Keep a port from others, any free one if none is given, without listening.
+
+    Only sockets that name the port and set SO_REUSEADDR can listen there.
+    """
+    reservation = socket.socket()
+    reservation.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    reservation.bind((HOST, port))
+    return reservation
+
+
 def reset_connection(writer: asyncio.StreamWriter) -> None:
     """Close a connection with a reset; `abort` alone closes it in order."""
     sock = writer.get_extra_info("socket")
--- a/stand_ins/src/persimmonlink_stand_ins/routed_server.py
+++ b/stand_ins/src/persimmonlink_stand_ins/routed_server.py
@@ -243,19 +243,18 @@
         await self._server.stop()
 
     async def crash(self) -> None:
-        """End at once, as `stop`, and tell the test."""
+        """End at once, keep the port for a next start, and tell the test."""
         if self.has_crashed:
             return
         self.has_crashed = True
-        await self._server.stop()
+        self._server.cut()
         if self.on_crash is not None:
             self.on_crash()
 
     async def restart(self) -> None:
         """Start again after a crash, as a new incarnation at the same address."""
-        port = int(self.address.rpartition(":")[2])
         self.started_at_ms += 1
-        await self._server.start(port)
+        await self._server.start()
         self.has_crashed = False
 
     def build_entry(self, service: str, **changes: Any) -> dict[str, Any]:
--- a/tests/planned_work/servers.py
+++ b/tests/planned_work/servers.py
@@ -69,7 +69,7 @@
     async def end(self) -> None:
         """End at once and reset all connections."""
         self.has_crashed = True
-        await self._server.reset()
+        self._server.reset()
 
     def break_off(self) -> None:
         """End its streams at their next event, and take no new connections."""
