Open a new connection to a peer when one has had all its calls

Cause: HTTP/2 numbers the calls of a connection, 2^30 at most. The next one raises an error of h2, which the channel does not take for one of the connection: it ends the request or the loop that calls, and the connection is kept, so that each further call to this peer raises as well until the connection is lost for another reason. At 100 calls a second to one peer that is after 124 days.

--- a/packages/persimmonlink-peers/src/persimmonlink_peers/peer_channel.py
+++ b/packages/persimmonlink-peers/src/persimmonlink_peers/peer_channel.py
@@ -7,6 +7,7 @@
 
 from grpclib.client import UnaryStreamMethod, UnaryUnaryMethod
 from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
+from h2.exceptions import H2Error
 from loguru import logger
 from returns.result import Failure as Err
 from returns.result import Result, Success
@@ -22,7 +23,14 @@
 
 PING_INTERVAL_S = 2.0
 PING_TIMEOUT_S = 1.0
-CONNECTION_ERRORS = (TimeoutError, StreamTerminatedError, ProtocolError, OSError)
+# What a call raises on a connection that can't be used any more.
+CONNECTION_ERRORS = (
+    TimeoutError,
+    StreamTerminatedError,
+    ProtocolError,
+    H2Error,
+    OSError,
+)
 
 
 class PeerStreamError(Exception):
