Keep the port of a link from other processes while the link is cut

Cause of the class: a link that is cut by RESET or REFUSE_NEW closes its listener and frees the TCP port. find_free_ports of other tests leaves it alone, since the UDP port of that number stays bound; a process that chooses ports in another way (review/shared/deployment.py asks for the TCP port only) can listen there. Then the cut node connects to that process, and the end of the cut fails.

The link keeps the port bound without listening, as servers that ended do. That this was the cause of those failures is suspected, not shown: their logs are gone.

--- a/stand_ins/src/persimmonlink_stand_ins/link.py
+++ b/stand_ins/src/persimmonlink_stand_ins/link.py
@@ -7,7 +7,11 @@
 from enum import StrEnum
 from typing import TYPE_CHECKING
 
-from persimmonlink_stand_ins.raw_server import HOST, reset_connection
+from persimmonlink_stand_ins.raw_server import (
+    HOST,
+    reserve_port,
+    reset_connection,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -35,12 +39,13 @@
     target : str
         `IP:PORT` of the server.
     port : int
-        Port to listen on, which must stay free while the link refuses connections.
+        Port to listen on, which stays reserved while the link refuses connections.
     """
 
     def __init__(self, target: str, port: int) -> None:
         self._target = target
         self._listener: socket.socket | None = None
+        self._reservation: socket.socket | None = None
         self._tasks: set[asyncio.Task[None]] = set()
         self._resets = 0
         self._blocked: list[socket.socket] = []
@@ -58,6 +63,8 @@
         """Start to relay connections, if the link does not do so already."""
         if self._listener is not None:
             return
+        if self._reservation is None:
+            self._reservation = reserve_port(self._port)
         listener = self._open_listener(BACKLOG)
         listener.setblocking(False)
         asyncio.get_running_loop().add_reader(listener, self._accept, listener)
@@ -86,6 +93,9 @@
     def stop(self) -> None:
         """Close everything."""
         self._stop_listening()
+        if self._reservation is not None:
+            self._reservation.close()
+            self._reservation = None
         for sock in self._blocked:
             sock.close()
         for writer in list(self._writers):
--- a/tests/stand_ins/test_link.py
+++ b/tests/stand_ins/test_link.py
@@ -95,3 +95,19 @@
                 assert await exchange(client) == b"x"
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("how", list(Cut))
+def test_nobody_else_listens_at_a_link_that_is_cut(how):
+    async def scenario():
+        async with run_links() as (links, target):
+            link = await links.find(NODE, target)
+            await links.cut([NODE], how)
+            port = int(link.address.rpartition(":")[2])
+            with socket.socket() as other, pytest.raises(OSError, match="in use"):
+                other.bind((HOST, port))
+            await links.mend([NODE])
+            with connect(link.address) as client:
+                assert await exchange(client) == b"x"
+
+    asyncio.run(scenario())
