Let short calls to a peer go beside more than a hundred long ones

Seen in a test: a node that has 100 calls to a peer under way, as requests whose stages that peer coordinates and requests that it relays are, gets no reply to any further one until others end. Heartbeats, permits, places and releases then fail as if the peer were lost, after their own timeouts; further stages and relays wait, up to their deadlines.

Cause: the nodes share one connection, and a server of h2 takes 100 calls on one unless told otherwise; grpclib's client waits for one to end.

Change: a node states 10,000 in its first frame.

Not measured: how often nodes have so many calls under way.

--- a/packages/persimmonlink-peers/src/persimmonlink_peers/grpc_server.py
+++ b/packages/persimmonlink-peers/src/persimmonlink_peers/grpc_server.py
@@ -5,11 +5,34 @@
 import asyncio
 from typing import TYPE_CHECKING, Any, cast
 
+from grpclib import protocol as grpc_protocol
 from grpclib.server import Server
+from h2.connection import H2Connection
+from h2.settings import SettingCodes
 
 if TYPE_CHECKING:
     from grpclib.protocol import H2Protocol
 
+# Calls of one peer at a time; further ones wait at the peer until others have ended.
+MAX_CALLS_PER_CONNECTION = 10000
+
+
+class PeerConnection(H2Connection):
+    """Connection that states from its first frame on how many calls it takes.
+
+    That of h2 takes 100, behind which short calls would wait for long ones.
+    """
+
+    def __init__(self, *args: Any, **options: Any) -> None:
+        super().__init__(*args, **options)
+        self.local_settings[SettingCodes.MAX_CONCURRENT_STREAMS] = (
+            MAX_CALLS_PER_CONNECTION
+        )
+        self.local_settings.acknowledge()
+
+
+grpc_protocol.H2Connection = PeerConnection  # type: ignore[misc]
+
 
 class GrpcServer(Server):
     """Server whose connections can be ended and closed.
