Forget a revision that the store has not reached once the store answers

Callers would see, after one message of a faulty peer in an outage of the store: streams that no node takes up any more unless it has their record (503), at all nodes, until all are started again; nodes that are cut off later pull no changes; keys of which the peer gave such a revision are never followed again, so that servers that left get requests.

Cause: the mirror keeps the highest revision that it has heard, whoever told it, and never goes back. What a peer says is believed beyond its type, and passed on to all nodes that have lost the store.

Evidence: two nodes without the store, one pulls a reply with revision 2**63 - 1, without items or with two of a high revision.

Change: a watch that began after a node had heard of a revision must come back with at least that one, as the store's answers are linearizable. If not, all that is later is forgotten, and the store is listed. Listings are not taken for such evidence: an answer without an era would look like it.

--- a/packages/persimmonlink-router/src/persimmonlink_router/store_follower.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/store_follower.py
@@ -173,6 +173,7 @@
         is_usual = self._cluster_view.is_in_contact and not self._refresh_due.is_set()
         self._refresh_due.clear()
         began_at = boot_time()
+        heard_revision = self._mirror.highest_revision
         wait_s, margin_s = self._choose_watch_times(is_usual)
         call = self._store.watch("", revision, wait_s, margin_s)
         watch = asyncio.get_running_loop().create_task(call)
@@ -191,6 +192,8 @@
         if not watch.cancelled():
             page = watch.result()
             self._record_response(page, took_s, is_usual=is_usual)
+            if self._corrects(page, heard_revision):
+                raise HistoryLostError
             return page
         if self._refresh_due.is_set():
             return None
@@ -199,6 +202,19 @@
         logger.bind(after_s=round(took_s, 2)).info("store.watch_given_up")
         raise WatchGivenUpError(f"a watch was given up after {took_s:.2f} s")
 
+    def _corrects(self, page: ItemPage, heard_revision: int) -> bool:
+        """Whether the store has not reached a revision that this node had heard of.
+
+        What has such a revision, which a peer told of, is forgotten.
+        """
+        if heard_revision <= page.revision:
+            return False
+        logger.bind(revision=page.revision, heard_revision=heard_revision).warning(
+            "store.revision_corrected"
+        )
+        self._mirror.forget_later(page.revision)
+        return True
+
     def _choose_watch_times(self, is_usual: bool) -> tuple[float, float]:
         """Return for how long a watch waits, and for how long after that it may take.
 
--- a/packages/persimmonlink-router/src/persimmonlink_router/store_mirror.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/store_mirror.py
@@ -42,6 +42,7 @@
         self.origin = UNKNOWN_ORIGIN
         self._listed_revision_by_prefix: dict[str, int] = {}
         self._discarded_revision = 0  # Highest one of the deletions that were dropped.
+        self._highest_revision = 0  # Highest one of any item.
 
     def find(self, key: str) -> StoredItem | None:
         """Return the item or tombstone of a key, or None if it is unknown."""
@@ -54,6 +55,7 @@
         applied_count = 0
         self.origin = origin
         for item in items:
+            self._highest_revision = max(self._highest_revision, item.revision)
             known = self._item_by_key.get(item.key)
             if known is not None and known.revision >= item.revision:
                 continue
@@ -119,6 +121,27 @@
         self.apply(missing, origin)
         self._listed_revision_by_prefix[prefix] = revision
 
+    @property
+    def highest_revision(self) -> int:
+        """Highest revision of which this node has heard."""
+        return max(self.revision, self._highest_revision)
+
+    def forget_later(self, revision: int) -> None:
+        """Forget all that has a later revision than the store itself has reached.
+
+        A peer has told of it that was wrong; a listing must follow.
+        """
+        later = [i for i in self._item_by_key.values() if i.revision > revision]
+        for item in later:
+            del self._item_by_key[item.key]
+            if item.value is not None:
+                self._report(StoredItem(item.key, None, revision))
+        self.revision = min(self.revision, revision)
+        self._highest_revision = min(self._highest_revision, revision)
+        self._discarded_revision = min(self._discarded_revision, revision)
+        for prefix, listed in self._listed_revision_by_prefix.items():
+            self._listed_revision_by_prefix[prefix] = min(listed, revision)
+
     def list_since(self, revision: int) -> tuple[StoredItem, ...]:
         """Return the items changed after a revision, in order of revision."""
         changed = [i for i in self._item_by_key.values() if i.revision > revision]
