Send the late requests of a stop of all nodes at once

The test failed beside load also with stage calls that are given more time: its process was not run for 0.6 and 0.35 s (process.stalled, 4 and 10 ms of processor time), and it sent its late requests one after the other, so that the third came when its node had ended, 3.6 s after the stop began. They are sent at once now, each to its node, as soon as the early ones are answered; all six must be answered as before.

--- a/tests/router/test_requests_during_a_stop.py
+++ b/tests/router/test_requests_during_a_stop.py
@@ -98,11 +98,12 @@
             await asyncio.sleep(0.1)
             stopped = asyncio.gather(*[router.stop() for router in rig.routers])
             responses = await asyncio.gather(*early)
-            for address in addresses:
-                connection = await KeptConnection.open(address)
-                late = await send_on(connection, "/chain/1", f"late-{address}", 3000)
-                responses.append(late)
-                connection.close()
+            connections += [await KeptConnection.open(address) for address in addresses]
+            late = [
+                send_on(connection, "/chain/1", f"late-{number}", 3000)
+                for number, connection in enumerate(connections[-3:])
+            ]
+            responses += await asyncio.gather(*late)
             assert [(r.status, r.is_complete) for r in responses] == [(200, True)] * 6
             for connection in connections:
                 connection.close()
