Keep a relayed response that nobody reads from holding up other calls

Seen in a test: a client that doesn't read 4 MB of a relayed stream holds up all replies of the peer that relays it, to heartbeats and permits as well, until it reads or is given up (10 to 15 s).

Cause: the window of one call was as large as that of the whole connection, 4 MB each.

Change: 128 KB for a call, 64 MB for a connection: 512 calls, as many as a node relays for others, can be unread at once. The most that a connection buffers grows to 64 MB, if 512 clients read nothing.

--- a/packages/persimmonlink-peers/src/persimmonlink_peers/ping.py
+++ b/packages/persimmonlink-peers/src/persimmonlink_peers/connection_settings.py
@@ -1,12 +1,19 @@
-"""Keepalive pings that detect gRPC connections that no longer respond."""
+"""Settings of gRPC connections: pings that detect dead ones, and windows."""
 
 from __future__ import annotations
 
 from grpclib.config import Configuration
 
+# Unread bytes of one call, and of all calls of a connection: a reply that nobody reads
+# must not hold up the others.
+STREAM_WINDOW_BYTES = 131072
+CONNECTION_WINDOW_BYTES = 67108864
 
-def build_ping_configuration(interval_s: float, timeout_s: float) -> Configuration:
-    """Return a configuration that pings a connection for its whole lifetime.
+
+def build_connection_configuration(
+    interval_s: float, timeout_s: float
+) -> Configuration:
+    """Return the configuration of a connection that carries many calls at once.
 
     By default grpclib sends one ping in five minutes, and none after two pings without
     calls in between, so its limits on pings are lifted here.
@@ -19,6 +26,8 @@
         Timeout for the reply, in seconds, after which the connection is closed.
     """
     return Configuration(
+        http2_stream_window_size=STREAM_WINDOW_BYTES,
+        http2_connection_window_size=CONNECTION_WINDOW_BYTES,
         _keepalive_time=interval_s,
         _keepalive_timeout=timeout_s,
         _keepalive_permit_without_calls=True,
@@ -27,4 +36,4 @@
     )
 
 
-__all__ = ("build_ping_configuration",)
+__all__ = ("build_connection_configuration",)
--- a/packages/persimmonlink-peers/src/persimmonlink_peers/peer_channel.py
+++ b/packages/persimmonlink-peers/src/persimmonlink_peers/peer_channel.py
@@ -14,9 +14,9 @@
 
 from persimmonlink_model.result_code import Failure, ResultCode, RunState
 from persimmonlink_peers.codec import CODE_BY_STATUS, MessagePackCodec
+from persimmonlink_peers.connection_settings import build_connection_configuration
 from persimmonlink_peers.grpc_channel import GrpcChannel
 from persimmonlink_peers.peer_server import build_method_path
-from persimmonlink_peers.ping import build_ping_configuration
 
 if TYPE_CHECKING:
     from collections.abc import AsyncGenerator
@@ -73,7 +73,7 @@
         ping_timeout_s: float = PING_TIMEOUT_S,
     ) -> None:
         self.address = address
-        self._config = build_ping_configuration(ping_interval_s, ping_timeout_s)
+        self._config = build_connection_configuration(ping_interval_s, ping_timeout_s)
         self._channel: GrpcChannel | None = None
         self._calls_by_channel: Counter[GrpcChannel] = Counter()
 
--- a/packages/persimmonlink-peers/src/persimmonlink_peers/peer_server.py
+++ b/packages/persimmonlink-peers/src/persimmonlink_peers/peer_server.py
@@ -12,8 +12,8 @@
 
 from persimmonlink_model.result_code import ResultCode
 from persimmonlink_peers.codec import CODE_BY_STATUS, MessagePackCodec
+from persimmonlink_peers.connection_settings import build_connection_configuration
 from persimmonlink_peers.grpc_server import GrpcServer
-from persimmonlink_peers.ping import build_ping_configuration
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable, Mapping
@@ -116,8 +116,8 @@
 
     async def start(self, host: str, port: int) -> None:
         """Start to listen for peers."""
-        pings = build_ping_configuration(PING_INTERVAL_S, PING_TIMEOUT_S)
-        self._server = GrpcServer([self], codec=MessagePackCodec(), config=pings)
+        settings = build_connection_configuration(PING_INTERVAL_S, PING_TIMEOUT_S)
+        self._server = GrpcServer([self], codec=MessagePackCodec(), config=settings)
         await self._server.start(host, port)
 
     async def finish(self, timeout_s: float) -> None:
