Log a request that was cancelled under a client that is still there

Seen in tests: requests that were closed without an answer by a cancellation of the router's own were logged as `left`, like those whose client had gone.

Change: `request.completed` has the reason `cancelled` if the client's connection was open when the cancellation came.

--- a/packages/persimmonlink-router/src/persimmonlink_router/http_connection.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/http_connection.py
@@ -68,6 +68,11 @@
         """Idle time after which the connection is closed, in seconds."""
         return self._server.limits.idle_timeout_s
 
+    @property
+    def is_open(self) -> bool:
+        """Whether neither end has closed the connection."""
+        return self._transport is not None and not self._transport.is_closing()
+
     def connection_made(self, transport: Any) -> None:
         """Start the task of the connection."""
         self._transport = transport
--- a/packages/persimmonlink-router/src/persimmonlink_router/http_exchange.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/http_exchange.py
@@ -74,6 +74,11 @@
         self.has_started = False
         self.is_complete = False
 
+    @property
+    def has_client(self) -> bool:
+        """Whether the client can still receive a response."""
+        return self._connection.is_open
+
     async def respond(
         self, status: int, headers: Headers | list[tuple[bytes, bytes]], body: bytes
     ) -> None:
--- a/packages/persimmonlink-router/src/persimmonlink_router/relayed_exchange.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/relayed_exchange.py
@@ -33,6 +33,8 @@
         self.has_started = False
         self.is_complete = False
         self.is_aborted = False
+        # A peer that leaves cancels the request, and nothing else tells of it.
+        self.has_client = False
         self._send_part = send_part
         self._head: RelayPart | None = None
 
--- a/packages/persimmonlink-router/src/persimmonlink_router/request_service.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/request_service.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import math
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
@@ -186,11 +187,15 @@
             status, reason = await self._serve_in_time(state)
         except ClientDisconnectedError:
             reason = "left"
+        except asyncio.CancelledError:
+            if state.exchange.has_client:
+                reason = "cancelled"
+            raise
         except Exception:
             reason = "internal error"
             raise
         finally:
-            if reason == "left" and self._stop_clock.is_cutting:
+            if reason in ("left", "cancelled") and self._stop_clock.is_cutting:
                 reason = "cut by the stop"
             if state.is_client_retry:
                 self._metrics.count("returned_requests_total", f'status="{status}"')
