List all prefixes of the store at once

Cause: a node that starts lists three prefixes one after another and watches then, so that it knew the changes since the first listing four calls later: 3.5 s after its start at 0.88 s a call. It serves from its start on, by what peers told it.

Now the prefixes are listed at once and applied in the same order, as many calls as before. The test failed before: 3.44, 3.51 and 3.62 s from a change until the node knew it, 2.0 s being the bound.

--- a/packages/persimmonlink-router/src/persimmonlink_router/store_follower.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/store_follower.py
@@ -14,6 +14,7 @@
     READ_TIMEOUT_S,
     WATCH_MARGIN_S,
     HistoryLostError,
+    ItemPage,
     StoreRestoredError,
     StoreSilentError,
     StoreUnavailableError,
@@ -32,7 +33,7 @@
     from collections.abc import Callable
 
     from persimmonlink_router.cluster_view import ClusterView
-    from persimmonlink_router.store import ItemPage, MetadataStore, StoredItem
+    from persimmonlink_router.store import MetadataStore, StoredItem
     from persimmonlink_router.store_backoff import StoreBackoff
     from persimmonlink_router.store_mirror import StoreMirror
 
@@ -305,35 +306,50 @@
     async def _read_all(self) -> int:
         """Read all keys; return the revision from which to watch.
 
-        It is that of the oldest listing, so that no later change is missed.
+        It is that of the oldest listing, so that no later change is missed. All
+        prefixes are listed at once, as a slow store would else be waited for often.
         """
         watch_revision = 0
         last_contact_at = self._cluster_view.last_contact_at
-        timeout_s = self._find_longest_call_s() if self._has_failed else READ_TIMEOUT_S
-        for prefix in self._prefixes:
-            items: list[StoredItem] = []
-            after = ""
-            listing_revision = 0
-            for _ in range(MAX_LISTING_PAGES):
-                began_at = boot_time()
-                page = await self._store.read_page(prefix, after, timeout_s)
-                self._latency.record_call(boot_time() - began_at)
-                listing_revision = listing_revision or page.revision
-                items.extend(page.items)
-                if not page.has_more or not page.items:
-                    break
-                after = page.items[-1].key
-            watch_revision = min(watch_revision or listing_revision, listing_revision)
-            self._cluster_view.record_contact(boot_time())
-            if self._is_restored:
-                self._cluster_view.record_restore(boot_time())
-            origin = _build_origin(ChangeSource.LISTING, last_contact_at)
-            await self._mirror.apply_in_turns(items, origin)
-            self._mirror.apply_listing(prefix, items, listing_revision, origin)
+        loop = asyncio.get_running_loop()
+        listings = {
+            prefix: loop.create_task(self._list(prefix)) for prefix in self._prefixes
+        }
+        try:
+            for prefix, listing in listings.items():
+                page = await listing
+                watch_revision = min(watch_revision or page.revision, page.revision)
+                self._cluster_view.record_contact(boot_time())
+                if self._is_restored:
+                    self._cluster_view.record_restore(boot_time())
+                origin = _build_origin(ChangeSource.LISTING, last_contact_at)
+                await self._mirror.apply_in_turns(page.items, origin)
+                self._mirror.apply_listing(prefix, page.items, page.revision, origin)
+        finally:
+            for listing in listings.values():
+                listing.cancel()
+            await asyncio.gather(*listings.values(), return_exceptions=True)
         self._mirror.advance(watch_revision)
         self._is_restored = False
         return watch_revision
 
+    async def _list(self, prefix: str) -> ItemPage:
+        """Return all items with a prefix, with the revision of their first page."""
+        timeout_s = self._find_longest_call_s() if self._has_failed else READ_TIMEOUT_S
+        items: list[StoredItem] = []
+        after = ""
+        revision = 0
+        for _ in range(MAX_LISTING_PAGES):
+            began_at = boot_time()
+            page = await self._store.read_page(prefix, after, timeout_s)
+            self._latency.record_call(boot_time() - began_at)
+            revision = revision or page.revision
+            items.extend(page.items)
+            if not page.has_more or not page.items:
+                break
+            after = page.items[-1].key
+        return ItemPage(tuple(items), revision)
+
     async def _apply_page(self, page: ItemPage) -> None:
         origin = _build_origin(ChangeSource.WATCH, self._cluster_view.last_contact_at)
         self._cluster_view.record_contact(boot_time())
--- a/tests/router/test_slow_store.py
+++ b/tests/router/test_slow_store.py
@@ -200,6 +200,20 @@
     run(scenario())
 
 
+def test_listings_of_a_slow_store_at_a_start_delay_no_drain():
+    async def scenario():
+        async with make_rig(routers=0) as rig:
+            rig.store.faults = StoreFaults(delay_s=LATE_S)
+            began_at = boot_time()
+            start = asyncio.ensure_future(add_router(rig, 0))
+            await wait_until(lambda: rig.routers)
+            longest_s = await find_longest_delay_s(rig, rig.routers[0], began_at)
+            assert longest_s < DRAIN_S
+            await start
+
+    run(scenario())
+
+
 def test_a_slow_store_is_read_by_a_node_that_starts():
     async def scenario():
         async with make_rig(routers=1) as rig:
