Log messages of libraries as lines of the node's log

Cause: messages of libraries went to standard error, by a write that blocks.

Now they are lines `library.message` of the log, whose writer never blocks. A call that was too late is at level INFO.

--- a/packages/persimmonlink-router/src/persimmonlink_router/structured_log.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/structured_log.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import os
 import select
 import sys
@@ -83,8 +84,23 @@
         self._pending = self._pending[written:]
 
 
+class LibraryHandler(logging.Handler):
+    """Passes on what libraries log, which would block on a full standard error."""
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Log a message of a library as a line like others."""
+        error = record.exc_info[1] if record.exc_info else None
+        # A call that came too late, or took too long, is no fault of this node.
+        level = "INFO" if isinstance(error, TimeoutError) else record.levelname
+        bound = logger.bind(library=record.name, text=record.getMessage())
+        bound.opt(exception=error).log(level, "library.message")
+
+
 def set_up_structured_log(node: str, level: str) -> BoundedLineWriter:
-    """Write the log of a node to standard output, one JSON object per line."""
+    """Write the log of a node to standard output, one JSON object per line.
+
+    What libraries log goes there, too.
+    """
     descriptor = sys.stdout.fileno()
     os.set_blocking(descriptor, False)
     writer = BoundedLineWriter(descriptor, boot_time)
@@ -106,6 +122,7 @@
 
     logger.remove()
     logger.add(write, level=level, format="{message}\n{exception}", backtrace=False)
+    logging.basicConfig(handlers=[LibraryHandler()], level=logging.WARNING, force=True)
     return writer
 
 
--- a/tests/router/test_structured_log.py
+++ b/tests/router/test_structured_log.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import os
+import subprocess
+import sys
 import threading
 import time
 
@@ -99,3 +101,34 @@
     began_at = time.monotonic()
     writer.finish()
     assert time.monotonic() - began_at < FINISH_TIMEOUT_S + 0.1
+
+
+LIBRARY_MESSAGES = """
+import logging, sys
+from persimmonlink_router.structured_log import set_up_structured_log
+log = set_up_structured_log("entry-0", "INFO")
+for _ in range(1200):
+    try:
+        raise TimeoutError("late")
+    except TimeoutError:
+        logging.getLogger("grpclib.server").exception("Timeout occurred")
+logging.getLogger("asyncio").error("a task was lost")
+log.finish()
+"""
+
+
+def test_messages_of_libraries_do_not_block_a_node_whose_errors_nobody_reads(tmp_path):
+    path = tmp_path / "log"
+    with path.open("wb") as log:
+        process = subprocess.Popen(
+            [sys.executable, "-c", LIBRARY_MESSAGES], stdout=log, stderr=subprocess.PIPE
+        )
+        try:
+            assert process.wait(timeout=10.0) == 0
+        finally:
+            process.kill()
+            _, errors = process.communicate()
+    assert not errors
+    lines = [msgspec.json.decode(line) for line in path.read_bytes().splitlines()]
+    assert [line["level"] for line in lines] == ["INFO"] * 1200 + ["ERROR"]
+    assert lines[-1]["text"] == "a task was lost"
