--- a/tests/planned_work/test_planned_work.py
+++ b/tests/planned_work/test_planned_work.py
@@ -21,10 +21,10 @@
 
 import pytest
 from tests.planned_work.checks import check_all
-from tests.planned_work.clients import send_load
 from tests.planned_work.crowded_operator import CrowdedOperator
 from tests.planned_work.dense_operator import DenseOperator
 from tests.planned_work.deployment import Deployment
+from tests.planned_work.load import send_load
 from tests.planned_work.operator import Operator
 from tests.planned_work.plan import BOOKINGS, HABITS, MIXED, Plan
 from tests.planned_work.record import Record
