Tell a peer of a response that broke off without an error of the library

Seen: each relay that breaks off wrote "Application error" with a traceback, as an error of the node, though the node did what it should.

Cause: the relay is ended by an exception that grpclib doesn't know, which it logs.

Change: the exception is one of a call's status, UNKNOWN as before on the wire.

--- a/packages/persimmonlink-router/src/persimmonlink_router/relayed_exchange.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/relayed_exchange.py
@@ -5,6 +5,9 @@
 from collections.abc import Awaitable, Callable
 from typing import TYPE_CHECKING
 
+from grpclib.const import Status
+from grpclib.exceptions import GRPCError
+
 from persimmonlink_router.relay_messages import RelayPart, RelayRefusal
 
 if TYPE_CHECKING:
@@ -13,8 +16,17 @@
 SendPart = Callable[[RelayPart], Awaitable[None]]
 
 
-class RelayBrokenOffError(Exception):
-    """The response broke off, so that the peer must not take it for complete."""
+class RelayBrokenOffError(GRPCError):
+    """The response broke off, so that the peer must not take it for complete.
+
+    Parameters
+    ----------
+    node_id : str
+        Peer that passed the request on.
+    """
+
+    def __init__(self, node_id: str) -> None:
+        super().__init__(Status.UNKNOWN, f"the response for {node_id} broke off")
 
 
 class RelayedExchange:
