Serve stages of a service that states no times of its calls

Callers saw 500 for each request with a stage whose service has neither a time of a call nor of a piece in the configuration, which are the defaults of both.

Cause: the expected time of a call was 0, by which admission and the ratio of a call's time are divided.

Change: a call is expected to take 1 ms at least.

--- a/packages/persimmonlink-router/src/persimmonlink_router/stage_admission.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stage_admission.py
@@ -79,11 +79,7 @@
     def rate(self) -> float:
         """Pieces a second that the servers run while enough pieces wait."""
         size = max(1.0, self.fill_fraction * self.spec.max_pieces)
-        return (
-            self.effective_servers
-            * size
-            / (self.spec.call_overhead_s + self.spec.time_per_piece_s * size)
-        )
+        return self.effective_servers * size / estimate_call_s(self.spec, size)
 
     def wait_s(self, priority: int, *, is_late: bool) -> float:
         """Return the time until pieces of a priority are started, in seconds.
--- a/packages/persimmonlink-router/src/persimmonlink_router/stage_queue.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stage_queue.py
@@ -17,6 +17,7 @@
 
     from persimmonlink_router.configuration import BatchSpec
 
+MIN_CALL_S = 0.001  # Expected time of a call whose service states none.
 # A piece goes before all others from this time before its first input expires.
 EXPIRY_MARGIN_S = 1.5
 # A late piece with inputs above this size ranks as if it were on time, so that the
@@ -220,9 +221,10 @@
     return not is_expiring, is_late, chain.job.priority, latest_start_at
 
 
-def estimate_call_s(spec: BatchSpec, piece_count: int) -> float:
-    """Return the expected time of a call, in seconds."""
-    return spec.call_overhead_s + spec.time_per_piece_s * piece_count
+def estimate_call_s(spec: BatchSpec, piece_count: float) -> float:
+    """Return the expected time of a call, in seconds; a service may state none."""
+    stated_s = spec.call_overhead_s + spec.time_per_piece_s * piece_count
+    return max(MIN_CALL_S, stated_s)
 
 
 __all__ = ("PendingPiece", "StageQueue", "StageServerView", "estimate_call_s")
