Keep what bodies take from a shared budget in one place

The room that a growing body needs beside others was worked out three times: for responses, for requests and for what waits to be written. It is a module of its own now, with a reservation that follows one body as it grows and shrinks.

Parts of a body are collected in one buffer: as a list, parts of two bytes each, which a server may send as chunks of their own, took some 28 times their bytes.

--- a/packages/persimmonlink-router/src/persimmonlink_router/http_client.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/http_client.py
@@ -3,21 +3,17 @@
 from __future__ import annotations
 
 import asyncio
-from contextlib import contextmanager
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 import h11
 
+from persimmonlink_router.byte_budget import BudgetExhaustedError, ByteBudget
 from persimmonlink_router.http_framing import create_framing
 from persimmonlink_router.http_messages import Headers, HttpResponseHead
 from persimmonlink_router.socket_options import bound_silence
 
-if TYPE_CHECKING:
-    from collections.abc import Iterator
-
 READ_PAUSE_BYTES = 262144  # Unread bytes at which reading is paused.
 MAX_HEAD_BYTES = 65536  # Largest response head.
-SMALL_BODY_BYTES = 65536  # Part of a body that takes nothing from a budget.
 MAX_INFORMATIONAL_RESPONSES = 8  # Most interim responses before the final one.
 # Events read from one connection before others get a turn: received bytes may hold
 # thousands of chunks.
@@ -38,49 +34,6 @@
     """A response body is longer than its reader takes."""
 
 
-class ByteBudget:
-    """Bytes that bodies may take together, from their read until they are written.
-
-    Parameters
-    ----------
-    max_bytes : int
-        Size of the budget.
-    """
-
-    def __init__(self, max_bytes: int) -> None:
-        self._free_bytes = max_bytes
-
-    def try_reserve(self, size: int) -> bool:
-        """Reserve bytes if they are free; return whether they were."""
-        if size > self._free_bytes:
-            return False
-        self._free_bytes -= size
-        return True
-
-    def release(self, size: int) -> None:
-        """Give bytes back."""
-        self._free_bytes += size
-
-    def has_room(self, body: bytes) -> bool:
-        """Whether a body may be held."""
-        return _count_excess(body) <= max(0, self._free_bytes)
-
-    @contextmanager
-    def hold(self, body: bytes) -> Iterator[None]:
-        """Keep the bytes of a body that has been read until it is written."""
-        size = _count_excess(body)
-        self._free_bytes -= size
-        try:
-            yield
-        finally:
-            self.release(size)
-
-
-def _count_excess(body: bytes) -> int:
-    """Return the bytes of a body that need room in a budget."""
-    return max(0, len(body) - SMALL_BODY_BYTES)
-
-
 class HttpClientConnection(asyncio.Protocol):
     """A client connection that carries one request at a time.
 
@@ -236,31 +189,27 @@
         """Wait for the complete body.
 
         Raises `BodyTooLongError` if it is too long, and `ConnectionLostError` if it and
-        the other bodies that share a budget are. The first `SMALL_BODY_BYTES` need no
-        budget, so that long bodies leave room for others.
+        the other bodies that share a budget are.
         """
-        parts: list[bytes] = []
-        size = 0
-        reserved = 0
-        try:
+        if budget is None:
+            budget = ByteBudget(max_bytes)
+        # Parts of few bytes each would take a multiple of their bytes as a list.
+        body = bytearray()
+        with budget.open_reservation() as reservation:
             while (part := await self.read_body_part()) is not None:
-                size += len(part)
-                if size > max_bytes:
-                    raise BodyTooLongError(
-                        f"{self.address}: the response body is over the limit"
-                    )
-                excess = max(0, size - SMALL_BODY_BYTES) - reserved
-                if budget is not None and excess:
-                    if not budget.try_reserve(excess):
-                        raise ConnectionLostError(
-                            f"{self.address}: too much of all responses is buffered"
-                        )
-                    reserved += excess
-                parts.append(part)
-            return b"".join(parts)
-        finally:
-            if budget is not None:
-                budget.release(reserved)
+                body += part
+                self._require_length(len(body), max_bytes)
+                try:
+                    reservation.resize(len(body))
+                except BudgetExhaustedError as error:
+                    raise ConnectionLostError(f"{self.address}: {error}") from error
+            return bytes(body)
+
+    def _require_length(self, size: int, max_bytes: int) -> None:
+        if size > max_bytes:
+            raise BodyTooLongError(
+                f"{self.address}: the response body is over the limit"
+            )
 
     def skip_response(self) -> None:
         """Discard the response that was read, and expect another to the same request.
@@ -346,7 +295,6 @@
 
 __all__ = (
     "BodyTooLongError",
-    "ByteBudget",
     "ConnectError",
     "ConnectionLostError",
     "HttpClientConnection",
--- a/packages/persimmonlink-router/src/persimmonlink_router/http_connection.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/http_connection.py
@@ -10,8 +10,8 @@
 from loguru import logger
 
 from persimmonlink_router.boot_clock import boot_time
+from persimmonlink_router.byte_budget import BudgetExhaustedError, Reservation
 from persimmonlink_router.client_use_times import ConnectionUse
-from persimmonlink_router.http_client import SMALL_BODY_BYTES
 from persimmonlink_router.http_exchange import (
     BadRequestError,
     ClientDisconnectedError,
@@ -56,7 +56,7 @@
         self._task: asyncio.Task[None] | None = None
         self._unread_bytes = 0
         self._events_in_turn = 0
-        self._reserved_bytes = 0
+        self._reservation: Reservation | None = None
         self._is_paused = False
         self._is_ending = False
         now = boot_time()
@@ -300,8 +300,7 @@
         self.is_serving = True
         headers = tuple((bytes(k), bytes(v)) for k, v in first.headers)
         validate_head(headers, bytes(first.target), limits)
-        parts: list[bytes] = []
-        size = 0
+        body = bytearray()
         deadline = asyncio.get_running_loop().time() + max(
             limits.header_timeout_s, limits.idle_timeout_s
         )
@@ -316,13 +315,12 @@
                 break
             if not isinstance(event, h11.Data):
                 return None
-            size += len(event.data)
-            if size > limits.body_bytes:
+            body += event.data
+            if len(body) > limits.body_bytes:
                 raise BadRequestError(413, "the request body is over the limit")
-            self._reserve_body(size)
-            parts.append(bytes(event.data))
+            self._reserve_body(len(body))
         return HttpRequest(
-            bytes(first.method), bytes(first.target), headers, b"".join(parts)
+            bytes(first.method), bytes(first.target), headers, bytes(body)
         )
 
     def _reserve_body(self, size: int) -> None:
@@ -330,14 +328,17 @@
 
         Raises `BadRequestError` if the bodies of all connections take too much.
         """
-        excess = max(0, size - SMALL_BODY_BYTES) - self._reserved_bytes
-        if not self._server.body_budget.try_reserve(excess):
-            raise BadRequestError(503, "too many long request bodies are buffered")
-        self._reserved_bytes += excess
+        if self._reservation is None:
+            self._reservation = Reservation(self._server.body_budget)
+        try:
+            self._reservation.resize(size)
+        except BudgetExhaustedError as error:
+            raise BadRequestError(503, str(error)) from error
 
     def _release_body(self) -> None:
-        self._server.body_budget.release(self._reserved_bytes)
-        self._reserved_bytes = 0
+        if self._reservation is not None:
+            self._reservation.release()
+            self._reservation = None
 
     async def _next_event(self, timeout_s: float) -> Any:
         """Return the next h11 event, or None if none arrives in time."""
--- a/packages/persimmonlink-router/src/persimmonlink_router/http_server.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/http_server.py
@@ -10,7 +10,7 @@
 
 from loguru import logger
 
-from persimmonlink_router.http_client import ByteBudget
+from persimmonlink_router.byte_budget import ByteBudget
 from persimmonlink_router.http_connection import HttpServerConnection
 from persimmonlink_router.http_exchange import (
     BadRequestError,
--- a/packages/persimmonlink-router/src/persimmonlink_router/request_forwarder.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/request_forwarder.py
@@ -20,9 +20,9 @@
 if TYPE_CHECKING:
     import random
 
+    from persimmonlink_router.byte_budget import ByteBudget
     from persimmonlink_router.cluster_membership import ClusterMembership
     from persimmonlink_router.cluster_view import ClusterView
-    from persimmonlink_router.http_client import ByteBudget
     from persimmonlink_router.metrics import RouterMetrics
     from persimmonlink_router.peer_messages import RouterMember
     from persimmonlink_router.reach_board import ReachBoard
--- a/packages/persimmonlink-router/src/persimmonlink_router/server_sender.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/server_sender.py
@@ -8,9 +8,9 @@
 from loguru import logger
 
 from persimmonlink_router.boot_clock import boot_time
+from persimmonlink_router.byte_budget import ByteBudget
 from persimmonlink_router.held_requests import HeldRequests
 from persimmonlink_router.http_client import (
-    ByteBudget,
     ConnectError,
     HttpClientConnection,
 )
--- a/tests/router/test_endless_bytes.py
+++ b/tests/router/test_endless_bytes.py
@@ -16,7 +16,7 @@
     run,
 )
 
-from persimmonlink_router.http_client import ByteBudget
+from persimmonlink_router.byte_budget import ByteBudget
 from persimmonlink_router.plain_relay import MAX_RESPONSE_BYTES
 from persimmonlink_stand_ins.routed_server import EndlessBytes
 
--- a/tests/router/test_memory_of_bodies.py
+++ b/tests/router/test_memory_of_bodies.py
@@ -16,7 +16,7 @@
 from tests.router.test_connections_of_a_stop import open_raw
 from tests.router.test_small_chunks_of_clients import read_to_end
 
-from persimmonlink_router.http_client import SMALL_BODY_BYTES, ByteBudget
+from persimmonlink_router.byte_budget import SMALL_BODY_BYTES, ByteBudget
 from persimmonlink_router.server_sender import MAX_BUFFERED_BYTES
 from persimmonlink_stand_ins.link import Cut
 
