Bound the unfinished events of all streams together

An unfinished event now takes its room from the budget of all responses, beyond the 64 KB that every body may have. One without room ends like an event that is too long: the stream goes on elsewhere after the last event that the client has, or fails. The splitter asks before it takes the new last id, so that no event is left out. Events that wait for a slow client count as well.

--- a/packages/persimmonlink-router/src/persimmonlink_router/event_stream.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/event_stream.py
@@ -2,6 +2,11 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from persimmonlink_router.byte_budget import Reservation
+
 MAX_EVENT_BYTES = 1048576  # Largest event.
 # What ends an event, for each of the line ends that server-sent events may use.
 BLANK_LINES = (b"\n\n", b"\r\n\r\n", b"\r\r")
@@ -19,16 +24,22 @@
     ----------
     last_id : bytes
         Id of the event after which the stream goes on, empty for a new stream.
+    reservation : Reservation or None
+        Follows the size of an unfinished event, which shares a budget with others.
     """
 
-    def __init__(self, last_id: bytes = b"") -> None:
+    def __init__(
+        self, last_id: bytes = b"", reservation: Reservation | None = None
+    ) -> None:
         self._partial = bytearray()
+        self._reservation = reservation
         self.last_id = last_id
 
     def feed(self, data: bytes) -> bytes:
         """Buffer bytes; return the events that are complete now.
 
-        Raises `EventTooLongError` if an event does not end.
+        Raises `EventTooLongError` if an event does not end, and `BudgetExhaustedError`
+        if there is no room for it; `last_id` then names an event returned before.
         """
         # The bytes of before hold no blank line, but may hold the begin of one.
         start = max(0, len(self._partial) - MAX_BLANK_LINE_BYTES + 1)
@@ -38,6 +49,8 @@
         del self._partial[:end]
         if len(self._partial) > MAX_EVENT_BYTES:
             raise EventTooLongError(f"an event is over {MAX_EVENT_BYTES} bytes long")
+        if self._reservation is not None:
+            self._reservation.resize(len(self._partial))
         self._update_last_id(events)
         return events
 
@@ -54,6 +67,8 @@
     def discard_partial(self) -> None:
         """Discard the bytes after the last complete event."""
         self._partial.clear()
+        if self._reservation is not None:
+            self._reservation.release()
 
     def _update_last_id(self, events: bytes) -> None:
         for line in reversed(events.splitlines()):
--- a/packages/persimmonlink-router/src/persimmonlink_router/stream_relay.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stream_relay.py
@@ -9,6 +9,7 @@
 from loguru import logger
 
 from persimmonlink_router.boot_clock import boot_time
+from persimmonlink_router.byte_budget import BudgetExhaustedError
 from persimmonlink_router.event_stream import EventSplitter, EventTooLongError
 from persimmonlink_router.http_client import ConnectionLostError
 from persimmonlink_router.http_messages import (
@@ -65,7 +66,18 @@
     received. Raises `RequestRefusedError` or `RequestFailedError` if that is not
     possible.
     """
-    splitter = EventSplitter(state.last_forwarded_id)
+    with sender.body_budget.open_reservation() as reservation:
+        splitter = EventSplitter(state.last_forwarded_id, reservation)
+        await _relay_in_attempts(state, sender, stages, splitter)
+
+
+async def _relay_in_attempts(
+    state: RequestState,
+    sender: ServerSender,
+    stages: StageCoordinatorClient,
+    splitter: EventSplitter,
+) -> None:
+    """Send a request until a server's stream has been forwarded to its end."""
     attempt_count = 0
     while True:
         attempt_count += 1
@@ -205,7 +217,12 @@
         await _forward_events(state, sender, release_inputs, response, splitter)
         is_complete = True
         return True
-    except (ConnectionLostError, EventTooLongError, NotTheRestError) as error:
+    except (
+        ConnectionLostError,
+        EventTooLongError,
+        NotTheRestError,
+        BudgetExhaustedError,
+    ) as error:
         state.partial_event_bytes = splitter.partial_bytes
         sender.responses.record_interruption(state, response)
         raise StreamInterruptedError(str(error)) from error
@@ -251,7 +268,8 @@
                     response.head.status,
                     strip_hop_by_hop_headers(response.head.headers),
                 )
-            await exchange.send(events)
+            with sender.body_budget.hold(events):
+                await exchange.send(events)
             state.silent_since = boot_time()
         if splitter.is_inside_event:
             raise ConnectionLostError("the stream ended inside an event")
--- a/tests/router/test_event_stream.py
+++ b/tests/router/test_event_stream.py
@@ -4,9 +4,15 @@
 
 import time
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
+from persimmonlink_router.byte_budget import (
+    SMALL_BODY_BYTES,
+    BudgetExhaustedError,
+    ByteBudget,
+)
 from persimmonlink_router.event_stream import BLANK_LINES, EventSplitter
 
 STREAM = b"".join(b"id: %d\ndata: token %d\n\n" % (i, i) for i in range(1, 6))
@@ -83,3 +89,16 @@
     splitter.feed(b"x" * 400_000)
     late_s = min(feed_bytewise(splitter, 1000) for _ in range(5))
     assert late_s < 4 * early_s
+
+
+def test_an_event_without_room_leaves_the_last_id_at_what_was_returned():
+    # The stream goes on elsewhere after the last event that its client has.
+    budget = ByteBudget(10)
+    with budget.open_reservation() as reservation:
+        splitter = EventSplitter(b"", reservation)
+        assert splitter.feed(b"id: 1\n\n") == b"id: 1\n\n"
+        with pytest.raises(BudgetExhaustedError):
+            splitter.feed(b"id: 2\n\n" + bytes(SMALL_BODY_BYTES + 11))
+        assert splitter.last_id == b"1"
+        splitter.discard_partial()
+        assert budget.try_reserve(10)
--- a/tests/router/test_memory_of_bodies.py
+++ b/tests/router/test_memory_of_bodies.py
@@ -8,6 +8,8 @@
 from tests.router.kept_clients import build_request
 from tests.router.rig import (
     PLAIN_SERVICE,
+    STREAM,
+    STREAM_SERVICE,
     connect_by_links,
     make_rig,
     run,
@@ -107,3 +109,40 @@
                 sock.close()
 
     run(scenario())
+
+
+async def begin_a_long_event(request, writer) -> bool:
+    request_id = request.headers["persimmonlink-request-id"].encode()
+    first = int(request.headers.get("last-event-id", "0")) + 1
+    data = b"id: %d\ndata: v1 %d\n\nid: %d\n" % (first, first, first + 1)
+    data += bytes(SMALL_BODY_BYTES)
+    writer.write(
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+        + SEAL
+        + b"Persimmonlink-Request-Id: %s\r\n\r\n" % request_id
+        + b"%x\r\n%s\r\n" % (len(data), data)
+    )
+    await writer.drain()
+    await asyncio.sleep(10.0)
+    return False
+
+
+def test_a_stream_whose_event_finds_no_room_goes_on_at_another_server():
+    async def scenario():
+        async with make_rig() as rig:
+            engines = [rig.server_by_id[f"{STREAM_SERVICE}-{i}"] for i in (0, 1)]
+            await rig.send_request("/list/1", **STREAM)
+            # The next request with the same prompt goes to the same server.
+            odd, sound = sorted(engines, key=lambda server: -len(server.runs))
+            odd._server._handler = begin_a_long_event
+            rig.routers[0]._sender.body_budget = ByteBudget(0)
+            response = await rig.send_request("/list/1", request_id="s", **STREAM)
+            assert (response.status, response.is_complete) == (200, True)
+            ids = [word for word in response.body.split() if word.isdigit()]
+            expected = [str(n).encode() for n in range(1, sound.event_count + 1)]
+            # Each event has its number as its id and in its text.
+            assert ids[::2] == expected
+            assert sound.runs[-1].request_id == "s"
+            assert sound.runs[-1].headers["last-event-id"] == "1"
+
+    run(scenario())
