Keep nothing of responses to other requests

A response that names another request is read to its end and skipped, and so is the body of a rejection.

--- a/packages/persimmonlink-router/src/persimmonlink_router/http_client.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/http_client.py
@@ -205,6 +205,16 @@
                     raise ConnectionLostError(f"{self.address}: {error}") from error
             return bytes(body)
 
+    async def skip_body(self, max_bytes: int) -> None:
+        """Wait for the end of the body, and keep nothing of it.
+
+        Raises `BodyTooLongError` if it is too long.
+        """
+        size = 0
+        while (part := await self.read_body_part()) is not None:
+            size += len(part)
+            self._require_length(size, max_bytes)
+
     def _require_length(self, size: int, max_bytes: int) -> None:
         if size > max_bytes:
             raise BodyTooLongError(
--- a/packages/persimmonlink-router/src/persimmonlink_router/response_head_reader.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/response_head_reader.py
@@ -139,7 +139,7 @@
         """Read the body of a rejection, so that the connection can be kept."""
         try:
             async with asyncio.timeout(REJECTION_BODY_TIMEOUT_S):
-                await connection.read_body(MAX_REJECTION_BODY_BYTES)
+                await connection.skip_body(MAX_REJECTION_BODY_BYTES)
         except (ConnectionLostError, TimeoutError):
             # The rejection stays valid; only the connection is lost.
             return
@@ -169,7 +169,7 @@
                 logger.bind(
                     request=state.metadata.request_id, other=info.request_id
                 ).warning("response.unexpected")
-                await connection.read_body(MAX_UNEXPECTED_BODY_BYTES)
+                await connection.skip_body(MAX_UNEXPECTED_BODY_BYTES)
                 connection.skip_response()
         raise ConnectionLostError(
             f"{server.server_id}: too many responses to other requests"
