--- a/packages/persimmonlink-router/src/persimmonlink_router/http_client.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/http_client.py
@@ -7,12 +7,12 @@
 
 import h11
 
+from persimmonlink_router.bounded_reads import READ_PAUSE_BYTES, BoundedReads
 from persimmonlink_router.byte_budget import BudgetExhaustedError, ByteBudget
 from persimmonlink_router.http_framing import create_framing
 from persimmonlink_router.http_messages import Headers, HttpResponseHead
 from persimmonlink_router.socket_options import bound_silence
 
-READ_PAUSE_BYTES = 262144  # Unread bytes at which reading is paused.
 MAX_HEAD_BYTES = 65536  # Largest response head.
 MAX_INFORMATIONAL_RESPONSES = 8  # Most interim responses before the final one.
 # Events read from one connection before others get a turn: received bytes may hold
@@ -34,7 +34,7 @@
     """A response body is longer than its reader takes."""
 
 
-class HttpClientConnection(asyncio.Protocol):
+class HttpClientConnection(BoundedReads):
     """A client connection that carries one request at a time.
 
     Parameters
--- a/packages/persimmonlink-router/src/persimmonlink_router/http_connection.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/http_connection.py
@@ -10,6 +10,7 @@
 from loguru import logger
 
 from persimmonlink_router.boot_clock import boot_time
+from persimmonlink_router.bounded_reads import READ_PAUSE_BYTES, BoundedReads
 from persimmonlink_router.byte_budget import BudgetExhaustedError, Reservation
 from persimmonlink_router.client_use_times import ConnectionUse
 from persimmonlink_router.http_exchange import (
@@ -30,7 +31,6 @@
 if TYPE_CHECKING:
     from persimmonlink_router.http_server import HttpServer
 
-READ_PAUSE_BYTES = 262144  # Unread bytes at which reading is paused.
 # Events read from one connection before others get a turn.
 MAX_EVENTS_PER_TURN = 32
 # Least time in which a client reads nothing before its response ends, also where the
@@ -43,7 +43,7 @@
 CLIENT_CLOSE_WAIT_S = 0.5
 
 
-class HttpServerConnection(asyncio.Protocol):
+class HttpServerConnection(BoundedReads):
     """A client connection; its task serves one request after another."""
 
     def __init__(self, server: HttpServer) -> None:
