Bound the responses of stage servers, and the requests of peers, together

The same cause on two other paths: responses of stage servers were bounded one by one (1 MB), and requests that peers pass on by their number (512). A peer whose request finds no room is told that the node is busy, as before for the number; earlier builds know that reply.

--- a/packages/persimmonlink-router/src/persimmonlink_router/request_service.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/request_service.py
@@ -11,6 +11,7 @@
 
 from persimmonlink_router.active_requests import ActiveRequests, EndedByStopError
 from persimmonlink_router.boot_clock import boot_time
+from persimmonlink_router.byte_budget import ByteBudget
 from persimmonlink_router.configuration import RequestKind
 from persimmonlink_router.http_exchange import InvalidHeadError
 from persimmonlink_router.http_messages import HttpRequest
@@ -50,6 +51,7 @@
 NO_CONFIGURATION_RETRY_AFTER_S = 0.5  # Retry-After of a node without configuration.
 # Requests of peers that this node serves at once; others are refused as not run.
 MAX_RELAYED_REQUESTS = 512
+MAX_RELAYED_BYTES = 33554432  # Largest size of all request bodies of peers.
 # Largest random increase of Retry-After, as a fraction, so that clients which were
 # refused together do not retry together.
 RETRY_AFTER_JITTER = 0.4
@@ -119,6 +121,7 @@
         self._stop_clock = stop_clock
         self._log = RequestLog(cluster_view, stop_clock, metrics)
         self.relayed_count = 0
+        self._relayed_bodies = ByteBudget(MAX_RELAYED_BYTES)
         self.active = ActiveRequests()
         self._retry_detector = RetryDetector()
 
@@ -159,7 +162,8 @@
             return
         self.relayed_count += 1
         try:
-            await self._run(resolved)
+            with self._relayed_bodies.hold(message.body):
+                await self._run(resolved)
         finally:
             self.relayed_count -= 1
             if not exchange.has_started:
@@ -177,6 +181,8 @@
             return RelayRefusal.OLDER_CONFIGURATION
         if self.relayed_count >= MAX_RELAYED_REQUESTS:
             return RelayRefusal.BUSY
+        if not self._relayed_bodies.has_room(message.body):
+            return RelayRefusal.BUSY
         return RelayRefusal.NONE
 
     async def _run(self, state: RequestState) -> None:
--- a/packages/persimmonlink-router/src/persimmonlink_router/stage_calls.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stage_calls.py
@@ -10,6 +10,7 @@
 from loguru import logger
 
 from persimmonlink_router.boot_clock import boot_time
+from persimmonlink_router.byte_budget import ByteBudget
 from persimmonlink_router.http_client import ConnectError, ConnectionLostError
 
 if TYPE_CHECKING:
@@ -38,6 +39,9 @@
 RELEASE_TIMEOUT_S = 1.0  # Timeout of a call that releases results.
 MAX_KNOWN_HANDLES = 256  # Latest results of a connection that are remembered.
 MAX_BODY_BYTES = 1048576  # Largest response body accepted from a stage server.
+# Largest size of all responses of stage servers that are buffered.
+MAX_BUFFERED_BYTES = 16777216
+MAX_RELEASE_BODY_BYTES = 65536  # Largest response body to a release.
 
 
 class StageCalls:
@@ -78,6 +82,7 @@
         self._limiter = limiter
         self._reach = reach
         self._places = places
+        self._body_budget = ByteBudget(MAX_BUFFERED_BYTES)
         self._handles_by_connection: WeakKeyDictionary[
             HttpClientConnection, deque[str]
         ] = WeakKeyDictionary()
@@ -165,7 +170,7 @@
         """
         connection.send(call.method, call.target, call.headers, call.body)
         head = await connection.read_head()
-        body = await connection.read_body(MAX_BODY_BYTES)
+        body = await connection.read_body(MAX_BODY_BYTES, self._body_budget)
         self._reach.record_answer(server, boot_time())
         info = self._wire.parse_response_head(head)
         self._cluster_view.apply_response(server, info)
@@ -217,7 +222,7 @@
             return
         call = self._wire.build_release_request(server, handles)
         head, _ = await self._pool.exchange_on(
-            connection, server.key, call, MAX_BODY_BYTES
+            connection, server.key, call, MAX_RELEASE_BODY_BYTES
         )
         info = self._wire.parse_response_head(head)
         self._cluster_view.apply_response(server, info)
