Test that small chunks without end of a server hold up nobody else, on every path

The suite had the splitter's cost and clients' small chunks, not those of servers through a router.

A router process beside servers that send such chunks to unsafe, plain and staged requests and both kinds of stream must answer a sound service within its timeout and 0.5 s.

--- a/stand_ins/src/persimmonlink_stand_ins/routed_server.py
+++ b/stand_ins/src/persimmonlink_stand_ins/routed_server.py
@@ -36,6 +36,7 @@
     INTERIM_RESPONSES = "interim_responses"
     BODY = "body"
     CHUNK_SIZE = "chunk_size"
+    SMALL_CHUNKS = "small_chunks"
 
 
 class CrashPoint(StrEnum):
@@ -477,6 +478,7 @@
             ),
             EndlessBytes.BODY: (head + b"\r\n", b"x" * 65536),
             EndlessBytes.CHUNK_SIZE: (chunked, b"0" * 65536),
+            EndlessBytes.SMALL_CHUNKS: (chunked, b"1\r\nx\r\n" * 8192),
         }
         start, repeated = start_and_repeated[self.faults.endless_bytes]
         writer.write(start)
