--- a/tests/router/kept_clients.py
+++ b/tests/router/kept_clients.py
@@ -146,6 +146,8 @@
         Deadlines of the requests, in milliseconds.
     answer_use_s : float
         How long they use a directory answer, in seconds.
+    path_weights : tuple of int
+        How often they send a request of each path.
     stopped_at : dict of int to float
         When each node that is stopping or gone was told so, in seconds.
     """
@@ -153,6 +155,7 @@
     addresses: list[str]
     deadlines_ms: tuple[int, ...] = (4000,)
     answer_use_s: float = ANSWER_USE_S
+    path_weights: tuple[int, ...] = PATH_WEIGHTS
     stopped_at: dict[int, float] = field(default_factory=dict)
     status_counts: dict[int, int] = field(default_factory=dict)
     losses: list[Loss] = field(default_factory=list)
@@ -196,7 +199,7 @@
     async def _send(
         self, connection: KeptConnection, node: int, request_id: str, rng: random.Random
     ) -> None:
-        path = rng.choices(list(PATHS), PATH_WEIGHTS)[0]
+        path = rng.choices(list(PATHS), self.path_weights)[0]
         data = build_request(
             path,
             request_id,
