Say in one line which address a router can't listen on

Traced by a trial: the case asks for free ports and keeps none while a router is down, so that another process may take one.

What an operator sees is mended: `process.not_started` with the address and exit status 3, in place of a traceback.

--- a/packages/persimmonlink-router/src/persimmonlink_router/run.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/run.py
@@ -20,6 +20,7 @@
     from pathlib import Path
 
 EXIT_BAD_SETTINGS = 2
+EXIT_NOT_STARTED = 3  # An address could not be listened on.
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 SETTINGS_POLL_INTERVAL_S = 2.0  # Interval of reading the settings file for changes.
 
@@ -40,6 +41,11 @@
         Creates the adapters to the platform from the settings.
     check_only : bool
         Whether to check the settings and exit.
+
+    Returns
+    -------
+    int
+        Exit status: 0, `EXIT_BAD_SETTINGS` or `EXIT_NOT_STARTED`.
     """
     result = read_router_settings(path)
     if isinstance(result, Err):
@@ -53,17 +59,17 @@
     log = set_up_structured_log(settings.node, settings.log_level)
     gc.freeze()
     try:
-        asyncio.run(_serve(path, settings, create_adapters))
+        return asyncio.run(_serve(path, settings, create_adapters))
     finally:
         log.finish()
-    return 0
 
 
 async def _serve(
     path: Path,
     settings: RouterSettings,
     create_adapters: Callable[[RouterSettings], Adapters],
-) -> None:
+) -> int:
+    """Serve until a signal; return the exit status."""
     loop = asyncio.get_running_loop()
     stop_requested = asyncio.Event()
     reload_requested = asyncio.Event()
@@ -71,7 +77,13 @@
         loop.add_signal_handler(signal_number, stop_requested.set)
     loop.add_signal_handler(signal.SIGHUP, reload_requested.set)
     router = Router(settings, create_adapters(settings))
-    await router.start()
+    try:
+        await router.start()
+    except OSError as error:
+        logger.bind(code=EXIT_NOT_STARTED, error=str(error)).error(
+            "process.not_started"
+        )
+        return EXIT_NOT_STARTED
     watcher = loop.create_task(
         _watch_settings(path, router, reload_requested, settings)
     )
@@ -80,6 +92,7 @@
     await router.stop()
     # The loop gives up its handlers before the process has written its last lines.
     signal.pthread_sigmask(signal.SIG_BLOCK, (*STOP_SIGNALS, signal.SIGHUP))
+    return 0
 
 
 async def _watch_settings(
