--- a/packages/persimmonlink-router/src/persimmonlink_router/cluster_membership.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/cluster_membership.py
@@ -1,4 +1,4 @@
-"""Membership of the cluster: heartbeats, liveness and exchange of store changes."""
+"""Membership of the cluster: heartbeats and liveness."""
 
 from __future__ import annotations
 
@@ -15,7 +15,6 @@
 from persimmonlink_peers.message import Sender
 from persimmonlink_peers.peer_channel import PeerChannel
 from persimmonlink_router.boot_clock import boot_time
-from persimmonlink_router.change_origin import ChangeOrigin, ChangeSource
 from persimmonlink_router.fact_exchange import FactExchange
 from persimmonlink_router.foreign_values import (
     MAX_INTEGER,
@@ -23,22 +22,21 @@
     is_address,
 )
 from persimmonlink_router.member_registry import MemberRegistry
+from persimmonlink_router.member_suspicions import MemberSuspicions
+from persimmonlink_router.mirror_exchange import MirrorExchange
+from persimmonlink_router.node_counts import NodeCounts
 from persimmonlink_router.peer_loads import PeerLoads
 from persimmonlink_router.peer_messages import (
     EngineLoad,
-    MirroredItem,
-    MirrorPull,
-    MirrorUpdate,
     RouterHeartbeat,
     RouterMember,
 )
-from persimmonlink_router.store import StoredItem
-from persimmonlink_router.store_contact import OUTAGE_EXPIRY_GRACE_S
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from persimmonlink_router.cluster_view import ClusterView
+    from persimmonlink_router.store import StoredItem
     from persimmonlink_router.store_mirror import StoreMirror
 
 UNKNOWN_SENIORITY = 1 << 62  # Sorts members not yet registered in the store last.
@@ -48,15 +46,8 @@
 HEARTBEAT_TIMEOUT_S = 0.6  # Deadline of a heartbeat call.
 FAN_OUT = 6  # Successors that each node calls; up to 13 nodes form a full mesh.
 LARGE_CLUSTER_FAN_OUT = 4  # Largest number of peers called in a larger cluster.
-PULL_TIMEOUT_S = 1.0  # Deadline of a pull of store changes from a peer.
-STARTUP_PERIOD_S = 10.0  # Peers may still be unknown for this long after the start.
-# Limits are split over at least this many nodes at startup, when peers may be unknown.
-MIN_NODES_AT_STARTUP = 6
 # A load report is valid for two heartbeat intervals plus this margin.
 LOAD_VALIDITY_MARGIN_S = 0.5
-NODE_COUNT_WINDOW_S = 15.0  # Limits are split over the peak node count of this time.
-# Heartbeats that a member which the store doesn't list may miss before it is forgotten.
-MAX_MISSED_HEARTBEATS = 40
 
 
 class ClusterMembership:
@@ -94,12 +85,11 @@
         self.members = Membership(own_member.node_id)
         self.members.apply_direct_update(own_member, boot_time())
         self._channel_by_address: dict[str, PeerChannel] = {}
-        self._missed_heartbeats_by_id: dict[str, int] = {}
-        self._suspected_until_by_id: dict[str, float] = {}
+        self._suspicions = MemberSuspicions()
         self._registry = MemberRegistry()
         self._loads = PeerLoads(2 * HEARTBEAT_INTERVAL_S + LOAD_VALIDITY_MARGIN_S)
-        self._started_at = boot_time()
-        self._node_counts: list[tuple[float, int]] = []
+        self._node_counts = NodeCounts(boot_time())
+        self.mirror_exchange = MirrorExchange(cluster_view, mirror, lambda: self.sender)
 
     @property
     def sender(self) -> Sender:
@@ -242,20 +232,11 @@
     def peak_node_count(self) -> int:
         """Return the recent peak of live nodes, over which limits are split.
 
-        For `STARTUP_PERIOD_S` after the start it is at least `MIN_NODES_AT_STARTUP`.
+        It is at least `MIN_NODES_AT_STARTUP` for `STARTUP_PERIOD_S` after the start.
         """
-        now = boot_time()
         members = self.members.member_by_id.values()
         count = sum(1 for member in members if self._is_alive(member))
-        self._node_counts = [
-            (t, n) for t, n in self._node_counts if now - t < NODE_COUNT_WINDOW_S
-        ]
-        if not self._node_counts or self._node_counts[-1][1] != count:
-            self._node_counts.append((now, count))
-        peak = max(n for _, n in self._node_counts)
-        if now - self._started_at < STARTUP_PERIOD_S:
-            peak = max(peak, MIN_NODES_AT_STARTUP)
-        return peak
+        return self._node_counts.record(count, boot_time())
 
     def count_known_addresses(self) -> int:
         """Return the number of nodes that may run, whether this node hears them or not.
@@ -265,9 +246,7 @@
         """
         members = self.members.member_by_id.values()
         count = len({member.peer_address for member in members})
-        if boot_time() - self._started_at < STARTUP_PERIOD_S:
-            count = max(count, MIN_NODES_AT_STARTUP)
-        return count
+        return self._node_counts.raise_at_startup(count, boot_time())
 
     def sum_peer_load(self, server_id: str) -> EngineLoad:
         """Return the load of all other nodes on a server, as last reported."""
@@ -278,24 +257,6 @@
         self._apply_heartbeat(message)
         return self._build_heartbeat()
 
-    async def handle_pull(self, message: MirrorPull) -> MirrorUpdate:
-        """Return the store changes after the revision that a peer has.
-
-        These are all items if the deletions after it are not known.
-        """
-        is_whole = not self._mirror.knows_deletions_since(message.revision)
-        items = tuple(
-            MirroredItem(i.key, i.value, i.revision)
-            for i in self._mirror.list_since(0 if is_whole else message.revision)
-        )
-        return MirrorUpdate(
-            items,
-            self._mirror.revision,
-            self._cluster_view.is_in_contact,
-            self._cluster_view.find_steady_s(boot_time()),
-            is_whole,
-        )
-
     async def run_heartbeats(self) -> None:
         """Send heartbeats until cancelled; the interval grows with the cluster."""
         while True:
@@ -323,15 +284,12 @@
         members = self.members.member_by_id.values()
         ids = [member.node_id for member in members if self._is_alive(member)]
         # Unresponsive nodes also get heartbeats, so that their recovery is detected.
-        ids += [
-            node_id for node_id in self._missed_heartbeats_by_id if node_id not in ids
-        ]
+        missed_ids = self._suspicions.list_missed()
+        ids += [node_id for node_id in missed_ids if node_id not in ids]
         chosen = list_successors(
             self.own_member.node_id, ids, FAN_OUT, LARGE_CLUSTER_FAN_OUT
         )
-        chosen += [
-            i for i in self._missed_heartbeats_by_id if i in ids and i not in chosen
-        ]
+        chosen += [i for i in missed_ids if i in ids and i not in chosen]
         targets = []
         for node_id in chosen:
             member = self.members.find(node_id)
@@ -365,53 +323,11 @@
         heartbeat = reply.unwrap()
         if node_id and heartbeat.member.node_id != node_id:
             self.members.mark_unresponsive(node_id, boot_time())
-            self._missed_heartbeats_by_id.pop(node_id, None)
+            self._suspicions.clear_misses(node_id)
         self._apply_heartbeat(heartbeat)
-        await self._pull_if_behind(channel, heartbeat)
-
-    async def _pull_if_behind(
-        self, channel: PeerChannel, heartbeat: RouterHeartbeat
-    ) -> None:
-        if self._cluster_view.is_in_contact and self._cluster_view.is_fresh():
-            return
-        # A peer that lost the store during its first read has a partial copy at
-        # revision 0, which may still hold the configuration that this node lacks.
-        lacks_configuration = (
-            self._cluster_view.configuration is None and heartbeat.member.revision
-        )
-        is_peer_ahead = heartbeat.revision > self._mirror.revision or bool(
-            lacks_configuration
-        )
-        if not is_peer_ahead and not heartbeat.is_in_contact:
-            return
-        if not is_peer_ahead:
-            self._cluster_view.mark_refreshed_by_peer()
-            return
-        pull = MirrorPull(self.sender, self._mirror.revision)
-        reply = await channel.call(pull, MirrorUpdate, PULL_TIMEOUT_S)
-        if isinstance(reply, Err):
-            return
-        update = reply.unwrap()
-        origin = ChangeOrigin(
-            ChangeSource.PEER,
-            member=heartbeat.member.node_id,
-            is_settled=update.steady_s >= OUTAGE_EXPIRY_GRACE_S,
-        )
-        items = [StoredItem(i.key, i.value, i.revision) for i in update.items]
-        count = await self._mirror.apply_in_turns(items, origin)
-        if update.is_whole:
-            self._mirror.apply_listing("", items, update.revision, origin)
-        self._mirror.advance(update.revision)
-        if update.is_in_contact:
-            self._cluster_view.mark_refreshed_by_peer()
-        logger.bind(
-            member=heartbeat.member.node_id, revision=update.revision, changes=count
-        ).info("store.synced_from_peer")
+        await self.mirror_exchange.pull_if_behind(channel, heartbeat)
 
     def _build_heartbeat(self) -> RouterHeartbeat:
-        unresponsive_ids = tuple(
-            i for i, n in self._missed_heartbeats_by_id.items() if n >= 2
-        )
         now = boot_time()
         is_in_contact = self._cluster_view.is_in_contact
         store_age_s = now - self._cluster_view.last_contact_at
@@ -420,7 +336,7 @@
             self.own_member,
             self._mirror.revision,
             is_in_contact,
-            unresponsive_ids,
+            self._suspicions.list_unresponsive(),
             self._collect_engine_loads(),
             self.facts.collect(),
             store_age_s if is_in_contact else None,
@@ -435,7 +351,7 @@
                 "member.heartbeat_invalid"
             )
             return
-        if self._missed_heartbeats_by_id.pop(member.node_id, 0) >= 2:
+        if self._suspicions.clear_misses(member.node_id):
             logger.bind(member=member.node_id).info("dependency.recovered")
         if self.members.find(member.node_id) is None:
             logger.bind(member=member.node_id, peer=member.peer_address).info(
@@ -451,13 +367,13 @@
                 now - age_s, now - max(0.0, heartbeat.store_steady_s)
             )
         self._merge_registered_fields(member.node_id)
-        self._suspected_until_by_id.pop(member.node_id, None)
+        self._suspicions.clear_report(member.node_id)
         self._remove_superseded(member)
         self._loads.record(member.node_id, heartbeat.load_by_server, now)
         self.facts.apply(heartbeat.facts, member.node_id)
         for node_id in heartbeat.silent_ids:
             if not self.members.is_neighbour(node_id, now):
-                self._suspected_until_by_id[node_id] = now + 3 * HEARTBEAT_INTERVAL_S
+                self._suspicions.record_report(node_id, now + 3 * HEARTBEAT_INTERVAL_S)
 
     def _merge_registered_fields(self, node_id: str) -> None:
         """Merge seniority and revision of a member's store entry into its record.
@@ -496,7 +412,7 @@
         for other in others:
             if self.members.is_live(other.node_id, boot_time()):
                 self.members.mark_unresponsive(other.node_id, boot_time())
-            self._missed_heartbeats_by_id.pop(other.node_id, None)
+            self._suspicions.clear_misses(other.node_id)
         return others
 
     def _is_successor(self, other: Member, member: Member) -> bool:
@@ -509,9 +425,7 @@
         return registered is not None and 0 < seniority < registered.seniority
 
     def _record_missed_heartbeat(self, node_id: str) -> None:
-        misses = self._missed_heartbeats_by_id.get(node_id, 0) + 1
-        self._missed_heartbeats_by_id[node_id] = misses
-        if misses == 2:
+        if self._suspicions.record_miss(node_id):
             self.members.mark_unresponsive(node_id, boot_time())
             logger.bind(member=node_id).warning("dependency.lost")
 
@@ -522,17 +436,15 @@
         In a large cluster most members are no neighbours, so a missing heartbeat from
         one that sent some earlier is no evidence of a failure.
         """
-        if self._is_suspected(member) or self._registry.is_superseded(member):
+        now = boot_time()
+        if self._suspicions.is_suspected(member.node_id, now):
+            return False
+        if self._registry.is_superseded(member):
             return False
-        if self.members.is_live(member.node_id, boot_time()):
+        if self.members.is_live(member.node_id, now):
             return True
         return self._registry.find(member.node_id) is not None
 
-    def _is_suspected(self, member: Member) -> bool:
-        if self._missed_heartbeats_by_id.get(member.node_id, 0) >= 2:
-            return True
-        return self._suspected_until_by_id.get(member.node_id, 0.0) > boot_time()
-
     def _expire_stale_state(self) -> None:
         now = boot_time()
         self.members.expire_silent(now)
@@ -540,11 +452,9 @@
         for member in self._registry.list_all():
             if self.members.find(member.node_id) is None:
                 self.members.apply_relayed_report(MemberReport(member, 0.0), now)
-        for node_id, misses in list(self._missed_heartbeats_by_id.items()):
-            # One that the store lists would count as alive again without its misses.
-            is_listed = self._registry.find(node_id) is not None
-            if misses >= MAX_MISSED_HEARTBEATS and not is_listed:
-                del self._missed_heartbeats_by_id[node_id]
+        self._suspicions.forget_gone(
+            lambda node_id: self._registry.find(node_id) is not None
+        )
         self._loads.discard_expired(now)
 
 
--- a/packages/persimmonlink-router/src/persimmonlink_router/peer_handlers.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/peer_handlers.py
@@ -47,7 +47,7 @@
 def register_membership(peers: PeerServer, membership: ClusterMembership) -> None:
     """Serve heartbeats, copies of the store and facts that all nodes must know."""
     peers.register(RouterHeartbeat, RouterHeartbeat, membership.handle_heartbeat)
-    peers.register(MirrorPull, MirrorUpdate, membership.handle_pull)
+    peers.register(MirrorPull, MirrorUpdate, membership.mirror_exchange.handle_pull)
     peers.register(ShareFacts, SharedFacts, membership.facts.handle_share)
 
 
--- a/tests/router/test_cluster_membership.py
+++ b/tests/router/test_cluster_membership.py
@@ -12,10 +12,10 @@
 from persimmonlink_router.boot_clock import boot_time
 from persimmonlink_router.cluster_membership import (
     MEMBER_PREFIX,
-    MIN_NODES_AT_STARTUP,
     ClusterMembership,
 )
 from persimmonlink_router.cluster_view import ClusterView
+from persimmonlink_router.node_counts import MIN_NODES_AT_STARTUP
 from persimmonlink_router.peer_messages import RouterHeartbeat, RouterMember
 from persimmonlink_router.store import StoredItem
 from persimmonlink_router.store_mirror import StoreMirror
--- a/tests/router/test_revisions_of_peers.py
+++ b/tests/router/test_revisions_of_peers.py
@@ -34,7 +34,7 @@
         return Success(update)
 
     heartbeat = rig.routers[1].membership._build_heartbeat()
-    await rig.routers[0].membership._pull_if_behind(
+    await rig.routers[0].membership.mirror_exchange.pull_if_behind(
         SimpleNamespace(call=call), replace(heartbeat, revision=MAX_INTEGER)
     )
 
--- a/tests/router/test_started_nodes.py
+++ b/tests/router/test_started_nodes.py
@@ -8,7 +8,7 @@
 from tests.router.rig import PLAIN_SERVICE, add_router, make_rig, run, wait_until
 
 from persimmonlink_router.change_origin import ChangeOrigin, ChangeSource
-from persimmonlink_router.cluster_membership import ClusterMembership
+from persimmonlink_router.mirror_exchange import MirrorExchange
 from persimmonlink_router.store import StoredItem
 from persimmonlink_router.store_mirror import StoreMirror
 
@@ -17,14 +17,14 @@
 
 
 def test_a_started_node_uses_no_server_that_only_a_peer_s_older_copy_has(monkeypatch):
-    handle_pull = ClusterMembership.handle_pull
+    handle_pull = MirrorExchange.handle_pull
 
     async def reply_late(self, message):
         update = await handle_pull(self, message)
         await asyncio.sleep(REPLY_DELAY_S)
         return update
 
-    monkeypatch.setattr(ClusterMembership, "handle_pull", reply_late)
+    monkeypatch.setattr(MirrorExchange, "handle_pull", reply_late)
 
     async def scenario():
         async with make_rig() as rig:
--- a/tests/router/test_store_returns.py
+++ b/tests/router/test_store_returns.py
@@ -90,7 +90,7 @@
             late = rig.routers[1]
             await asyncio.sleep(OUTAGE_EXPIRY_GRACE_S)
             # As in a large cluster, where a node seldom asks its peers.
-            late.membership._pull_if_behind = ignore
+            late.membership.mirror_exchange.pull_if_behind = ignore
             pool = late._adapters.store._pool
             exchange, pool.exchange = pool.exchange, refuse
             await wait_until(lambda: not late.cluster_view.is_in_contact)
