Treat requests alike whether a client sends them first or again

What callers saw: in a burst of twice the stages' capacity, first tries that stated 9.6 s beside others that stated 12 s were never served; the work ahead was under 1 s.

Cause: `RetryDetector` took a request for a repeat by its deadline alone (under 0.84 of the route's 90 % quantile), ranked it ten priorities behind all others and gave it half of its time as objective, so that it was refused whenever anything waited.

Nodes of older builds still send the field, which is ignored, and add 20 to the rank of stage jobs, which is taken off where a peer's job arrives (tests/upgrade/test_repeats_of_older_builds.py).

--- a/packages/persimmonlink-router/src/persimmonlink_router/stage_coordinator_client.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stage_coordinator_client.py
@@ -25,6 +25,9 @@
 RELEASE_DELAY_S = 0.01  # Delay in which releases for a node join the same message.
 RELEASE_TIMEOUT_S = 1.0  # Timeout of a message that releases results.
 MAX_COORDINATORS_PER_REQUEST = 4  # Nodes that are tried for one request.
+# Nodes of older builds add this to the rank of requests that they take for repeats; the
+# ranks of all others are below it.
+OLDER_REPEAT_RANK_OFFSET = 20
 
 
 @dataclass(frozen=True, slots=True)
@@ -143,7 +146,7 @@
                 request=message.job.request_id, member=message.sender.node_id
             ).warning("stages.job_invalid")
             return StageOutcome(StageState.FAILED)
-        return await self._scheduler.run(message.job)
+        return await self._scheduler.run(_ignore_repeat_rank(message.job))
 
     async def handle_release(self, message: ReleaseResults) -> Acknowledgement:
         """Release the results of a peer's requests."""
@@ -224,6 +227,13 @@
             )
 
 
+def _ignore_repeat_rank(job: StageJob) -> StageJob:
+    """Rank a job as if its client had sent it for the first time."""
+    if job.priority < OLDER_REPEAT_RANK_OFFSET:
+        return job
+    return replace(job, priority=job.priority - OLDER_REPEAT_RANK_OFFSET)
+
+
 def _subtract_elapsed(job: StageJob, elapsed_s: float) -> StageJob:
     return replace(
         job,
--- a/packages/persimmonlink-router/src/persimmonlink_router/stream_relay.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stream_relay.py
@@ -23,7 +23,7 @@
     RequestHeldError,
     RequestRefusedError,
 )
-from persimmonlink_router.retry_detector import choose_retry_after_s
+from persimmonlink_router.retry_after import choose_retry_after_s
 from persimmonlink_router.server_chooser import (
     NO_INPUTS,
     StageInputs,
