Let client accounts take turns at stage servers

`AccountTurns` orders the pieces of a rank by turns of their accounts, and admission counts of each other account no more pieces ahead than the account itself has waiting. So an account within its share waits little, is admitted in a queue that stands, and what it doesn't use goes to the others.

--- a/packages/persimmonlink-router/src/persimmonlink_router/stage_admission.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stage_admission.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from enum import StrEnum
@@ -75,22 +76,24 @@
         """Time of a call with as many pieces as it takes, in seconds."""
         return estimate_call_s(self.spec, self.spec.max_pieces)
 
-    def wait_s(self, priority: int, *, is_first: bool) -> float:
-        """Return the time until pieces of a priority are started, in seconds.
+    def wait_s(self, priority: int, account: str, *, is_first: bool) -> float:
+        """Return the time until pieces of an account are started, in seconds.
 
         Those of a first stage wait for pieces that are ready, later ones for all that
-        will be ready by then.
+        will be ready by then. Accounts take turns, so that of each other account no
+        more pieces go first than the account itself has waiting.
         """
         if self.effective_servers <= 0:
             return float("inf")
         counts_by_priority = self.unsent_by_account_by_priority
         if is_first:
             counts_by_priority = self.ready_by_account_by_priority
-        ahead = sum(
-            sum(counts.values())
-            for other_priority, counts in counts_by_priority.items()
-            if other_priority <= priority
-        )
+        pieces_by_account: Counter[str] = Counter()
+        for other_priority, counts in counts_by_priority.items():
+            if other_priority <= priority:
+                pieces_by_account.update(counts)
+        own = pieces_by_account[account]
+        ahead = sum(min(own, count) for count in pieces_by_account.values())
         return ahead / self.rate + self.until_free_s
 
 
@@ -152,7 +155,7 @@
         load = load_by_service.get(need.service)
         if load is None:
             return Prediction(float("inf"), {need.service: float("inf")})
-        wait_s = load.wait_s(job.priority, is_first=ready_s <= 0.0)
+        wait_s = load.wait_s(job.priority, job.account, is_first=ready_s <= 0.0)
         start_s = max(ready_s, wait_s)
         queueing_s_by_service[need.service] = max(
             start_s - ready_s, queueing_s_by_service.get(need.service, 0.0)
--- a/packages/persimmonlink-router/src/persimmonlink_router/stage_queue.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stage_queue.py
@@ -9,8 +9,10 @@
 import math
 from collections.abc import Callable, Collection
 from dataclasses import dataclass
+from itertools import groupby
 from typing import TYPE_CHECKING
 
+from persimmonlink_router.account_turns import AccountTurns
 from persimmonlink_router.stage_chain import StageChain
 
 if TYPE_CHECKING:
@@ -139,6 +141,7 @@
 
     def __init__(self) -> None:
         self._pieces: list[PendingPiece] = []
+        self._turns = AccountTurns()
         self._short_at = 0.0
         self._longest_path_s = 0.0
         self._bound_s = 0.0
@@ -199,8 +202,9 @@
         fingerprints.
 
         Pieces whose inputs expire soon go first, with those of requests that have no
-        time left to wait, then those of the highest priority, and among these those of
-        requests with the least time left.
+        time left to wait, then those of the highest priority. Among these, client
+        accounts take turns, and of an account the piece goes first whose request has
+        the least time left.
         """
         self.drop_obsolete()
         eligible = [
@@ -211,6 +215,7 @@
         next_call_at = now + estimate_call_s(spec, spec.max_pieces)
         eligible.sort(key=lambda piece: _sort_key(piece, now, next_call_at))
         eligible = _separate_suspects(eligible, is_suspect)
+        eligible = self._take_turns(eligible, now, next_call_at)
         batch: list[PendingPiece] = []
         remaining_room_bytes = view.room_bytes
         for piece in eligible:
@@ -220,10 +225,29 @@
                 continue
             remaining_room_bytes -= piece.result_bytes
             batch.append(piece)
+            self._turns.record_turn(piece.chain.job.account)
         chosen = set(batch)
         self._pieces = [piece for piece in self._pieces if piece not in chosen]
+        self._turns.retain_only({piece.chain.job.account for piece in self._pieces})
         return Batch(tuple(batch), len(batch) < len(eligible))
 
+    def _take_turns(
+        self, pieces: list[PendingPiece], now: float, next_call_at: float
+    ) -> list[PendingPiece]:
+        """Order sorted pieces so that accounts take turns within each priority."""
+        ordered: list[PendingPiece] = []
+
+        def rank(piece: PendingPiece) -> tuple[bool, int]:
+            return _sort_key(piece, now, next_call_at)[:2]
+
+        for _, group in groupby(pieces, key=rank):
+            pieces_by_account: dict[str, list[PendingPiece]] = {}
+            for piece in group:
+                account = piece.chain.job.account
+                pieces_by_account.setdefault(account, []).append(piece)
+            ordered.extend(self._turns.interleave(pieces_by_account))
+        return ordered
+
     def list_hopeless(
         self, spec: BatchSpec, servers: float, until_free_s: float, now: float
     ) -> list[StageChain]:
@@ -237,7 +261,7 @@
         ordered = sorted(self._pieces, key=lambda piece: _sort_key(piece, now, now))
         hopeless: dict[StageChain, None] = {}
         ahead = 0
-        for piece in ordered:
+        for piece in self._take_turns(ordered, now, now):
             if piece.chain in hopeless:
                 continue
             start_at = now + until_free_s + ahead // pieces_per_round * call_s
--- a/tests/router/test_callers_of_stages.py
+++ b/tests/router/test_callers_of_stages.py
@@ -107,3 +107,15 @@
         callers = [Caller("all", 1.0, PIECES, deadline_s, retries=0, max_silence_s=4.0)]
         told.append(play(callers, [(20.0, 2.0)], seed)["all"].retry_after_s)
     assert told[0] == told[1]
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_an_account_within_its_share_is_served_beside_a_larger_one(seed):
+    callers = [
+        Caller("large", 0.8, PIECES, 12.0, account="large", retries=0),
+        Caller("small", 0.2, PIECES, 12.0, account="small", retries=0),
+    ]
+    outcomes = play(callers, [(20.0, 2.0)], seed)
+    assert outcomes["small"].served_share >= 0.9, outcomes["small"].describe()
+    together = sum(each.served for each in outcomes.values())
+    assert together >= 0.9 / 2.0 * sum(each.sent for each in outcomes.values())
--- a/tests/router/test_stage_admission.py
+++ b/tests/router/test_stage_admission.py
@@ -62,6 +62,13 @@
     assert not is_admitted(make_load(1000, priority=1), priority=1)
 
 
+def test_an_account_waits_for_no_more_of_others_than_it_has_itself():
+    waiting = {0: {"large": 400, "acme": 2}}
+    load = ServiceLoad(SPEC, 3, waiting, waiting, is_standing=True)
+    assert is_admitted(load)
+    assert not is_admitted(load, account="large")
+
+
 def test_request_is_refused_without_servers():
     admission = decide(make_load(servers=0))
     assert admission.outcome is AdmissionOutcome.REFUSED
--- a/tests/router/test_stage_queue.py
+++ b/tests/router/test_stage_queue.py
@@ -40,6 +40,15 @@
     assert pop_request_ids(queue) == ["high", "high", "high", "low", "low"]
 
 
+def test_accounts_take_turns_whatever_time_their_requests_state():
+    queue = StageQueue()
+    hasty = make_chain(account="hasty", deadline_s=2.0, piece_counts=(9,))
+    queue.put(make_pieces(hasty, 9))
+    queue.put(make_pieces(make_chain(request_id="calm", account="calm"), 2))
+    first = pop_request_ids(queue)
+    assert first.count("calm") == 2
+
+
 def test_the_request_with_the_least_time_left_goes_first():
     queue = StageQueue()
     queue.put(make_pieces(make_chain(request_id="long", deadline_s=12.0)))
