Tell refused callers when the work ahead will have fallen

What callers saw: for the same work ahead, `Retry-After` was 1.5 s where they stated 6 s and 6.0 s where they stated 24 s (medians at a real router; at 0.21 to 0.235 of the time that they had, plus jitter).

Cause: `choose_retry_after_s` made the time a part of the caller's, so that the next request could be told from a first one by its deadline; what was known of the work ahead hardly counted.

The third up to which clients honour it bounds it from above only, with room for the jitter.

--- a/packages/persimmonlink-router/src/persimmonlink_router/request_service.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/request_service.py
@@ -27,6 +27,7 @@
     RequestRefusedError,
     RequestState,
 )
+from persimmonlink_router.retry_after import RETRY_AFTER_JITTER
 from persimmonlink_router.stream_relay import relay_stream
 from persimmonlink_router.wire_messages import WireFormatError
 
@@ -50,9 +51,6 @@
 # Requests of peers that this node serves at once; others are refused as not run.
 MAX_RELAYED_REQUESTS = 512
 MAX_RELAYED_BYTES = 33554432  # Largest size of all request bodies of peers.
-# Largest random increase of Retry-After, as a fraction, so that clients which were
-# refused together do not retry together.
-RETRY_AFTER_JITTER = 0.4
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/persimmonlink-router/src/persimmonlink_router/retry_after.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/retry_after.py
@@ -2,14 +2,20 @@
 
 from __future__ import annotations
 
-# Retry-After as a part of the client's time left.
-MIN_RETRY_AFTER_SHARE = 0.21
-MAX_RETRY_AFTER_SHARE = 0.235  # Leaves room below that third for the added jitter.
+# Largest random increase of Retry-After, as a fraction, so that clients which were
+# refused together do not retry together.
+RETRY_AFTER_JITTER = 0.4
+# Clients honour a Retry-After up to this part of the time that they have left.
+HONOURED_PART = 1 / 3
 
 
-def choose_retry_after_s(available_in_s: float, time_left_s: float) -> float:
+def bound_retry_after_s(available_in_s: float, time_left_s: float) -> float:
     """Return the Retry-After of a refused request before jitter, in seconds.
 
+    It is the time after which the request can be served. The time that the client has
+    left only bounds it from above, with room for the jitter: clients that are told more
+    than they honour would all come at that bound.
+
     Parameters
     ----------
     available_in_s : float
@@ -17,10 +23,8 @@
     time_left_s : float
         Time until the client's deadline, in seconds.
     """
-    min_retry_after_s = MIN_RETRY_AFTER_SHARE * time_left_s
-    return min(
-        max(available_in_s, min_retry_after_s), MAX_RETRY_AFTER_SHARE * time_left_s
-    )
+    longest_s = HONOURED_PART * max(0.0, time_left_s) / (1 + RETRY_AFTER_JITTER)
+    return min(available_in_s, longest_s)
 
 
-__all__ = ("choose_retry_after_s",)
+__all__ = ("RETRY_AFTER_JITTER", "bound_retry_after_s")
--- a/packages/persimmonlink-router/src/persimmonlink_router/stream_relay.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stream_relay.py
@@ -23,7 +23,7 @@
     RequestHeldError,
     RequestRefusedError,
 )
-from persimmonlink_router.retry_after import choose_retry_after_s
+from persimmonlink_router.retry_after import bound_retry_after_s
 from persimmonlink_router.server_chooser import (
     NO_INPUTS,
     StageInputs,
@@ -166,11 +166,9 @@
     if outcome.state is StageState.DONE:
         return StageInputs(outcome.handles, outcome.bytes_by_domain, job.attempt)
     if outcome.state is StageState.REFUSED:
-        client_retry_after_s = choose_retry_after_s(
-            outcome.retry_after_s, state.time_left_s
-        )
+        retry_after_s = bound_retry_after_s(outcome.retry_after_s, state.time_left_s)
         raise RequestRefusedError(
-            "the stages cannot be completed in time", client_retry_after_s
+            "the stages cannot be completed in time", retry_after_s
         )
     raise RequestRefusedError(
         f"the stages ended with {outcome.state}", STAGES_FAILED_RETRY_AFTER_S
--- a/tests/router/test_callers_in_a_burst.py
+++ b/tests/router/test_callers_in_a_burst.py
@@ -22,6 +22,7 @@
 CALL_S = 0.1  # Time of a call to a stage server.
 LOAD = 2.0  # Requests sent, as a multiple of what the stages bear.
 BURST_S = 12.0
+ROUTE_TIMEOUT_S = 30.0  # More than any deadline, so that these decide.
 PIECES_PER_REQUEST = 4  # As in `STAGED`.
 
 
@@ -30,6 +31,8 @@
     configuration = make_configuration(version=2)
     spec = next(s for s in configuration["services"] if s["name"] == STAGE_SERVICE)
     spec["pieces"].update({"call-ms": CALL_S * 1000, "item-ms": 0})
+    for route in configuration["routes"]:
+        route["timeout-ms"] = ROUTE_TIMEOUT_S * 1000
     rig.store.put("op/config", configuration)
     view = rig.routers[0].cluster_view
     await wait_until(lambda: view.configuration.version == 2)
@@ -107,3 +110,17 @@
     told = [float(r.headers["retry-after"]) for r in responses if r.status == 503]
     assert len(told) >= 20
     return median(told)
+
+
+def test_callers_are_told_the_same_time_for_the_same_work_ahead():
+    """They were told 1.6 s where they stated 6 s, and 6.0 s where they stated 24 s."""
+    told_s = []
+
+    async def scenario(deadline_s):
+        async with make_rig() as rig:
+            responses = await send_burst(rig, {deadline_s: 1.0}, 1)
+            told_s.append(median_retry_after_s(responses[deadline_s]))
+
+    for deadline_s in (6.0, 24.0):
+        run(scenario(deadline_s))
+    assert abs(told_s[0] - told_s[1]) <= CALL_S, told_s
