Wait for an attempt that may still be answered, and repeat by observed times

What callers saw: with an objective of 0.1 s, a time limit of 8 s and three sound servers at rest that take 0.4 s, 30 of 60 callers got 504 after 0.2 s; with 0.8 s 12 of 60; 1.5 to 1.8 runs a request.

Cause: `RESPONSE_TIMEOUT_FACTOR` took twice the objective for a failure. The attempt was ended before it was known whether another may be sent, and without budget for repeats the request ended, 0.2 s before its answer.

`PlainAttempts` asks another server beside the one that is late, and takes the first sound answer; it ends none that may still be answered. When an attempt is late follows from the service's own latest responses (`ResponseTimes`), before these are known from the time left for each attempt of the route. Times of attempts that were ended count as at least so long, so that a service that turns slow is not repeated for long.

--- a/packages/persimmonlink-router/src/persimmonlink_router/response_completion.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/response_completion.py
@@ -130,6 +130,14 @@
                 "response"
             )
 
+    def record_time(self, service: str, time_s: float) -> None:
+        """Record how long a server took, or has taken so far, in seconds."""
+        self._health.response_times.record(service, time_s)
+
+    def late_after_s(self, service: str) -> float | None:
+        """Return the time after which a repeat is likely to end sooner, in seconds."""
+        return self._health.response_times.late_after_s(service)
+
     def record_failure(self, server: Server) -> None:
         """Record a failed response in the health of its server."""
         self._health.record_failure(server.key, boot_time())
--- a/packages/persimmonlink-router/src/persimmonlink_router/router.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/router.py
@@ -476,9 +476,15 @@
                 self._crash_guard.sweep,
                 lambda: self._limiter.retain_servers(keys),
                 lambda: self._places.retain_servers(keys),
+                self._retain_response_times,
             ),
         )
 
+    def _retain_response_times(self) -> None:
+        configuration = self.cluster_view.configuration
+        if configuration is not None:
+            self._health.response_times.retain_only(configuration.service_by_name)
+
     def _record_server_end(
         self, server: Server, requests: Sequence[InterruptedRequest]
     ) -> None:
--- a/packages/persimmonlink-router/src/persimmonlink_router/server_health.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/server_health.py
@@ -7,6 +7,8 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from persimmonlink_router.response_times import ResponseTimes
+
 if TYPE_CHECKING:
     from collections.abc import Collection, Hashable
 
@@ -34,12 +36,20 @@
 class ServerHealth:
     """Latency, failures and load of each server incarnation, as seen by this node.
 
+    Attributes
+    ----------
+    response_times : ResponseTimes
+        How long the servers of each service take.
+
+    Notes
+    -----
     Bad records decay, so that an avoided server receives an occasional request, which
     shows whether it has recovered.
     """
 
     def __init__(self) -> None:
         self._record_by_key: dict[Hashable, _HealthRecord] = {}
+        self.response_times = ResponseTimes()
 
     def record_sent(
         self,
--- a/packages/persimmonlink-router/src/persimmonlink_router/server_sender.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/server_sender.py
@@ -34,6 +34,8 @@
 from persimmonlink_router.wire_messages import Dispatch
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
+
     from persimmonlink_router.cluster_membership import ClusterMembership
     from persimmonlink_router.cluster_view import ClusterView
     from persimmonlink_router.connection_pool import ConnectionPool
@@ -152,6 +154,7 @@
         inputs: StageInputs = NO_INPUTS,
         last_event_id: bytes = b"",
         head_timeout_s: float | None = None,
+        avoided_ids: Collection[str] = (),
     ) -> OpenResponse:
         """Send a request to the best server, and to the next one if it is rejected.
 
@@ -168,6 +171,8 @@
         head_timeout_s : float or None
             Longest wait for the response head, in seconds, if shorter than the time
             left.
+        avoided_ids : collection of str
+            Servers that it is not sent to.
 
         Raises
         ------
@@ -176,7 +181,7 @@
         RequestFailedError
             A server may have run the request, and there is no response.
         """
-        excluded_ids: set[str] = set()
+        excluded_ids = set(avoided_ids)
         unreachable_ids: set[str] = set()
         self.held_requests.require_allowed(state)
         self.require_reach(state)
@@ -204,7 +209,7 @@
                     raise NoReachError(
                         "too many servers can't be reached", NO_SERVER_RETRY_AFTER_S
                     ) from error
-                if len(excluded_ids) > MAX_REJECTIONS:
+                if len(excluded_ids) > MAX_REJECTIONS + len(avoided_ids):
                     raise RequestRefusedError(
                         "too many servers rejected the request",
                         NO_SERVER_RETRY_AFTER_S,
--- /dev/null
+++ b/tests/router/test_slow_servers.py
@@ -0,0 +1,137 @@
+"""Callers of servers that take longer than the objective, and are sound."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+import pytest
+from tests.router.rig import (
+    PLAIN_SERVICE,
+    Rig,
+    make_configuration,
+    make_rig,
+    run,
+    wait_until,
+)
+
+OBJECTIVE_S = 0.1
+DEADLINE_S = 8.0
+SERVERS = 3
+CALLERS = 60
+
+
+async def configure(rig: Rig, work_s: float) -> None:
+    """Set an objective far below the time that servers take, and a long timeout."""
+    configuration = make_configuration(version=2)
+    for route in configuration["routes"]:
+        route["slo-ms"] = OBJECTIVE_S * 1000
+        route["timeout-ms"] = DEADLINE_S * 1000
+    rig.store.put("op/config", configuration)
+    view = rig.routers[0].cluster_view
+    await wait_until(lambda: view.configuration.version == 2)
+    for server in list_servers(rig):
+        server.work_s = work_s
+
+
+def list_servers(rig: Rig):
+    return [s for i, s in rig.server_by_id.items() if i.startswith(PLAIN_SERVICE)]
+
+
+async def look(rig: Rig, count: int, gap_s: float = 0.05):
+    """Send some idempotent requests, one after a gap in seconds; return responses."""
+    tasks = []
+    for _ in range(count):
+        request = rig.send_request("/look/1", deadline_ms=int(DEADLINE_S * 1000))
+        tasks.append(asyncio.ensure_future(request))
+        await asyncio.sleep(gap_s)
+    return await asyncio.gather(*tasks)
+
+
+@pytest.mark.parametrize("work_s", [0.15, 0.4, 0.8])
+def test_sound_servers_that_take_longer_than_the_objective_serve_all_once(work_s):
+    """30 of 60 callers with 8 s got 504 after 0.2 s, 0.2 s before their answer."""
+
+    async def scenario():
+        async with make_rig(servers=SERVERS) as rig:
+            await configure(rig, work_s)
+            responses = await look(rig, CALLERS)
+            assert [r.status for r in responses] == [200] * CALLERS
+            runs = sum(rig.count_runs(i) for i in rig.ids)
+            assert runs <= 1.05 * CALLERS
+
+    run(scenario())
+
+
+def test_a_request_to_a_silent_server_is_repeated_once_it_is_late():
+    """The time that the service takes decides, once it is known."""
+
+    async def scenario():
+        async with make_rig(servers=SERVERS) as rig:
+            await configure(rig, 0.05)
+            await look(rig, 30)
+            list_servers(rig)[0].faults.withholds_responses = True
+            began_at = time.monotonic()
+            responses = await look(rig, 12)
+            assert [r.status for r in responses] == [200] * 12
+            assert time.monotonic() - began_at < 3.0
+
+    run(scenario())
+
+
+def test_an_answer_on_its_way_is_waited_for_when_no_other_server_may_be_asked():
+    """It was given up at twice the objective, and the request failed."""
+
+    async def scenario():
+        async with make_rig(servers=SERVERS) as rig:
+            await configure(rig, 0.05)
+            await look(rig, 30, gap_s=0.01)
+            rig.routers[0]._retry_budget.configure(0.0, 0.0)
+            for server in list_servers(rig):
+                server.work_s = 1.0
+            responses = await look(rig, 6)
+            assert [r.status for r in responses] == [200] * 6
+
+    run(scenario())
+
+
+def test_an_answer_on_its_way_counts_when_the_repeat_fails():
+    async def scenario():
+        async with make_rig(servers=2) as rig:
+            await configure(rig, 0.05)
+            await look(rig, 30, gap_s=0.01)
+            for server in list_servers(rig):
+                server.work_s = 1.0
+            request = asyncio.ensure_future(look(rig, 1))
+            first = await find_runner(rig, rig.ids[-1])
+            for server in list_servers(rig):
+                server.faults.resets_connections = server is not first
+            [response] = await request
+            assert response.status == 200
+            assert rig.count_runs(rig.ids[-1]) == 2
+
+    run(scenario())
+
+
+async def find_runner(rig: Rig, request_id: str):
+    """Wait until a server runs a request; return the server."""
+    await wait_until(lambda: rig.ids and rig.count_runs(rig.ids[-1]) > 0)
+    return next(
+        s for s in list_servers(rig) if any(r.request_id == rig.ids[-1] for r in s.runs)
+    )
+
+
+def test_the_attempt_that_is_not_needed_ends_with_the_answer():
+    async def scenario():
+        async with make_rig(servers=2) as rig:
+            await configure(rig, 0.05)
+            await look(rig, 30, gap_s=0.01)
+            silent = list_servers(rig)[0]
+            silent.faults.withholds_responses = True
+            answered = len(silent.runs)
+            await look(rig, 6)
+            unanswered = len(silent.runs) - answered
+            assert unanswered
+            await wait_until(lambda: len(silent.disconnected_ids) == unanswered, 0.5)
+
+    run(scenario())
