Wait for a stream that may still begin, and let one go on that has the time

What callers saw: a resumable stream whose head took longer than 1.2 s (or six times an assumed time) was given up although no other attempt was allowed, and ended in 502 with seconds left; one that broke off with less than a quarter of its objective left was broken off for its caller, though the rest needed less.

Cause: the wait for the head ended before it was known whether another server may be asked, and the time to go on was a share of the objective.

The wait now ends only if another server may be asked; else it is asked again and the attempt goes on. A stream goes on if more time is left than its service typically takes to begin.

--- a/packages/persimmonlink-router/src/persimmonlink_router/response_completion.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/response_completion.py
@@ -134,6 +134,10 @@
         """Record how long a server took, or has taken so far, in seconds."""
         self._health.response_times.record(service, time_s)
 
+    def typical_time_s(self, service: str) -> float:
+        """Return how long servers typically take, in seconds; 0 if unknown."""
+        return self._health.response_times.median_s(service) or 0.0
+
     def late_after_s(self, service: str) -> float | None:
         """Return the time after which a repeat is likely to end sooner, in seconds."""
         return self._health.response_times.late_after_s(service)
--- a/packages/persimmonlink-router/src/persimmonlink_router/response_head_reader.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/response_head_reader.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from contextlib import contextmanager
 from typing import TYPE_CHECKING
 
 from loguru import logger
@@ -12,7 +13,7 @@
 from persimmonlink_router.request_state import RequestFailedError
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterator
 
     from persimmonlink_router.cluster_view import ClusterView
     from persimmonlink_router.connection_pool import ConnectionPool
@@ -26,6 +27,7 @@
     from persimmonlink_router.wire_messages import Dispatch, ResponseInfo, Wire
 
 REJECTION_BODY_TIMEOUT_S = 0.2  # Longest wait for the body of a rejection.
+RECHECK_S = 0.1  # Shortest time until it is asked again whether another may be asked.
 MAX_UNEXPECTED_RESPONSES = 4  # Responses to other requests that are skipped.
 MAX_UNEXPECTED_BODY_BYTES = 1048576  # Largest body of such a response.
 MAX_REJECTION_BODY_BYTES = 65536  # Largest body of a rejection that is read.
@@ -90,9 +92,13 @@
         dispatch: Dispatch,
         sent_at: float,
         head_timeout_s: float | None,
+        may_ask_another: Callable[[], bool],
     ) -> tuple[HttpResponseHead, ResponseInfo]:
         """Send the request and read the head of the response.
 
+        After `head_timeout_s`, in seconds, the head is waited for only as long as no
+        other server may be asked.
+
         Raises `NotRunError` only if the server states that it did not run the request
         or another server answered at its address, and `RequestFailedError` if the
         response is lost or late, or a rejection may belong to an earlier request.
@@ -102,14 +108,16 @@
         headers = self._wire.build_request_headers(request, dispatch)
         try:
             connection.send(request.method, request.target, headers, request.body)
-            head, info = await self._read_head(
-                server, connection, state, head_timeout_s
-            )
+            async with asyncio.timeout(state.time_left_s) as limit:
+                with _end_if_late(limit, head_timeout_s, may_ask_another):
+                    head, info = await self._read_head(server, connection, state)
         except (ConnectionLostError, TimeoutError) as error:
             state.runs += 1
             state.may_have_run = True
             self._health.record_failure(server.key, boot_time())
             if isinstance(error, TimeoutError):
+                # The head would have come later still.
+                self._health.response_times.record(state.service, boot_time() - sent_at)
                 raise RequestFailedError(
                     f"{server.server_id}: no response in time", 504
                 ) from error
@@ -150,32 +158,55 @@
         server: Server,
         connection: HttpClientConnection,
         state: RequestState,
-        head_timeout_s: float | None,
     ) -> tuple[HttpResponseHead, ResponseInfo]:
-        timeout_s = state.time_left_s
-        if head_timeout_s is not None:
-            timeout_s = min(timeout_s, head_timeout_s)
-        async with asyncio.timeout(timeout_s):
-            for _ in range(MAX_UNEXPECTED_RESPONSES + 1):
-                head = await connection.read_head()
-                self._reach.record_answer(server, boot_time())
-                info = self._wire.parse_response_head(head)
-                if info.request_id in ("", state.metadata.request_id):
-                    self._cluster_view.apply_response(server, info)
-                    self._limiter.record_response(server, info)
-                    self._places.record_response(server, info)
-                    return head, info
-                # It may be an earlier one, whose news of the server are old.
-                logger.bind(
-                    request=state.metadata.request_id, other=info.request_id
-                ).warning("response.unexpected")
-                await connection.skip_body(MAX_UNEXPECTED_BODY_BYTES)
-                connection.skip_response()
+        for _ in range(MAX_UNEXPECTED_RESPONSES + 1):
+            head = await connection.read_head()
+            self._reach.record_answer(server, boot_time())
+            info = self._wire.parse_response_head(head)
+            if info.request_id in ("", state.metadata.request_id):
+                self._cluster_view.apply_response(server, info)
+                self._limiter.record_response(server, info)
+                self._places.record_response(server, info)
+                return head, info
+            # It may be an earlier one, whose news of the server are old.
+            logger.bind(
+                request=state.metadata.request_id, other=info.request_id
+            ).warning("response.unexpected")
+            await connection.skip_body(MAX_UNEXPECTED_BODY_BYTES)
+            connection.skip_response()
         raise ConnectionLostError(
             f"{server.server_id}: too many responses to other requests"
         )
 
 
+@contextmanager
+def _end_if_late(
+    limit: asyncio.Timeout,
+    head_timeout_s: float | None,
+    may_ask_another: Callable[[], bool],
+) -> Iterator[None]:
+    """End a wait that takes longer than some seconds once another may be asked."""
+    if head_timeout_s is None:
+        yield
+        return
+    check = asyncio.create_task(
+        _end_once_allowed(limit, head_timeout_s, may_ask_another)
+    )
+    try:
+        yield
+    finally:
+        check.cancel()
+
+
+async def _end_once_allowed(
+    limit: asyncio.Timeout, head_timeout_s: float, may_ask_another: Callable[[], bool]
+) -> None:
+    await asyncio.sleep(head_timeout_s)
+    while not may_ask_another():
+        await asyncio.sleep(max(head_timeout_s, RECHECK_S))
+    limit.reschedule(asyncio.get_running_loop().time())
+
+
 def _is_rejection_of(
     request_id: str, info: ResponseInfo, connection: HttpClientConnection
 ) -> bool:
--- a/packages/persimmonlink-router/src/persimmonlink_router/server_sender.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/server_sender.py
@@ -169,8 +169,8 @@
         last_event_id : bytes
             Event after which a stream resumes; empty to use the client's own.
         head_timeout_s : float or None
-            Longest wait for the response head, in seconds, if shorter than the time
-            left.
+            Wait for the response head, in seconds, after which another server is asked
+            if one may be.
         avoided_ids : collection of str
             Servers that it is not sent to.
 
@@ -250,6 +250,15 @@
         nodes = self._membership.peak_node_count()
         return self._budget.try_acquire(state.service, nodes, boot_time())
 
+    def _may_ask_another(
+        self, server: Server, state: RequestState, inputs: StageInputs
+    ) -> bool:
+        """Whether a request may be sent to another server than one that is late."""
+        if not self.allows_retry(state):
+            return False
+        other = self._choose_reached(state, inputs, {server.server_id})
+        return other is not None
+
     async def _wait_for_server(
         self, state: RequestState, inputs: StageInputs, excluded_ids: set[str]
     ) -> Server:
@@ -342,7 +351,12 @@
         was_rejected = False
         try:
             head, info = await self._head_reader.send(
-                connection, state, dispatch, now, head_timeout_s
+                connection,
+                state,
+                dispatch,
+                now,
+                head_timeout_s,
+                lambda: self._may_ask_another(server, state, inputs),
             )
             is_open = True
         except RejectedError:
--- a/packages/persimmonlink-router/src/persimmonlink_router/stream_relay.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stream_relay.py
@@ -43,10 +43,8 @@
     from persimmonlink_router.stream_rest import StreamRest
 
 # Shortest wait for the head of a resumable stream's response before another server is
-# tried.
+# tried: a sound server may fall silent for a second or so and go on.
 MIN_FIRST_EVENT_TIMEOUT_S = 1.2
-# The same wait for long prompts, as a multiple of the expected time to the first event.
-FIRST_EVENT_TIMEOUT_FACTOR = 6.0
 MAX_ATTEMPTS = 5  # Attempts to start or resume a stream, including refused ones.
 MIN_RESUME_PAUSE_S = 0.2  # Shortest pause after a refusal before the stream is resumed.
 STAGES_FAILED_RETRY_AFTER_S = 0.5  # Retry-After if the stages failed.
@@ -91,7 +89,7 @@
                 if inputs is not NO_INPUTS:
                     # Servers may have changed while the stages ran.
                     await sender.version_pinning.require_server(state)
-                timeout_s = _first_event_timeout_s(state)
+                timeout_s = _first_event_timeout_s(state, sender)
                 response = await sender.send(state, inputs, splitter.last_id, timeout_s)
                 release_inputs = partial(stages.release, inputs.attempt)
                 is_done = await _forward_response(
@@ -111,7 +109,9 @@
                 raise
             if state.exchange.has_started or splitter.last_id:
                 state.failures_after_start.append(str(error))
-            is_final = isinstance(error, RequestHeldError) or not _may_resume(state)
+            is_final = isinstance(error, RequestHeldError) or not _may_resume(
+                state, sender
+            )
             if is_final or attempt_count >= MAX_ATTEMPTS:
                 raise _to_client_error(state, error) from error
             if isinstance(error, RequestRefusedError):
@@ -125,17 +125,21 @@
             splitter.discard_partial()
 
 
-def _first_event_timeout_s(state: RequestState) -> float | None:
-    """Return the longest wait for a response head before a stream is resumed elsewhere.
+def _first_event_timeout_s(state: RequestState, sender: ServerSender) -> float | None:
+    """Return the time after which another server is asked for a stream, in seconds.
 
-    The time is in seconds; None means that no other server may be tried.
+    Each attempt that the route allows has an equal part of the time until the client
+    leaves, or less if the service is known to begin streams sooner. None means that no
+    other server may be tried.
     """
-    if not state.route.is_resumable or state.runs + 1 >= state.route.max_attempts:
+    attempts_left = state.route.max_attempts - state.runs
+    if not state.route.is_resumable or attempts_left <= 1:
         return None
-    return max(
-        MIN_FIRST_EVENT_TIMEOUT_S,
-        FIRST_EVENT_TIMEOUT_FACTOR * estimate_response_s(state),
-    )
+    part_s = max(0.0, state.event_time_left_s) / attempts_left
+    late_after_s = sender.responses.late_after_s(state.service)
+    if late_after_s is None:
+        return part_s
+    return min(part_s, max(MIN_FIRST_EVENT_TIMEOUT_S, late_after_s))
 
 
 async def _run_stages(
@@ -205,7 +209,7 @@
                 )
                 await sender.responses.require_whole(response)
             is_complete = True
-            if response.head.status >= 500 and _may_resume(state):
+            if response.head.status >= 500 and _may_resume(state, sender):
                 sender.responses.record_failure(response.server)
                 raise StreamInterruptedError(f"status {response.head.status}")
             headers = strip_hop_by_hop_headers(response.head.headers)
@@ -258,6 +262,8 @@
                 response.first_event_at = boot_time()
                 state.stream_version = response.server.software_version
                 sender.responses.record_start(state, response)
+                first_event_s = boot_time() - response.sent_at
+                sender.responses.record_time(state.service, first_event_s)
                 release_inputs()
                 if state.first_event_s is None:
                     state.first_event_s = boot_time() - state.arrived_at
@@ -301,12 +307,13 @@
         raise ConnectionLostError("the stream ended without an event")
 
 
-def _may_resume(state: RequestState) -> bool:
+def _may_resume(state: RequestState, sender: ServerSender) -> bool:
+    """Whether a stream can go on before its client leaves."""
     return (
         state.route.is_resumable
         and state.may_have_run
         and state.runs < state.route.max_attempts
-        and state.time_left_s > state.route.objective_s / 4
+        and state.time_left_s > sender.responses.typical_time_s(state.service)
     )
 
 
--- a/stand_ins/src/persimmonlink_stand_ins/routed_server.py
+++ b/stand_ins/src/persimmonlink_stand_ins/routed_server.py
@@ -181,6 +181,7 @@
         self.event_count = event_count
         self.work_s = 0.0
         # Time to the first event of a stream, and time of a stage call, in seconds.
+        self.head_delay_s = 0.0
         self.first_event_s = 0.0
         self.event_interval_s = EVENT_INTERVAL_S
         self.stage_call_s = 0.02
@@ -430,6 +431,7 @@
         if is_fatal and self.crash_point is CrashPoint.BEFORE_HEAD:
             await self.crash()
             return False
+        await asyncio.sleep(self.head_delay_s)
         writer.write("\r\n".join(lines).encode() + b"\r\n\r\n")
         await asyncio.sleep(self.first_event_s)
         first_id = int(request.headers.get("last-event-id", "0")) + 1
--- a/tests/router/test_slow_servers.py
+++ b/tests/router/test_slow_servers.py
@@ -8,6 +8,8 @@
 import pytest
 from tests.router.rig import (
     PLAIN_SERVICE,
+    STREAM,
+    STREAM_SERVICE,
     Rig,
     make_configuration,
     make_rig,
@@ -135,3 +137,48 @@
             await wait_until(lambda: len(silent.disconnected_ids) == unanswered, 0.5)
 
     run(scenario())
+
+
+def list_engines(rig: Rig):
+    return [s for i, s in rig.server_by_id.items() if i.startswith(STREAM_SERVICE)]
+
+
+def test_a_stream_on_its_way_is_waited_for_when_no_other_server_may_be_asked():
+    """Its attempt was given up after 1.2 s, and without budget the request failed."""
+
+    async def scenario():
+        async with make_rig() as rig:
+            rig.routers[0]._retry_budget.configure(0.0, 0.0)
+            for engine in list_engines(rig):
+                engine.head_delay_s = 2.9
+            response = await rig.send_request("/list/1", **STREAM)
+            assert response.status == 200
+            assert response.is_complete
+            assert rig.count_runs(rig.ids[-1]) == 1
+
+    run(scenario())
+
+
+def test_a_stream_that_needs_less_time_than_is_left_goes_on():
+    """It was broken off with less than a quarter of the objective left."""
+
+    async def scenario():
+        async with make_rig() as rig:
+            configuration = make_configuration(version=2)
+            for route in configuration["routes"]:
+                route["slo-ms"] = 6000
+            rig.store.put("op/config", configuration)
+            view = rig.routers[0].cluster_view
+            await wait_until(lambda: view.configuration.version == 2)
+            first, second = list_engines(rig)
+            first.faults.cuts_streams_after = second.faults.cuts_streams_after = 2
+            request = asyncio.ensure_future(
+                rig.send_request("/list/1", deadline_ms=1200, **STREAM)
+            )
+            await wait_until(lambda: first.runs or second.runs)
+            (second if first.runs else first).faults.cuts_streams_after = 0
+            response = await request
+            assert response.is_complete
+            assert rig.count_runs(rig.ids[-1]) == 2
+
+    run(scenario())
