Let no piece wait for a server in the domain of its data

What callers saw: a piece waited for up to 0.45 s for a server in the failure domain of its inputs while servers of other domains were idle, by 3e-7 s for each byte that would cross.

Cause: a figure per byte, set against the price of bytes between domains, spent the time of callers. Reading them from another domain takes milliseconds.

The wait and its figures are gone.

--- a/packages/persimmonlink-router/src/persimmonlink_router/stage_dispatcher.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stage_dispatcher.py
@@ -170,8 +170,8 @@
         if spec is None:
             return False
         now = boot_time()
-        view = self._servers.build_view(service, server, now)
-        selected = queue.pop_batch(spec, view, now, self._crash_guard.is_suspect)
+        room_bytes = self._servers.state(server).room_bytes(spec, now)
+        selected = queue.pop_batch(spec, room_bytes, now, self._crash_guard.is_suspect)
         batch = selected.pieces
         if not batch:
             return False
