--- a/tests/router/test_slow_servers.py
+++ b/tests/router/test_slow_servers.py
@@ -182,3 +182,24 @@
             assert rig.count_runs(rig.ids[-1]) == 2
 
     run(scenario())
+
+
+def test_a_slow_server_gets_few_requests_whatever_a_service_takes():
+    """Above ten times an assumed 0.04 s, all servers counted as equally slow."""
+
+    async def scenario():
+        async with make_rig(servers=SERVERS) as rig:
+            await configure(rig, 0.4)
+            slow = list_servers(rig)[0]
+            slow.work_s = 4.0
+            tasks = []
+            for _ in range(CALLERS):
+                request = rig.send_request("/book/1", deadline_ms=8000)
+                tasks.append(asyncio.ensure_future(request))
+                await asyncio.sleep(0.2)
+            responses = await asyncio.gather(*tasks)
+            assert [r.status for r in responses] == [200] * CALLERS
+            share_by_speed = (1 / 4.0) / (1 / 4.0 + 2 / 0.4)
+            assert len(slow.runs) <= 2 * share_by_speed * CALLERS
+
+    run(scenario())
