--- a/packages/persimmonlink-router/src/persimmonlink_router/plain_relay.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/plain_relay.py
@@ -73,6 +73,7 @@
         self._failed_answer: _Answer | None = None
         self._error: Exception | None = None
         self._may_overtake = True
+        self._sends_before = 0
 
     async def find_answer(self) -> _Answer:
         """Return the first sound answer, or else the one with which a server failed.
@@ -87,9 +88,7 @@
                 return_when=asyncio.FIRST_COMPLETED,
             )
             if not done:
-                self._may_overtake = False
-                if self._sender.allows_retry(self._state):
-                    self._begin()
+                self._overtake()
                 continue
             for task in done:
                 self._tasks.discard(task)
@@ -108,8 +107,21 @@
             task.cancel()
         if self._tasks:
             await asyncio.wait(self._tasks)
+        for task in self._tasks:
+            if not task.cancelled():
+                # Its error, if it has one, is of no use any more.
+                task.exception()
+
+    def _overtake(self) -> None:
+        """Ask another server beside the one that is late, if one was asked yet."""
+        if self._state.sends == self._sends_before or self._overtake_after_s():
+            return
+        self._may_overtake = False
+        if self._sender.allows_retry(self._state):
+            self._begin()
 
     def _begin(self) -> None:
+        self._sends_before = self._state.sends
         in_flight_ids = set(self._state.servers) if self._tasks else set()
         task = asyncio.create_task(
             _send_and_read(self._state, self._sender, in_flight_ids)
@@ -120,7 +132,8 @@
         """Return when another server may be asked beside the one that is, in seconds.
 
         None if it may not. Each attempt that the route allows has an equal part of the
-        time that is left, or less if the service is known to respond sooner.
+        time that is left, or less if the service is known to respond sooner. It begins
+        as a server is sent the request.
         """
         state = self._state
         attempts_left = state.route.max_attempts - state.runs
@@ -128,7 +141,10 @@
             return None
         late_after_s = self._sender.responses.late_after_s(state.service)
         part_s = max(0.0, state.time_left_s) / attempts_left
-        return part_s if late_after_s is None else min(late_after_s, part_s)
+        attempt_s = part_s if late_after_s is None else min(late_after_s, part_s)
+        if state.sends == self._sends_before:
+            return attempt_s
+        return max(0.0, state.last_sent_at + attempt_s - boot_time())
 
     def _take_answer(self, task: asyncio.Task[_Answer]) -> _Answer | None:
         """Return the answer of an attempt that has ended, unless it failed."""
--- a/packages/persimmonlink-router/src/persimmonlink_router/request_state.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/request_state.py
@@ -112,6 +112,8 @@
         Boot time of the request's arrival, in seconds.
     sends : int
         Number of times the request was sent to a server.
+    last_sent_at : float
+        Boot time of the last of these sends, in seconds; 0 before the first.
     runs : int
         Number of sends after which a server may have run the request.
     may_have_run : bool
@@ -158,6 +160,7 @@
     account: Account | None
     arrived_at: float
     sends: int = 0
+    last_sent_at: float = 0.0
     runs: int = 0
     may_have_run: bool = False
     servers: list[str] = field(default_factory=list)
--- a/packages/persimmonlink-router/src/persimmonlink_router/server_sender.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/server_sender.py
@@ -339,6 +339,7 @@
         if state.sends == 0:
             self._budget.record_request(state.service, now)
         state.sends += 1
+        state.last_sent_at = now
         state.servers.append(server.server_id)
         state.server_versions.append(server.software_version)
         state.send_bases.append(self._cluster_view.describe_send(server))
--- a/packages/persimmonlink-router/src/persimmonlink_router/stage_queue.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stage_queue.py
@@ -105,6 +105,8 @@
 
     def put(self, pieces: Sequence[PendingPiece]) -> None:
         """Add pieces to the queue."""
+        if pieces and not self._pieces:
+            self._short_at = max(self._short_at, pieces[0].queued_at)
         self._pieces.extend(pieces)
         for piece in pieces:
             path_s = piece.chain.critical_path_s(piece.stage)
--- a/tests/router/test_slow_servers.py
+++ b/tests/router/test_slow_servers.py
@@ -139,6 +139,26 @@
     run(scenario())
 
 
+def test_a_request_that_waits_for_a_server_is_not_sent_twice_as_if_it_were_new():
+    """A repeat that began before the first send would be in no budget."""
+
+    async def scenario():
+        async with make_rig(servers=2) as rig:
+            await configure(rig, 0.02)
+            await look(rig, 30, gap_s=0.01)
+            router = rig.routers[0]
+            choose = router._chooser.choose
+            router._chooser.choose = lambda *_: None
+            request = asyncio.ensure_future(look(rig, 1))
+            await asyncio.sleep(0.1)
+            router._chooser.choose = choose
+            [response] = await request
+            assert response.status == 200
+            assert rig.count_runs(rig.ids[-1]) == 1
+
+    run(scenario())
+
+
 def list_engines(rig: Rig):
     return [s for i, s in rig.server_by_id.items() if i.startswith(STREAM_SERVICE)]
 
--- a/tests/router/test_stage_queue.py
+++ b/tests/router/test_stage_queue.py
@@ -192,6 +192,15 @@
     assert queue.has_stood(1.0)
 
 
+def test_the_first_pieces_of_a_queue_do_not_stand_however_many_they_are():
+    queue = StageQueue()
+    chain = StageChain(make_job(piece_counts=(20,)), 50.0, [1.0])
+    queue.put(make_pieces(chain, 20, queued_at=50.0))
+    queue.record_length(SPEC, 1, 50.0)
+    assert not queue.has_stood(50.9)
+    assert queue.has_stood(51.0)
+
+
 def test_a_burst_that_is_worked_off_does_not_stand():
     queue = StageQueue()
     fill(queue, 20)
