Tell what coordinating stages takes of the processor, and the way to it

Logs showed that the coordinator stood still, not what a job cost it or how long a request waited for the coordinator itself. Each second with jobs it now logs `stages.load` (jobs, calls, pieces that wait, processor time), and `request.completed` has `stages_s`: what it has over `took_s` of the coordinator's `stages.completed` is the way there and the wait for it. No decision has changed.

--- a/packages/persimmonlink-router/src/persimmonlink_router/request_log.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/request_log.py
@@ -98,6 +98,7 @@
             has_begun=state.exchange.has_started,
             first_event_s=None if first is None else round(first, 3),
             predicted_s=None if prediction is None else round(prediction, 3),
+            stages_s=None if state.stages_s is None else round(state.stages_s, 3),
             sends=state.sends,
             relayed_to=state.relayed_to or None,
             relayed_from=state.relayed_from or None,
--- a/packages/persimmonlink-router/src/persimmonlink_router/request_state.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/request_state.py
@@ -128,6 +128,9 @@
         Time from arrival to the first event of a stream, in seconds.
     predicted_first_event_s : float or None
         That time as predicted when the stages were admitted, in seconds.
+    stages_s : float or None
+        Time until the outcome of its stages, in seconds, the way to their coordinator
+        and back included; None without stages.
     silent_since : float
         Boot time of the last event sent to the client, or of the arrival, in seconds.
     stream_version : str or None
@@ -168,6 +171,7 @@
     send_bases: list[SendBasis] = field(default_factory=list)
     first_event_s: float | None = None
     predicted_first_event_s: float | None = None
+    stages_s: float | None = None
     silent_since: float = 0.0
     stream_version: str | None = None
     version_source: str = ""
--- a/packages/persimmonlink-router/src/persimmonlink_router/stage_scheduler.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stage_scheduler.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from collections import Counter
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
@@ -23,6 +24,7 @@
 from persimmonlink_router.stage_demand import StageDemand
 from persimmonlink_router.stage_dispatcher import StageDispatcher
 from persimmonlink_router.stage_job import StageResult
+from persimmonlink_router.stage_load_log import StageLoadLog
 from persimmonlink_router.stage_log import log_admission, log_completion
 from persimmonlink_router.stage_outcome import StageOutcome, StageState
 from persimmonlink_router.stage_pieces import build_pending_pieces
@@ -148,6 +150,7 @@
         self._demand = StageDemand(
             cluster_view, self.servers, self._backlog, self.dispatcher
         )
+        self._load_log = StageLoadLog(metrics)
         self._last_request_at = -TAKEOVER_IDLE_S
 
     async def run(self, job: StageJob) -> StageOutcome:
@@ -168,6 +171,7 @@
         if job.made:
             # The previous coordinator admitted it before it stopped.
             admission = Admission(AdmissionOutcome.ADMITTED, admission.predicted_s)
+        self._load_log.record_job()
         log_admission(job, admission, self.dispatcher.count_waiting())
         self._metrics.count("stage_admissions_total", f'outcome="{admission.outcome}"')
         if admission.outcome is AdmissionOutcome.REFUSED:
@@ -267,6 +271,7 @@
             if hopeless is not None and hopeless.chain is chain:
                 self._give_up(hopeless, now)
         self.dispatcher.dispatch_all()
+        self._load_log.tick(self.dispatcher.count_waiting(), now, time.process_time())
 
     async def _start_and_wait(self, request: _StageRequest) -> StageOutcome:
         job = request.chain.job
@@ -330,6 +335,7 @@
 
     def _on_batch_outcome(self, outcome: BatchOutcome) -> None:
         """Apply the results of a batch to the requests of its pieces."""
+        self._load_log.record_call()
         changed_by_id: dict[str, _StageRequest] = {}
         state = self.servers.state(outcome.server)
         for index, piece in enumerate(outcome.pieces):
--- a/packages/persimmonlink-router/src/persimmonlink_router/stream_relay.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stream_relay.py
@@ -164,7 +164,9 @@
         attempt=make_attempt(),
         exact_fingerprint=state.exact_fingerprint,
     )
+    asked_at = boot_time()
     outcome = await stages.run(job)
+    state.stages_s = boot_time() - asked_at
     state.predicted_first_event_s = outcome.predicted_s
     if outcome.state is StageState.DONE:
         return StageInputs(outcome.handles, outcome.bytes_by_domain, job.attempt)
--- a/tests/router/stage_play.py
+++ b/tests/router/stage_play.py
@@ -193,7 +193,7 @@
     budget = SimpleNamespace(
         record_request=lambda *_: None, try_acquire=lambda *_: True
     )
-    metrics = SimpleNamespace(count=lambda *_: None)
+    metrics = SimpleNamespace(count=lambda *_: None, set_gauge=lambda *_: None)
     other: Any = SimpleNamespace()
     scheduler = StageScheduler(
         view, other, other, ServerHealth(), budget, metrics, other, guard, other,
