Take the next pieces of a stage without a look at all that wait

Cause: each job and each call made the coordinator check, rank and sort all pieces that wait, several times over, so that its work for a request grew with the queue, the queue with its work, and neither came down again.

Waiting pieces are now kept by stage of a request, in sorted lines of each account and priority; a batch takes the first of them, and what is obsolete is left out as it comes up. Servers are looked at only while one is idle, and a service is asked to dispatch once for all results of a call. The order, turns, refusals and waits are as before.

--- a/packages/persimmonlink-router/src/persimmonlink_router/account_turns.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/account_turns.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING, TypeVar
 
 if TYPE_CHECKING:
-    from collections.abc import Collection, Iterator, Mapping, Sequence
+    from collections.abc import Collection, Iterable, Iterator, Mapping
 
 Item = TypeVar("Item")
 
@@ -21,37 +21,40 @@
     def __init__(self) -> None:
         self._turns_by_account: dict[str, int] = {}
 
+    def begin(self, accounts: Iterable[str]) -> None:
+        """Count accounts as waiting from now on, unless they do already."""
+        fewest = min(self._turns_by_account.values(), default=0)
+        for account in accounts:
+            self._turns_by_account.setdefault(account, fewest)
+
     def interleave(
-        self, items_by_account: Mapping[str, Sequence[Item]]
+        self, items_by_account: Mapping[str, Iterable[Item]]
     ) -> Iterator[Item]:
         """Yield all items, of the account with the fewest turns first.
 
         Of an account, items come in their order; of accounts with as many turns, in the
         order of the mapping. Accounts begin to wait with this; their turns are not
-        recorded.
+        recorded. No more items are drawn than are asked for.
         """
-        fewest = min(self._turns_by_account.values(), default=0)
-        for account in items_by_account:
-            self._turns_by_account.setdefault(account, fewest)
+        self.begin(items_by_account)
+        iterator_by_account = {a: iter(items) for a, items in items_by_account.items()}
         heap = [
             (self._turns_by_account[account], order, account)
             for order, account in enumerate(items_by_account)
         ]
         heapq.heapify(heap)
-        next_by_account = dict.fromkeys(items_by_account, 0)
         while heap:
             turns, order, account = heap[0]
-            items = items_by_account[account]
-            yield items[next_by_account[account]]
-            next_by_account[account] += 1
-            if next_by_account[account] < len(items):
+            for item in iterator_by_account[account]:
+                yield item
                 heapq.heapreplace(heap, (turns + 1, order, account))
+                break
             else:
                 heapq.heappop(heap)
 
-    def record_turn(self, account: str) -> None:
-        """Count a turn of an account that waits."""
-        self._turns_by_account[account] += 1
+    def record_turn(self, account: str, turns: int = 1) -> None:
+        """Count a turn, or a number of turns, of an account that waits."""
+        self._turns_by_account[account] += turns
 
     def retain_only(self, accounts: Collection[str]) -> None:
         """Discard the turns of accounts without waiting work."""
--- a/packages/persimmonlink-router/src/persimmonlink_router/stage_dispatcher.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stage_dispatcher.py
@@ -101,11 +101,13 @@
 
     def put(self, pieces: Sequence[PendingPiece]) -> None:
         """Add pieces to the queues of their services."""
+        pieces_by_service: dict[str, list[PendingPiece]] = {}
         for piece in pieces:
             service = piece.chain.job.stages[piece.stage].service
             piece.chain.adjust_unsent_pieces(piece.stage, 1)
-            queue = self._queue_by_service.setdefault(service, StageQueue())
-            queue.put([piece])
+            pieces_by_service.setdefault(service, []).append(piece)
+        for service, group in pieces_by_service.items():
+            self._queue_by_service.setdefault(service, StageQueue()).put(group)
 
     def count_waiting(self) -> dict[str, int]:
         """Return the number of pieces that wait, by service."""
@@ -147,7 +149,6 @@
         service = self._cluster_view.find_service(service_name)
         if queue is None or service is None or self.is_stopped:
             return
-        queue.drop_obsolete()
         has_dispatched = True
         while has_dispatched and len(queue):
             has_dispatched = False
@@ -157,10 +158,16 @@
                 if self._dispatch_batch(service, server, queue):
                     has_dispatched = True
                     break
-        if service.batch is not None:
-            now = boot_time()
-            servers, _ = self._servers.measure_capacity(service_name, now)
-            queue.record_length(service.batch, servers, now)
+        self._record_length(service, queue)
+
+    def _record_length(self, service: Service, queue: StageQueue) -> None:
+        if service.batch is None:
+            return
+        now = boot_time()
+        servers = 0.0
+        if len(queue):
+            servers, _ = self._servers.measure_capacity(service.name, now)
+        queue.record_length(service.batch, servers, now)
 
     def _dispatch_batch(
         self, service: Service, server: Server, queue: StageQueue
--- a/packages/persimmonlink-router/src/persimmonlink_router/stage_log.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stage_log.py
@@ -12,12 +12,12 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping, Sequence
 
+    from persimmonlink_router.pending_piece import PendingPiece
     from persimmonlink_router.send_basis import SendBasis
     from persimmonlink_router.servers import Server
     from persimmonlink_router.stage_admission import Admission
     from persimmonlink_router.stage_chain import StageChain
     from persimmonlink_router.stage_job import StageJob
-    from persimmonlink_router.stage_queue import PendingPiece
     from persimmonlink_router.wire_messages import PieceResult
 
 
--- a/packages/persimmonlink-router/src/persimmonlink_router/stage_pieces.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stage_pieces.py
@@ -5,7 +5,7 @@
 from collections import Counter
 from typing import TYPE_CHECKING
 
-from persimmonlink_router.stage_queue import PendingPiece
+from persimmonlink_router.pending_piece import PendingPiece
 
 if TYPE_CHECKING:
     from persimmonlink_router.cluster_view import ClusterView
--- a/packages/persimmonlink-router/src/persimmonlink_router/stage_queue.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stage_queue.py
@@ -7,72 +7,26 @@
 from __future__ import annotations
 
 import math
+from collections import Counter
 from dataclasses import dataclass
-from itertools import groupby
 from typing import TYPE_CHECKING
 
 from persimmonlink_router.account_turns import AccountTurns
-from persimmonlink_router.stage_chain import StageChain
+from persimmonlink_router.pending_piece import PendingPiece
+from persimmonlink_router.waiting_stages import WaitingStages
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Sequence
+    from collections.abc import Callable, Iterable, Iterator, Mapping, Sequence
 
     from persimmonlink_router.configuration import BatchSpec
+    from persimmonlink_router.stage_chain import StageChain
+    from persimmonlink_router.waiting_stages import WaitingStage
 
 MIN_CALL_S = 0.001  # Expected time of a call whose service states none.
 # A piece goes before all others from this time before its first input expires.
 EXPIRY_MARGIN_S = 1.5
 
 
-@dataclass(frozen=True, slots=True, eq=False)
-class PendingPiece:
-    """A piece of a stage that has no result yet.
-
-    Parameters
-    ----------
-    chain : StageChain
-        Stages of the request that the piece belongs to.
-    stage : int
-        Index of the stage.
-    number : int
-        Number of the piece in its stage.
-    epoch : int
-        Epoch of the stage when the piece was queued.
-    queued_at : float
-        Boot time at which the piece became ready, in seconds.
-    preferred_domain : str
-        Failure domain with most of the data, empty if there is no preference.
-    inputs_expire_at : float
-        Boot time at which the first of the inputs expires, in seconds.
-    """
-
-    chain: StageChain
-    stage: int
-    number: int
-    epoch: int
-    queued_at: float
-    preferred_domain: str = ""
-    inputs_expire_at: float = float("inf")
-
-    @property
-    def result_bytes(self) -> int:
-        """Approximate size of the result, in bytes."""
-        return self.chain.job.stages[self.stage].result_bytes
-
-    @property
-    def latest_start_at(self) -> float:
-        """Boot time of the latest start by which the client is answered in time."""
-        return self.chain.deadline_at - self.chain.critical_path_s(self.stage)
-
-    def is_current(self) -> bool:
-        """Whether the result is still needed: request open, stage not reset."""
-        return not self.chain.is_closed and self.chain.epoch(self.stage) == self.epoch
-
-    def is_sendable(self) -> bool:
-        """Whether the result is still needed and all inputs are available."""
-        return self.is_current() and self.chain.has_inputs(self.stage)
-
-
 @dataclass(frozen=True, slots=True)
 class Batch:
     """Pieces that are sent to a server in one call.
@@ -93,7 +47,7 @@
     """Queue of the pieces that wait for servers of one service."""
 
     def __init__(self) -> None:
-        self._pieces: list[PendingPiece] = []
+        self._waiting = WaitingStages()
         self._turns = AccountTurns()
         self._short_at = 0.0
         self._longest_path_s = 0.0
@@ -101,20 +55,20 @@
         self._bounded_until = -math.inf
 
     def __len__(self) -> int:
-        return len(self._pieces)
+        return len(self._waiting)
 
     def put(self, pieces: Sequence[PendingPiece]) -> None:
         """Add pieces to the queue."""
-        if pieces and not self._pieces:
+        if pieces and not len(self):
             self._short_at = max(self._short_at, pieces[0].queued_at)
-        self._pieces.extend(pieces)
+        self._waiting.add(pieces)
         for piece in pieces:
             path_s = piece.chain.critical_path_s(piece.stage)
             self._longest_path_s = max(self._longest_path_s, path_s)
 
     def record_length(self, spec: BatchSpec, servers: float, now: float) -> None:
         """Record whether more pieces wait than a number of servers take next."""
-        if len(self._pieces) <= servers * spec.max_pieces:
+        if len(self) <= servers * spec.max_pieces:
             self._short_at = now
             self._longest_path_s = 0.0
 
@@ -141,7 +95,9 @@
 
     def drop_obsolete(self) -> None:
         """Remove pieces that are no longer needed or have lost their inputs."""
-        self._pieces = [piece for piece in self._pieces if piece.is_sendable()]
+        for stage in self._waiting:
+            if not stage.first.is_sendable():
+                self._waiting.take(stage, len(stage.pieces))
 
     def pop_batch(
         self,
@@ -163,44 +119,74 @@
         accounts take turns, and of an account the piece goes first whose request has
         the least time left.
         """
-        self.drop_obsolete()
         next_call_at = now + estimate_call_s(spec, spec.max_pieces)
-        eligible = sorted(
-            self._pieces, key=lambda piece: _sort_key(piece, now, next_call_at)
-        )
-        eligible = _separate_suspects(eligible, is_suspect)
-        eligible = self._take_turns(eligible, now, next_call_at)
+        self._turns.begin(self._waiting.pieces_by_account)
         batch: list[PendingPiece] = []
+        taken_by_stage: Counter[WaitingStage] = Counter()
         remaining_room_bytes = room_bytes
-        for piece in eligible:
+        has_unsent_pieces = False
+        for stage, piece in _separate_suspects(
+            self._iterate_in_order(now, next_call_at), is_suspect
+        ):
             if len(batch) == spec.max_pieces:
+                has_unsent_pieces = True
                 break
             if piece.result_bytes > remaining_room_bytes:
+                has_unsent_pieces = True
                 continue
             remaining_room_bytes -= piece.result_bytes
             batch.append(piece)
-            self._turns.record_turn(piece.chain.job.account)
-        chosen = set(batch)
-        self._pieces = [piece for piece in self._pieces if piece not in chosen]
-        self._turns.retain_only({piece.chain.job.account for piece in self._pieces})
-        return Batch(tuple(batch), len(batch) < len(eligible))
+            taken_by_stage[stage] += 1
+        for stage, piece_count in taken_by_stage.items():
+            self._waiting.take(stage, piece_count)
+            self._turns.record_turn(stage.account, piece_count)
+        self._turns.retain_only(self._waiting.pieces_by_account)
+        return Batch(tuple(batch), has_unsent_pieces)
+
+    def _iterate_in_order(
+        self, now: float, next_call_at: float
+    ) -> Iterator[tuple[WaitingStage, PendingPiece]]:
+        """Yield the pieces that may be sent, in the order in which they go.
+
+        What has begun is due if it can't wait until a boot time, in seconds. Only the
+        pieces that are asked for are looked at.
+        """
+        due = self._list_due(now, next_call_at)
+        due_lines: dict[int, dict[str, list[WaitingStage]]] = {}
+        for stage in sorted(due, key=lambda s: (s.first.latest_start_at, s.number)):
+            lines = due_lines.setdefault(stage.priority, {})
+            lines.setdefault(stage.account, []).append(stage)
+        for priority in sorted(due_lines):
+            yield from self._take_turns(due_lines[priority])
+        for priority in self._waiting.list_priorities():
+            lines_by_account = {
+                account: (stage for _, _, stage in line if stage not in due)
+                for account, line in self._waiting.lines_by_account(priority).items()
+            }
+            yield from self._take_turns(lines_by_account)
 
     def _take_turns(
-        self, pieces: list[PendingPiece], now: float, next_call_at: float
-    ) -> list[PendingPiece]:
-        """Order sorted pieces so that accounts take turns within each priority."""
-        ordered: list[PendingPiece] = []
-
-        def rank(piece: PendingPiece) -> tuple[bool, int]:
-            return _sort_key(piece, now, next_call_at)[:2]
-
-        for _, group in groupby(pieces, key=rank):
-            pieces_by_account: dict[str, list[PendingPiece]] = {}
-            for piece in group:
-                account = piece.chain.job.account
-                pieces_by_account.setdefault(account, []).append(piece)
-            ordered.extend(self._turns.interleave(pieces_by_account))
-        return ordered
+        self, stages_by_account: Mapping[str, Iterable[WaitingStage]]
+    ) -> Iterator[tuple[WaitingStage, PendingPiece]]:
+        pieces_by_account = {
+            account: _iterate_sendable(stages)
+            for account, stages in stages_by_account.items()
+        }
+        return self._turns.interleave(pieces_by_account)
+
+    def _list_due(self, now: float, next_call_at: float) -> dict[WaitingStage, None]:
+        """Return the stages that go before all others.
+
+        Their inputs expire soon, or they have begun and can't wait until a boot time,
+        in seconds.
+        """
+        due = dict.fromkeys(
+            self._waiting.iterate_expiring_before(now + EXPIRY_MARGIN_S)
+        )
+        for stage in self._waiting.iterate_starting_before(next_call_at):
+            if stage.chain.has_started:
+                due[stage] = None
+        return due
 
     def list_hopeless(
         self, spec: BatchSpec, servers: float, until_free_s: float, now: float
@@ -212,10 +198,13 @@
         """
         pieces_per_round = max(1.0, servers * spec.max_pieces)
         call_s = estimate_call_s(spec, spec.max_pieces)
-        ordered = sorted(self._pieces, key=lambda piece: _sort_key(piece, now, now))
+        last_start_at = now + until_free_s + len(self) // pieces_per_round * call_s
+        if not any(self._waiting.iterate_starting_before(last_start_at)):
+            return []
+        self._turns.begin(self._waiting.pieces_by_account)
         hopeless: dict[StageChain, None] = {}
         ahead = 0
-        for piece in self._take_turns(ordered, now, now):
+        for _, piece in self._iterate_in_order(now, now):
             if piece.chain in hopeless:
                 continue
             start_at = now + until_free_s + ahead // pieces_per_round * call_s
@@ -227,37 +216,45 @@
 
     def find_preferred_domain(self, now: float) -> str:
         """Return the failure domain where the first piece has most of its data."""
-        first = min(
-            self._pieces, key=lambda piece: _sort_key(piece, now, now), default=None
-        )
-        return first.preferred_domain if first is not None else ""
+        due = self._list_due(now, now)
+        if due:
+            first = min(due, key=lambda s: (s.priority, s.first.latest_start_at))
+            return first.first.preferred_domain
+        for priority in self._waiting.list_priorities():
+            for line in self._waiting.lines_by_account(priority).values():
+                return line[0][2].first.preferred_domain
+        return ""
 
     def min_result_bytes(self) -> int:
         """Return the size of the smallest result in bytes, 0 if the queue is empty."""
-        return min((piece.result_bytes for piece in self._pieces), default=0)
+        return self._waiting.min_result_bytes()
+
+
+def _iterate_sendable(
+    stages: Iterable[WaitingStage],
+) -> Iterator[tuple[WaitingStage, PendingPiece]]:
+    for stage in stages:
+        if not stage.first.is_sendable():
+            continue
+        for piece in stage.pieces:
+            yield stage, piece
 
 
 def _separate_suspects(
-    pieces: list[PendingPiece], is_suspect: Callable[[Sequence[str]], bool]
-) -> list[PendingPiece]:
-    """Return the pieces that may be in one batch with the first one."""
-    if not pieces:
-        return pieces
-    first = pieces[0].chain
-    if is_suspect(first.job.fingerprints):
-        return [piece for piece in pieces if piece.chain is first]
-    return [piece for piece in pieces if not is_suspect(piece.chain.job.fingerprints)]
-
-
-def _sort_key(
-    piece: PendingPiece, now: float, next_call_at: float
-) -> tuple[bool, int, float]:
-    """Return the rank of a piece; the next call may not begin before a time."""
-    chain = piece.chain
-    is_expiring = now > piece.inputs_expire_at - EXPIRY_MARGIN_S
-    latest_start_at = piece.latest_start_at
-    is_due = chain.has_started and latest_start_at < next_call_at
-    return not (is_expiring or is_due), chain.job.priority, latest_start_at
+    pieces: Iterator[tuple[WaitingStage, PendingPiece]],
+    is_suspect: Callable[[Sequence[str]], bool],
+) -> Iterator[tuple[WaitingStage, PendingPiece]]:
+    """Yield the pieces that may be in one batch with the first one."""
+    is_suspect_by_stage: dict[WaitingStage, bool] = {}
+    first: StageChain | None = None
+    for stage, piece in pieces:
+        if stage not in is_suspect_by_stage:
+            is_suspect_by_stage[stage] = is_suspect(piece.chain.job.fingerprints)
+        first = first or piece.chain
+        if first is piece.chain or (
+            not is_suspect_by_stage[stage] and not is_suspect(first.job.fingerprints)
+        ):
+            yield stage, piece
 
 
 def estimate_call_s(spec: BatchSpec, piece_count: float) -> float:
--- a/packages/persimmonlink-router/src/persimmonlink_router/stage_scheduler.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stage_scheduler.py
@@ -32,10 +32,13 @@
 from persimmonlink_router.wire_messages import PieceFailure
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from persimmonlink_router.cluster_view import ClusterView
     from persimmonlink_router.connection_pool import ConnectionPool
     from persimmonlink_router.crash_guard import CrashGuard
     from persimmonlink_router.metrics import RouterMetrics
+    from persimmonlink_router.pending_piece import PendingPiece
     from persimmonlink_router.send_limits import RetryBudget
     from persimmonlink_router.server_ends import ServerEndDetector
     from persimmonlink_router.server_health import ServerHealth
@@ -44,7 +47,6 @@
     from persimmonlink_router.server_reach import ServerReach
     from persimmonlink_router.stage_dispatcher import BatchOutcome
     from persimmonlink_router.stage_job import StageJob
-    from persimmonlink_router.stage_queue import PendingPiece
     from persimmonlink_router.wire_messages import Wire
 
 # After this time without requests, another node may have coordinated meanwhile.
@@ -277,7 +279,7 @@
         job = request.chain.job
         self._request_by_id[job.request_id] = request
         self._backlog.add(request.chain)
-        self._queue_ready_stages(request)
+        self._dispatch(self._queue_ready_stages(request))
         try:
             async with asyncio.timeout(job.deadline_left_s):
                 # Shielded: a cancelled caller must not leave a cancelled future behind.
@@ -321,8 +323,10 @@
             StageOutcome(StageState.REFUSED, retry_after_s=retry_after_s),
         )
 
-    def _queue_ready_stages(self, request: _StageRequest) -> None:
+    def _queue_ready_stages(self, request: _StageRequest) -> set[str]:
+        """Queue the stages whose inputs exist; return the services that run them."""
         chain = request.chain
+        services = set()
         now = boot_time()
         for index in chain.pop_ready_stages():
             chain.times[index].ready_at = now
@@ -330,7 +334,11 @@
             self.dispatcher.put(
                 build_pending_pieces(chain, index, self._cluster_view, now)
             )
-        for service in {need.service for need in chain.job.stages}:
+            services.add(chain.job.stages[index].service)
+        return services
+
+    def _dispatch(self, services: Iterable[str]) -> None:
+        for service in services:
             self.dispatcher.dispatch(service)
 
     def _on_batch_outcome(self, outcome: BatchOutcome) -> None:
@@ -363,8 +371,10 @@
                 )
             else:
                 request.chain.record_result_time(piece.stage, boot_time())
+        services: set[str] = set()
         for request in changed_by_id.values():
-            self._advance(request)
+            services |= self._advance(request)
+        self._dispatch(services)
 
     def _find_awaiting_request(self, piece: PendingPiece) -> _StageRequest | None:
         """Return the request that still needs the result of a piece, if any."""
@@ -417,18 +427,21 @@
                 return True
         return False
 
-    def _advance(self, request: _StageRequest) -> None:
-        """Queue the next stages of a request, or finish it if all are done."""
+    def _advance(self, request: _StageRequest) -> set[str]:
+        """Queue the next stages of a request, or finish it if all are done.
+
+        Returns the services that have more pieces to run.
+        """
         if request.outcome_future.done():
-            return
+            return set()
         chain = request.chain
         if not chain.is_done():
             if self.dispatcher.is_stopped:
                 self._transfer_if_idle(request)
-                return
-            self._queue_ready_stages(request)
+                return set()
+            services = self._queue_ready_stages(request)
             self._calls.release(chain.pop_consumed_results())
-            return
+            return services
         log_completion(chain)
         bytes_by_domain: Counter[str] = Counter()
         for result in chain.list_final_results():
@@ -444,6 +457,7 @@
                 predicted_s=request.predicted_s,
             ),
         )
+        return set()
 
     def _finish(self, request: _StageRequest, outcome: StageOutcome) -> None:
         self._backlog.remove(request.chain)
--- a/packages/persimmonlink-router/src/persimmonlink_router/stage_servers.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stage_servers.py
@@ -137,37 +137,49 @@
         spec = service.batch
         if spec is None:
             return []
-        domain = queue.find_preferred_domain(now)
-        candidates: list[tuple[float, bool, str, Server]] = []
-        earliest_finish_s = float("inf")
-        call_s = estimate_call_s(spec, min(len(queue), spec.max_pieces))
-        min_result_bytes = queue.min_result_bytes()
+        idle: list[Server] = []
+        busy: list[Server] = []
         for server in self._cluster_view.servers.list_usable(service.name):
-            state = self.state(server)
-            slowness = self.slowness(server, now)
-            if self._is_blocked(server, now):
-                continue
-            if state.calls_in_flight >= spec.max_concurrent_calls:
-                remaining_s = max(0.0, state.busy_until - now)
-                earliest_finish_s = min(
-                    earliest_finish_s, remaining_s + call_s * slowness
-                )
-                continue
-            if state.room_bytes(spec, now) < min_result_bytes:
-                continue
-            is_elsewhere = server.domain != domain
-            candidates.append(
-                (round(slowness, 1), is_elsewhere, server.server_id, server)
-            )
-        candidates.sort(key=lambda entry: entry[:3])
-        chosen = []
-        for slowness, _, _, server in candidates:
-            is_slow = slowness > SLOW_FACTOR and len(queue) <= spec.max_pieces
-            # A faster server that is busy now would still finish earlier.
-            if is_slow and earliest_finish_s < call_s * slowness:
-                continue
-            chosen.append(server)
-        return chosen
+            is_busy = self.state(server).calls_in_flight >= spec.max_concurrent_calls
+            (busy if is_busy else idle).append(server)
+        min_result_bytes = queue.min_result_bytes()
+        candidates = [
+            (round(self.slowness(server, now), 1), server)
+            for server in idle
+            if not self._is_blocked(server, now)
+            and self.state(server).room_bytes(spec, now) >= min_result_bytes
+        ]
+        if not candidates:
+            return []
+        domain = queue.find_preferred_domain(now)
+        candidates.sort(key=lambda c: (c[0], c[1].domain != domain, c[1].server_id))
+        if candidates[-1][0] <= SLOW_FACTOR or len(queue) > spec.max_pieces:
+            return [server for _, server in candidates]
+        call_s = estimate_call_s(spec, len(queue))
+        earliest_finish_s = self._find_earliest_finish_s(busy, call_s, now)
+        # Of slow servers, those that would end before one which is busy now.
+        return [
+            server
+            for slowness, server in candidates
+            if slowness <= SLOW_FACTOR or call_s * slowness <= earliest_finish_s
+        ]
+
+    def _find_earliest_finish_s(
+        self, busy: Sequence[Server], call_s: float, now: float
+    ) -> float:
+        """Return when the first of some servers could end a further call, in seconds.
+
+        The call takes a sound server a time, in seconds.
+        """
+        return min(
+            (
+                max(0.0, self.state(server).busy_until - now)
+                + call_s * self.slowness(server, now)
+                for server in busy
+                if not self._is_blocked(server, now)
+            ),
+            default=float("inf"),
+        )
 
     def measure_capacity(self, service: str, now: float) -> tuple[float, float]:
         """Return the effective number of servers, and the time until one is free.
