Keep the load of all peers as sums instead of adding it up for each engine

Sums are kept as reports come and expire; a report that has expired is dropped then, not seconds later.

A test over random reports holds the sums to each node's last valid report.

--- a/packages/persimmonlink-router/src/persimmonlink_router/peer_loads.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/peer_loads.py
@@ -2,18 +2,23 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from collections import OrderedDict
+from collections.abc import Mapping
+from dataclasses import dataclass
 
 from persimmonlink_router.peer_messages import EngineLoad
 
-if TYPE_CHECKING:
-    from collections.abc import Mapping
+NO_LOAD = EngineLoad(0, 0)
 
-RETENTION_S = 5.0  # Age at which a node's last report is discarded.
+
+@dataclass(frozen=True, slots=True)
+class _Report:
+    received_at: float
+    load_by_server: Mapping[str, EngineLoad]
 
 
 class PeerLoads:
-    """Keeps the last load report of each node.
+    """Keeps the last load report of each node, and the sums over all nodes.
 
     Parameters
     ----------
@@ -23,31 +28,49 @@
 
     def __init__(self, valid_s: float) -> None:
         self._valid_s = valid_s
-        self._load_by_node: dict[str, tuple[float, Mapping[str, EngineLoad]]] = {}
+        # Oldest first.
+        self._report_by_node: OrderedDict[str, _Report] = OrderedDict()
+        self._sum_by_server: dict[str, EngineLoad] = {}
 
     def record(
         self, node_id: str, load_by_server: Mapping[str, EngineLoad], now: float
     ) -> None:
         """Record a node's load on each server, replacing its previous report."""
-        self._load_by_node[node_id] = (now, load_by_server)
+        self._discard(node_id)
+        self._report_by_node[node_id] = _Report(now, load_by_server)
+        for server_id, load in load_by_server.items():
+            self._add(server_id, load, 1)
 
     def sum(self, server_id: str, now: float) -> EngineLoad:
         """Return the load on a server, summed over the reports that are valid."""
-        in_flight = 0
-        unread = 0
-        for received_at, load_by_server in self._load_by_node.values():
-            load = load_by_server.get(server_id)
-            if load is None or now - received_at > self._valid_s:
-                continue
-            in_flight += load.in_flight
-            unread += load.unread_tokens
-        return EngineLoad(in_flight, unread)
+        self.discard_expired(now)
+        return self._sum_by_server.get(server_id, NO_LOAD)
 
     def discard_expired(self, now: float) -> None:
-        """Discard reports older than `RETENTION_S`."""
-        for node_id, (received_at, _) in list(self._load_by_node.items()):
-            if now - received_at > RETENTION_S:
-                del self._load_by_node[node_id]
+        """Discard the reports that are no longer valid."""
+        while self._report_by_node:
+            node_id, report = next(iter(self._report_by_node.items()))
+            if now - report.received_at <= self._valid_s:
+                return
+            self._discard(node_id)
+
+    def _discard(self, node_id: str) -> None:
+        report = self._report_by_node.pop(node_id, None)
+        if report is None:
+            return
+        for server_id, load in report.load_by_server.items():
+            self._add(server_id, load, -1)
+
+    def _add(self, server_id: str, load: EngineLoad, sign: int) -> None:
+        known = self._sum_by_server.get(server_id, NO_LOAD)
+        total = EngineLoad(
+            known.in_flight + sign * load.in_flight,
+            known.unread_tokens + sign * load.unread_tokens,
+        )
+        if total == NO_LOAD:
+            self._sum_by_server.pop(server_id, None)
+        else:
+            self._sum_by_server[server_id] = total
 
 
 __all__ = ("PeerLoads",)
