Decay a server's record once for a moment, not at each look

Each look at a server's latency and failures computed the decay of its record anew, also several times for the same moment. Suspicion of a request is asked once a batch.

--- a/packages/persimmonlink-router/src/persimmonlink_router/server_health.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/server_health.py
@@ -131,10 +131,15 @@
                 del self._record_by_key[key]
 
     def _get_or_create(self, key: Hashable) -> _HealthRecord:
-        return self._record_by_key.setdefault(key, _HealthRecord())
+        record = self._record_by_key.get(key)
+        if record is None:
+            record = self._record_by_key[key] = _HealthRecord()
+        return record
 
     def _decay(self, key: Hashable, now: float) -> _HealthRecord:
         record = self._get_or_create(key)
+        if record.decayed_at == now:
+            return record
         decay_factor = math.exp(-max(0.0, now - record.decayed_at) / RECORD_DECAY_S)
         record.latency_ratio = 1.0 + (record.latency_ratio - 1.0) * decay_factor
         record.failure_share *= decay_factor
--- a/packages/persimmonlink-router/src/persimmonlink_router/stage_queue.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stage_queue.py
@@ -245,15 +245,17 @@
     is_suspect: Callable[[Sequence[str]], bool],
 ) -> Iterator[tuple[WaitingStage, PendingPiece]]:
     """Yield the pieces that may be in one batch with the first one."""
-    is_suspect_by_stage: dict[WaitingStage, bool] = {}
-    first: StageChain | None = None
+    chosen: StageChain | None = None
+    is_chosen_suspect = False
+    is_suspect_by_chain: dict[StageChain, bool] = {}
     for stage, piece in pieces:
-        if stage not in is_suspect_by_stage:
-            is_suspect_by_stage[stage] = is_suspect(piece.chain.job.fingerprints)
-        first = first or piece.chain
-        if first is piece.chain or (
-            not is_suspect_by_stage[stage] and not is_suspect(first.job.fingerprints)
-        ):
+        chain = piece.chain
+        if chain not in is_suspect_by_chain:
+            is_suspect_by_chain[chain] = is_suspect(chain.job.fingerprints)
+        if chosen is None:
+            chosen, is_chosen_suspect = chain, is_suspect_by_chain[chain]
+        may_join = not is_chosen_suspect and not is_suspect_by_chain[chain]
+        if chain is chosen or may_join:
             yield stage, piece
 
 
--- a/packages/persimmonlink-router/src/persimmonlink_router/stage_servers.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stage_servers.py
@@ -124,7 +124,10 @@
 
     def state(self, server: Server) -> StageServerState:
         """Return the state of a server."""
-        return self._state_by_key.setdefault(server.key, StageServerState())
+        state = self._state_by_key.get(server.key)
+        if state is None:
+            state = self._state_by_key[server.key] = StageServerState()
+        return state
 
     def choose_servers(
         self, service: Service, queue: StageQueue, now: float
