Ask a server that has just rejected a request after the others

What callers saw: where one server of a service rejects and doesn't name the request, the second caller got 502. For 0.1 s after a rejection, as for stage servers, a server is asked only if all others have rejected too: it has no room yet, and a caller spares the way there and back.

--- a/packages/persimmonlink-router/src/persimmonlink_router/server_chooser.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/server_chooser.py
@@ -123,6 +123,7 @@
             if is_due or self._places.is_reading_due(server):
                 return server
             candidates.append(server)
+        candidates = self._prefer_accepting(candidates, now)
         if service is not None and service.engine is not None:
             criteria = EngineCriteria(
                 state.metadata,
@@ -140,6 +141,15 @@
         )
         return choose_plain_server(candidates, self._health, plain, now)
 
+    def _prefer_accepting(self, servers: list[Server], now: float) -> list[Server]:
+        """Leave out servers that have just rejected a request, unless all have."""
+        accepting = [
+            server
+            for server in servers
+            if not self._health.has_just_rejected(server.key, now)
+        ]
+        return accepting or servers
+
     def try_acquire_cold_send(
         self, server: Server, state: RequestState, now: float
     ) -> bool:
--- a/packages/persimmonlink-router/src/persimmonlink_router/server_health.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/server_health.py
@@ -21,6 +21,8 @@
 STALL_RAMP_S = 2.0
 # Time constant of the decay of a record: it loses almost two thirds in this time.
 RECORD_DECAY_S = 4.0
+# Time for which a server that rejected a request is asked after others.
+REJECTION_BACKOFF_S = 0.1
 
 
 @dataclass(slots=True)
@@ -31,6 +33,7 @@
     in_flight: int = 0
     unread_tokens: int = 0
     unanswered_sent_at: deque[float] = field(default_factory=deque)
+    rejected_at: float = -math.inf
 
 
 class ServerHealth:
@@ -94,6 +97,14 @@
         record = self._decay(key, now)
         record.failure_share += FAILURE_WEIGHT * (1 - record.failure_share)
 
+    def record_rejection(self, key: Hashable, now: float) -> None:
+        """Record that a server rejected a request without running it."""
+        self._get_or_create(key).rejected_at = now
+
+    def has_just_rejected(self, key: Hashable, now: float) -> bool:
+        """Whether a server has rejected a request within `REJECTION_BACKOFF_S`."""
+        return now - self._get_or_create(key).rejected_at < REJECTION_BACKOFF_S
+
     def record_timeout(self, key: Hashable, latency_ratio: float, now: float) -> None:
         """Record that a response takes over `latency_ratio` times the expected time."""
         record = self._decay(key, now)
--- a/packages/persimmonlink-router/src/persimmonlink_router/server_sender.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/server_sender.py
@@ -362,6 +362,7 @@
             is_open = True
         except RejectedError:
             was_rejected = True
+            self._health.record_rejection(server.key, boot_time())
             raise
         finally:
             self._health.end_response_wait(server.key, now)
