--- a/packages/persimmonlink-router/src/persimmonlink_router/stage_scheduler.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stage_scheduler.py
@@ -5,7 +5,6 @@
 import asyncio
 import time
 from collections import Counter
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from loguru import logger
@@ -28,6 +27,7 @@
 from persimmonlink_router.stage_log import log_admission, log_completion
 from persimmonlink_router.stage_outcome import StageOutcome, StageState
 from persimmonlink_router.stage_pieces import build_pending_pieces
+from persimmonlink_router.stage_request import StageRequest, is_held
 from persimmonlink_router.stage_servers import StageServers
 from persimmonlink_router.wire_messages import PieceFailure
 
@@ -59,34 +59,6 @@
 EXPIRY_DELAY_S = 1.0  # Time from the deadline of a request until it is discarded.
 
 
-@dataclass(slots=True, eq=False)
-class _StageRequest:
-    """A request whose stages are run or whose results are held.
-
-    Parameters
-    ----------
-    chain : StageChain
-        State of the stages.
-    outcome_future : Future of StageOutcome
-        Outcome that the caller waits for.
-    predicted_s : float
-        Predicted time to the first event, in seconds.
-    retries : int
-        Pieces that were queued again.
-    is_transferred : bool
-        Whether the next coordinator owns the results.
-    finished_at : float
-        Boot time of the outcome, in seconds.
-    """
-
-    chain: StageChain
-    outcome_future: asyncio.Future[StageOutcome]
-    predicted_s: float = 0.0
-    retries: int = 0
-    is_transferred: bool = False
-    finished_at: float = 0.0
-
-
 class StageScheduler:
     """Admits requests, queues their pieces, and tracks their results.
 
@@ -147,7 +119,7 @@
             crash_guard,
             end_detector,
         )
-        self._request_by_id: dict[str, _StageRequest] = {}
+        self._request_by_id: dict[str, StageRequest] = {}
         self._backlog = StageBacklog()
         self._demand = StageDemand(
             cluster_view, self.servers, self._backlog, self.dispatcher
@@ -190,7 +162,7 @@
             asyncio.get_running_loop().create_future()
         )
         return await self._start_and_wait(
-            _StageRequest(chain, outcome_future, admission.predicted_s)
+            StageRequest(chain, outcome_future, admission.predicted_s)
         )
 
     def _restore_results(self, chain: StageChain) -> None:
@@ -213,7 +185,7 @@
             return
         self._drop(request)
 
-    def _drop(self, request: _StageRequest) -> None:
+    def _drop(self, request: StageRequest) -> None:
         """Stop a request and release its results, unless this was done already."""
         request_id = request.chain.job.request_id
         if self._request_by_id.get(request_id) is not request:
@@ -243,7 +215,7 @@
         """Dispatch again after `transfer_requests`."""
         self.dispatcher.is_stopped = False
 
-    def _transfer_if_idle(self, request: _StageRequest) -> None:
+    def _transfer_if_idle(self, request: StageRequest) -> None:
         if request.outcome_future.done() or request.chain.pieces_in_flight > 0:
             return
         request.is_transferred = True
@@ -275,7 +247,7 @@
         self.dispatcher.dispatch_all()
         self._load_log.tick(self.dispatcher.count_waiting(), now, time.process_time())
 
-    async def _start_and_wait(self, request: _StageRequest) -> StageOutcome:
+    async def _start_and_wait(self, request: StageRequest) -> StageOutcome:
         job = request.chain.job
         self._request_by_id[job.request_id] = request
         self._backlog.add(request.chain)
@@ -305,7 +277,7 @@
         self._budget.record_request(service, boot_time())
         self._backlog.record_sent(chain, index)
 
-    def _give_up(self, request: _StageRequest, now: float) -> None:
+    def _give_up(self, request: StageRequest, now: float) -> None:
         """Refuse a request that can't be answered by its deadline any more."""
         if request.outcome_future.done():
             return
@@ -323,7 +295,7 @@
             StageOutcome(StageState.REFUSED, retry_after_s=retry_after_s),
         )
 
-    def _queue_ready_stages(self, request: _StageRequest) -> set[str]:
+    def _queue_ready_stages(self, request: StageRequest) -> set[str]:
         """Queue the stages whose inputs exist; return the services that run them."""
         chain = request.chain
         services = set()
@@ -344,7 +316,7 @@
     def _on_batch_outcome(self, outcome: BatchOutcome) -> None:
         """Apply the results of a batch to the requests of its pieces."""
         self._load_log.record_call()
-        changed_by_id: dict[str, _StageRequest] = {}
+        changed_by_id: dict[str, StageRequest] = {}
         state = self.servers.state(outcome.server)
         for index, piece in enumerate(outcome.pieces):
             piece.chain.pieces_in_flight -= 1
@@ -376,7 +348,7 @@
             services |= self._advance(request)
         self._dispatch(services)
 
-    def _find_awaiting_request(self, piece: PendingPiece) -> _StageRequest | None:
+    def _find_awaiting_request(self, piece: PendingPiece) -> StageRequest | None:
         """Return the request that still needs the result of a piece, if any."""
         request = self._request_by_id.get(piece.chain.job.request_id)
         if (
@@ -388,7 +360,7 @@
         return request if piece.is_current() else None
 
     def _handle_missing_result(
-        self, request: _StageRequest, piece: PendingPiece, failure: PieceFailure | None
+        self, request: StageRequest, piece: PendingPiece, failure: PieceFailure | None
     ) -> None:
         """Retry a piece without a result, or fail its request."""
         self._metrics.count(
@@ -414,20 +386,9 @@
         self.dispatcher.put([piece])
 
     def _is_held(self, job: StageJob) -> bool:
-        """Whether a request is held back from the servers of a stage."""
-        if not job.fingerprint:
-            return False
-        hold = self._crash_guard.find_hold(job.fingerprints)
-        if hold is None:
-            return False
-        servers = self._cluster_view.servers
-        for need in job.stages:
-            usable = servers.list_usable(need.service) if need.pieces else []
-            if usable and all(hold.forbids(server.software) for server in usable):
-                return True
-        return False
-
-    def _advance(self, request: _StageRequest) -> set[str]:
+        return is_held(job, self._crash_guard, self._cluster_view.servers)
+
+    def _advance(self, request: StageRequest) -> set[str]:
         """Queue the next stages of a request, or finish it if all are done.
 
         Returns the services that have more pieces to run.
@@ -459,7 +420,7 @@
         )
         return set()
 
-    def _finish(self, request: _StageRequest, outcome: StageOutcome) -> None:
+    def _finish(self, request: StageRequest, outcome: StageOutcome) -> None:
         self._backlog.remove(request.chain)
         if not request.outcome_future.done():
             request.outcome_future.set_result(outcome)
