Keep the inputs of calls while another node coordinates stages too

Cause: 0.06 s after a call is sent its inputs are released, time in which an idle server has read them. While two nodes coordinate, which a cut brings about, a call waits at its server behind one of the other node, finds its inputs gone, and the stage before has to run again: work lost, so that calls wait longer and lose more. A server was marked as shared only by a refused or slow call of its own, for a second.

Inputs that a server does not find are now a sign that another node coordinates, and it may call all servers: for 3 s inputs are kept until the results arrive. Traced in the log of the coordinator: of two calls sent in the same moment with inputs of the same request, one read them and the other, which waited 0.2 s at its server, lost all 71.

--- a/packages/persimmonlink-router/src/persimmonlink_router/stage_dispatcher.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stage_dispatcher.py
@@ -186,7 +186,7 @@
             self._servers.record_fill(service.name, len(batch) / spec.max_pieces)
         expected_s = estimate_call_s(spec, len(batch))
         batch_bytes = sum(piece.result_bytes for piece in batch)
-        is_shared = self._servers.state(server).shared_until > now
+        is_shared = self._servers.is_shared(server, now)
         self._servers.record_call_start(server, batch_bytes, expected_s, now)
         for piece in batch:
             piece.chain.adjust_unsent_pieces(piece.stage, -1)
--- a/packages/persimmonlink-router/src/persimmonlink_router/stage_servers.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stage_servers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -32,6 +33,9 @@
 # Time for which a server is assumed to get calls of another node too, after a sign of
 # that or a change of the coordinator.
 SHARED_USE_S = 1.0
+# That time for all servers, after one did not find the inputs of a call: another node
+# coordinates too, until the members see each other again.
+OTHER_COORDINATOR_S = 3.0
 # A call that takes more than this multiple of its expected time suggests that another
 # node sends calls to the server too.
 INTERFERENCE_FACTOR = 1.2
@@ -121,6 +125,7 @@
         self._health = health
         self._state_by_key: dict[Hashable, StageServerState] = {}
         self._fill_fraction_by_service: dict[str, float] = {}
+        self._all_shared_until = -math.inf
 
     def state(self, server: Server) -> StageServerState:
         """Return the state of a server."""
@@ -230,8 +235,9 @@
         timeout_s = (
             expected_s * latency_ratio * CALL_TIMEOUT_FACTOR + CALL_TIMEOUT_MARGIN_S
         )
-        is_shared = self.state(server).shared_until > now
-        return timeout_s + (SHARED_CALL_TIMEOUT_MARGIN_S if is_shared else 0.0)
+        if self.is_shared(server, now):
+            timeout_s += SHARED_CALL_TIMEOUT_MARGIN_S
+        return timeout_s
 
     def record_call_start(
         self, server: Server, size_bytes: float, expected_s: float, now: float
@@ -261,7 +267,9 @@
 
         A refused or slow call suggests that another node sends calls to the server
         too, as after a change of the coordinator. Its memory and the start of the next
-        call are then uncertain for a while, and the server is marked as shared.
+        call are then uncertain for a while, and the server is marked as shared. Inputs
+        that it did not find were released before its call began, behind another node's;
+        that node may call all servers.
         """
         state = self.state(server)
         if results is None or ratio > INTERFERENCE_FACTOR:
@@ -269,6 +277,8 @@
         if results is None:
             state.blocked_until = now + BACKOFF_S
             return
+        if any(result.failure is PieceFailure.INPUT_GONE for result in results):
+            self._all_shared_until = now + OTHER_COORDINATOR_S
         if all(result.failure is PieceFailure.NO_ROOM for result in results):
             # A call without any result does not show the latency of the server.
             state.blocked_until = now + FULL_BACKOFF_S
@@ -297,8 +307,11 @@
 
     def mark_all_shared(self, now: float) -> None:
         """Mark all servers as shared with the previous coordinator."""
-        for server in self._cluster_view.servers.server_by_id.values():
-            self.state(server).shared_until = now + SHARED_USE_S
+        self._all_shared_until = max(self._all_shared_until, now + SHARED_USE_S)
+
+    def is_shared(self, server: Server, now: float) -> bool:
+        """Whether another node may send a server calls too."""
+        return max(self.state(server).shared_until, self._all_shared_until) > now
 
     def discard_absent(self, keys: Collection[Hashable]) -> None:
         """Discard the state of servers that are gone and have no calls in flight."""
--- a/tests/router/stage_play.py
+++ b/tests/router/stage_play.py
@@ -288,9 +288,13 @@
             await asyncio.sleep(DISPATCH_INTERVAL_S)
             self.scheduler.tick()
 
+    def _choose_scheduler(self, _number: int) -> StageScheduler:
+        return self.scheduler
+
     async def _call(self, number: int) -> None:
         caller = self._rng.choices(self.callers, [c.share for c in self.callers])[0]
         outcomes = self.outcomes[caller.name]
+        scheduler = self._choose_scheduler(number)
         outcomes.sent += 1
         began_at = boot_time()
         ends_at = began_at + caller.deadline_s
@@ -302,10 +306,10 @@
             leaves_at = min(ends_at, tried_at + caller.max_silence_s)
             name = f"{number}-{attempt}"
             job = self._build_job(caller, name, left_s, list(self.SPEC_BY_SERVICE))
-            outcome = await self.scheduler.run(job)
+            outcome = await scheduler.run(job)
             if outcome.state is StageState.DONE:
                 await asyncio.sleep(ANSWER_S)
-                self.scheduler.release(name)
+                scheduler.release(name)
                 if boot_time() > leaves_at:
                     continue
                 outcomes.served += 1
