--- a/packages/persimmonlink-router/src/persimmonlink_router/stage_load_log.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stage_load_log.py
@@ -27,7 +27,7 @@
     Parameters
     ----------
     metrics : RouterMetrics
-        Gets the pieces that wait, by service.
+        Gets the number of pieces that wait, of all services.
     """
 
     def __init__(self, metrics: RouterMetrics) -> None:
