Move a service to another version by a trial that any node may end

Orders to move a service (op/rollout/SERVICE) were unknown, so that new servers got requests as any others do, good or bad, and no status was written.

A bounded share of the requests, drawn by a hash of their ids, tries the new version; its outcomes are compared with those of the old versions on the same route in the same seconds by cumulative sums. The record in the store is written under the condition that it is unchanged, so that any node may decide and none decides twice. A version found bad gets nothing more at once; a sound one takes over once old servers have ended their work.

--- a/packages/persimmonlink-router/src/persimmonlink_router/cluster_view.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/cluster_view.py
@@ -9,6 +9,8 @@
 from persimmonlink_router.boot_clock import boot_time
 from persimmonlink_router.change_origin import UNKNOWN_ORIGIN, ChangeOrigin
 from persimmonlink_router.entry_numbers import EntryNumbers
+from persimmonlink_router.rollouts.rollout_book import RolloutBook
+from persimmonlink_router.rollouts.rollout_records import RolloutOrderEntry
 from persimmonlink_router.send_basis import SendBasis
 from persimmonlink_router.servers import Server, ServerDirectory
 from persimmonlink_router.store_contact import OUTAGE_EXPIRY_GRACE_S, StoreContact
@@ -49,6 +51,7 @@
         self.on_start: Callable[[Server, float], None] = lambda server, since: None
         self.configuration: Configuration | None = None
         self.servers = ServerDirectory()
+        self.rollouts = RolloutBook(self.servers)
         self._contact = StoreContact()
         self._entry_numbers = EntryNumbers()
         self._last_tick_at = boot_time()
@@ -70,6 +73,10 @@
             self._apply_server(entry, item.revision, origin)
         elif isinstance(entry, DrainEntry):
             self._apply_drain(entry, item.revision, origin)
+        elif isinstance(entry, RolloutOrderEntry):
+            self.rollouts.apply_order(
+                entry.service, entry.order, item.revision, boot_time()
+            )
         elif entry is not None:
             self._apply_configuration(entry, item.revision, origin)
         else:
--- a/packages/persimmonlink-router/src/persimmonlink_router/counted_store.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/counted_store.py
@@ -13,7 +13,7 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Coroutine
+    from collections.abc import Coroutine, Mapping
     from typing import Any
 
     from persimmonlink_router.metrics import RouterMetrics
@@ -59,6 +59,13 @@
         """Write a key under a lease and return the revision of the write."""
         return await self._count("put", self._store.put_with_lease(key, value, lease))
 
+    async def put_if_unchanged(
+        self, values: Mapping[str, bytes], revision_by_key: Mapping[str, int]
+    ) -> int | None:
+        """Write keys if others are unchanged; return the revision, or None."""
+        call = self._store.put_if_unchanged(values, revision_by_key)
+        return await self._count("put", call)
+
     async def grant_lease(self, ttl_s: float) -> int:
         """Create a lease and return its id."""
         return await self._count("grant_lease", self._store.grant_lease(ttl_s))
--- a/packages/persimmonlink-router/src/persimmonlink_router/peer_handlers.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/peer_handlers.py
@@ -24,6 +24,7 @@
 )
 from persimmonlink_router.reach_messages import AskReach, ReachReply
 from persimmonlink_router.relay_messages import RelayPart, RelayRequest
+from persimmonlink_router.rollouts.rollout_messages import ReportRollout, RolloutReply
 from persimmonlink_router.stage_messages import PrepareStages, ReleaseResults
 from persimmonlink_router.stage_outcome import StageOutcome
 from persimmonlink_router.stream_version_messages import (
@@ -38,6 +39,7 @@
     from persimmonlink_router.crash_guard import CrashGuard
     from persimmonlink_router.end_confirmer import EndConfirmer
     from persimmonlink_router.request_service import RequestService
+    from persimmonlink_router.rollouts.rollout_controller import RolloutController
     from persimmonlink_router.server_limiter import ServerLimiter
     from persimmonlink_router.server_places import ServerPlaces
     from persimmonlink_router.stage_coordinator_client import StageCoordinatorClient
@@ -65,6 +67,11 @@
     peers.register(FindStreamVersion, FoundStreamVersion, versions.handle_find)
 
 
+def register_rollouts(peers: PeerServer, rollouts: RolloutController) -> None:
+    """Serve reports of what nodes see of rollouts."""
+    peers.register(ReportRollout, RolloutReply, rollouts.handle_report)
+
+
 def register_server_state(
     peers: PeerServer,
     guard: CrashGuard,
@@ -83,4 +90,9 @@
     peers.register(AskPermit, PermitReply, limiter.handle_ask)
 
 
-__all__ = ("register_membership", "register_requests", "register_server_state")
+__all__ = (
+    "register_membership",
+    "register_requests",
+    "register_rollouts",
+    "register_server_state",
+)
--- a/packages/persimmonlink-router/src/persimmonlink_router/response_completion.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/response_completion.py
@@ -18,6 +18,7 @@
     from persimmonlink_router.connection_pool import ConnectionPool
     from persimmonlink_router.crash_guard import CrashGuard
     from persimmonlink_router.request_state import RequestState
+    from persimmonlink_router.rollouts.rollout_book import RolloutBook
     from persimmonlink_router.server_ends import ServerEndDetector
     from persimmonlink_router.server_health import ServerHealth
     from persimmonlink_router.server_reach import ServerReach
@@ -74,6 +75,8 @@
         Learns which requests servers have served.
     reach : ServerReach
         Learns which servers answer.
+    rollouts : RolloutBook
+        Learns the outcomes of requests at services that are moved.
     """
 
     def __init__(
@@ -83,7 +86,9 @@
         end_detector: ServerEndDetector,
         crash_guard: CrashGuard,
         reach: ServerReach,
+        rollouts: RolloutBook,
     ) -> None:
+        self._rollouts = rollouts
         self._pool = pool
         self._health = health
         self._end_detector = end_detector
@@ -99,6 +104,8 @@
             self._crash_guard.record_served(
                 state.metadata.shared_part_ids, *state.fingerprints
             )
+        if _is_failure(response):
+            self._rollouts.record_failure(response.server, state.route.name)
         state.response_end = ResponseEnd(
             response.head.framing,
             response.connection.state_text,
@@ -159,6 +166,7 @@
 
     def record_interruption(self, state: RequestState, response: OpenResponse) -> None:
         """Record a response that its server broke off."""
+        self._rollouts.record_failure(response.server, state.route.name)
         self.record_failure(response.server)
         self.record_lost_request(
             state, response.server, response.sent_at, response.first_event_at
@@ -202,6 +210,7 @@
         """Record the latency of a response that has begun as a success."""
         key = response.server.key
         took_s = boot_time() - response.sent_at
+        self._rollouts.record_answer(response.server, state.route.name, took_s)
         self._health.record_prompt_read(key, state.metadata.prompt_tokens)
         # The first response of a service is as expected.
         expected_s = self.estimate_s(state) or took_s
@@ -212,4 +221,10 @@
         )
 
 
+def _is_failure(response: OpenResponse) -> bool:
+    """Whether a server answered with a failure, or with a success of no server."""
+    status = response.head.status
+    return status >= 500 or (200 <= status < 300 and not response.info.is_sealed)
+
+
 __all__ = ("OpenResponse", "ResponseCompletion")
--- a/packages/persimmonlink-router/src/persimmonlink_router/router.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/router.py
@@ -34,6 +34,7 @@
 from persimmonlink_router.peer_handlers import (
     register_membership,
     register_requests,
+    register_rollouts,
     register_server_state,
 )
 from persimmonlink_router.peer_messages import EngineLoad, RouterMember
@@ -41,6 +42,11 @@
 from persimmonlink_router.reach_monitor import ReachMonitor
 from persimmonlink_router.request_forwarder import RequestForwarder
 from persimmonlink_router.request_service import RequestService
+from persimmonlink_router.rollouts.rollout_controller import (
+    RolloutController,
+    StatusWriter,
+)
+from persimmonlink_router.rollouts.rollout_records import ROLLOUT_PREFIX
 from persimmonlink_router.router_status import RouterStatus
 from persimmonlink_router.send_limits import ColdSendLimit, RetryBudget
 from persimmonlink_router.server_chooser import ServerChooser
@@ -81,6 +87,8 @@
     from persimmonlink_router.store import StoredItem
 
 OWN_PREFIX = "persimmonlink/"  # Prefix of all keys that routers write.
+# Part of the allowed share of a new version that is used: requests are drawn by chance.
+CANARY_MARGIN = 0.8
 TICK_INTERVAL_S = 0.1  # Interval of the check for a suspension of the VM.
 SWEEP_INTERVAL_S = 1.0  # Interval of closing idle connections and discarding old state.
 
@@ -99,12 +107,15 @@
         Translates headers and messages of clients and servers.
     directory : DirectoryWire
         Formats the responses of the directory.
+    status_writer : StatusWriter
+        Translates decisions on rollouts for operators.
     """
 
     store: MetadataStore
     reader: EntryReader
     wire: Wire
     directory: DirectoryWire
+    status_writer: StatusWriter
 
 
 class Router:
@@ -158,6 +169,15 @@
             self._mirror,
             self._collect_engine_loads,
         )
+        self.cluster_view.rollouts.trial_share = CANARY_MARGIN * limits.canary_share
+        self.rollouts = RolloutController(
+            self.membership,
+            self.cluster_view,
+            self._health,
+            self._store,
+            self._mirror,
+            adapters.status_writer,
+        )
         self._reach_board = ReachBoard(
             lambda: self.membership.own_member.node_id, self.membership.facts.spread
         )
@@ -403,6 +423,7 @@
         self._retry_budget.configure(limits.retry_ratio, limits.retry_slack)
         self._piece_retry_budget.configure(limits.retry_ratio, limits.retry_slack)
         self._cold_limit.configure(limits.cold_burst_factor, limits.cold_slack)
+        self.cluster_view.rollouts.trial_share = CANARY_MARGIN * limits.canary_share
         logger.info("process.reloaded")
 
     def _close(self) -> None:
@@ -427,6 +448,7 @@
             self._places,
             self._limiter,
         )
+        register_rollouts(peers, self.rollouts)
         host, _, port = self._settings.listen.peers.rpartition(":")
         await peers.start(host, int(port))
 
@@ -449,6 +471,7 @@
                 self._crash_guard.tick,
                 self.stream_version_saver.tick,
                 self._reach_monitor.tick,
+                self.rollouts.tick,
                 self._tick_leadership,
             ),
         )
@@ -507,6 +530,9 @@
         if item.key.startswith(HOLD_PREFIX):
             self._crash_guard.apply_store_item(item)
             return
+        if item.key.startswith(ROLLOUT_PREFIX):
+            self.rollouts.apply_store_item(item)
+            return
         if is_saved_version(item.key):
             self.stream_version_saver.apply_store_item(item)
             return
--- a/packages/persimmonlink-router/src/persimmonlink_router/router_settings.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/router_settings.py
@@ -21,6 +21,7 @@
 MAX_NUMBER = 1e9  # Larger limits, times and shares say nothing of use.
 NonNegative = Annotated[float, Meta(ge=0, le=MAX_NUMBER)]
 Positive = Annotated[float, Meta(gt=0, le=MAX_NUMBER)]
+Share = Annotated[float, Meta(ge=0, le=1)]
 
 
 @dataclass(frozen=True)
@@ -68,6 +69,9 @@
         Time from SIGTERM until the platform kills the process, in seconds.
     directory_ttl_s : float
         Longest time for which clients may cache a directory response, in seconds.
+    canary_share : float
+        Largest share of a service's requests that reaches a new version before it is
+        known to be sound, over all nodes.
     """
 
     retry_ratio: NonNegative
@@ -77,6 +81,7 @@
     cold_slack: NonNegative
     stop_s: Positive
     directory_ttl_s: Positive
+    canary_share: Share = 0.1
 
 
 @dataclass(frozen=True)
--- a/packages/persimmonlink-router/src/persimmonlink_router/server_chooser.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/server_chooser.py
@@ -109,7 +109,7 @@
         now = boot_time()
         nodes = self._membership.peak_node_count()
         service = self._cluster_view.find_service(state.service)
-        candidates = []
+        eligible = []
         for server in self._cluster_view.servers.list_usable(state.service):
             if server.server_id in excluded_ids or not state.allows_server(server):
                 continue
@@ -119,6 +119,15 @@
                 rate = service.cold_rate
                 if not self._cold_limit.may_send(server.key, rate, nodes, now):
                     continue
+            eligible.append(server)
+        candidates = []
+        for server in self._cluster_view.servers.version_shares.select(
+            state.service,
+            eligible,
+            state.metadata.request_id,
+            state.stream_version,
+            is_retry=state.sends > 0,
+        ):
             is_due = self._limiter.is_reading_due(server)
             if is_due or self._places.is_reading_due(server):
                 return server
--- a/packages/persimmonlink-router/src/persimmonlink_router/server_sender.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/server_sender.py
@@ -98,7 +98,7 @@
     limiter : ServerLimiter
         Keeps to the rates that servers name.
     metrics : RouterMetrics
-        Counts permits.
+        Counts permits, and requests to services that are moved.
     reach : ServerReach
         Which servers this node reaches.
     places : ServerPlaces
@@ -129,12 +129,13 @@
         self._health = health
         self._budget = budget
         self._limiter = limiter
+        self._metrics = metrics
         self.version_pinning = VersionPinning(cluster_view, stream_versions)
         self.held_requests = HeldRequests(cluster_view, crash_guard, metrics)
         self._reach = reach
         self._places = places
         self.responses = ResponseCompletion(
-            pool, health, end_detector, crash_guard, reach
+            pool, health, end_detector, crash_guard, reach, cluster_view.rollouts
         )
         self._head_reader = ResponseHeadReader(
             cluster_view,
@@ -336,6 +337,10 @@
             last_event_id or state.metadata.last_event_id,
         )
         self.version_pinning.record_send(state, server)
+        if self._cluster_view.rollouts.is_moving(state.service):
+            version = server.software_version
+            labels = f'service="{state.service}",version="{version}"'
+            self._metrics.count("rollout_requests_total", labels)
         if state.sends == 0:
             self._budget.record_request(state.service, now)
         state.sends += 1
@@ -364,6 +369,14 @@
             was_rejected = True
             self._health.record_rejection(server.key, boot_time())
             raise
+        except RequestFailedError:
+            self._cluster_view.rollouts.record_failure(server, state.route.name)
+            raise
+        except asyncio.CancelledError:
+            self._cluster_view.rollouts.record_given_up(
+                server, state.route.name, boot_time() - now
+            )
+            raise
         finally:
             self._health.end_response_wait(server.key, now)
             self._reach.record_done(server.key, now)
--- a/packages/persimmonlink-router/src/persimmonlink_router/servers.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/servers.py
@@ -6,11 +6,14 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from persimmonlink_router.rollouts.version_shares import VersionShares
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
 ServerKey = tuple[str, int, str]  # Id, start time and address of an incarnation.
 DISCARD_INTERVAL_S = 1.0  # Least time between two looks for state that is outdated.
+WARM_UP_S = 5.0  # Time after a server's start in which it may be slow.
 VERSION_MEMORY_S = 60.0  # Longer than a stream lasts, with all attempts of its client.
 
 
@@ -66,6 +69,11 @@
     """Known servers, and which of them are draining, drained or cold.
 
     It decides, whatever their load, which servers may receive a request at a moment.
+
+    Attributes
+    ----------
+    version_shares : VersionShares
+        What the versions of services may get that are moved to another one.
     """
 
     def __init__(self) -> None:
@@ -74,11 +82,17 @@
         self._cold_until_by_key: dict[ServerKey, float] = {}
         self._removal_at_by_id: dict[str, float] = {}
         self._leaving_since_by_key: dict[ServerKey, float] = {}
+        self._known_since_by_key: dict[ServerKey, float] = {}
         self._paused_until_by_key: dict[ServerKey, float] = {}
         self._limited_until_by_key: dict[ServerKey, float] = {}
         self._left_at_by_version: dict[tuple[str, str], float] = {}
         self._discarded_at = -math.inf
         self._usable_by_service: dict[str, list[Server]] | None = None
+        self.version_shares = VersionShares()
+        self.version_shares.on_change = self._forget_usable
+
+    def _forget_usable(self) -> None:
+        self._usable_by_service = None
 
     def update(self, server: Server, now: float) -> bool:
         """Apply a server's entry; return whether it differs from the known one.
@@ -97,6 +111,7 @@
             self._record_left(current, now)
         if current is not None and current.key != server.key:
             self._cold_until_by_key.pop(current.key, None)
+        self._known_since_by_key.setdefault(server.key, now)
         if server.cold_left_s > 0:
             self.mark_cold(server, now + server.cold_left_s)
         return current is None or current.key != server.key or current != server
@@ -182,6 +197,7 @@
             if key not in present and until < now:
                 del self._cold_until_by_key[key]
         for state in (
+            self._known_since_by_key,
             self._leaving_since_by_key,
             self._paused_until_by_key,
             self._limited_until_by_key,
@@ -218,6 +234,11 @@
         """Whether a server is treated as cold."""
         return self._cold_until_by_key.get(server.key, 0.0) > now
 
+    def is_warm(self, server: Server, now: float) -> bool:
+        """Whether a server has been known for so long that it is as fast as it gets."""
+        known_since = self._known_since_by_key.get(server.key, now)
+        return now - known_since >= WARM_UP_S and not self.is_cold(server, now)
+
     def mark_leaving(self, server: Server, now: float) -> bool:
         """Record that an incarnation said that it leaves; return whether it is news."""
         if server.key in self._leaving_since_by_key:
@@ -281,6 +302,7 @@
             not server.is_draining
             and server.key not in self._leaving_since_by_key
             and server.domain not in self.drained_domains
+            and not self.version_shares.excludes(server)
         )
 
 
--- a/packages/persimmonlink-router/src/persimmonlink_router/stage_servers.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stage_servers.py
@@ -23,6 +23,8 @@
 CALL_TIMEOUT_MARGIN_S = 0.2  # Added to the timeout of a call for the network.
 # Added to the timeout of a call while another node may send the server calls too.
 SHARED_CALL_TIMEOUT_MARGIN_S = 0.6
+# Name under which the outcomes of calls are counted, in place of a route's.
+CALLS_ROUTE = ""
 BACKOFF_S = 0.1  # Time without calls for a server that refused or failed one.
 UNREACHABLE_BACKOFF_S = 1.5  # Time without calls for a server that can't be reached.
 SLOW_FACTOR = 1.6  # Slowness above which waiting for a faster server may be better.
@@ -147,7 +149,9 @@
             return []
         idle: list[Server] = []
         busy: list[Server] = []
-        for server in self._cluster_view.servers.list_usable(service.name):
+        servers = self._cluster_view.servers
+        usable = servers.list_usable(service.name)
+        for server in servers.version_shares.select_for_call(service.name, usable):
             is_busy = self.state(server).calls_in_flight >= spec.max_concurrent_calls
             (busy if is_busy else idle).append(server)
         min_result_bytes = queue.min_result_bytes()
@@ -243,6 +247,7 @@
         self, server: Server, size_bytes: float, expected_s: float, now: float
     ) -> None:
         """Record a call that is sent, with the approximate size of its results."""
+        self._cluster_view.servers.version_shares.record_call(server)
         state = self.state(server)
         state.calls_in_flight += 1
         state.held_bytes += size_bytes
@@ -284,6 +289,12 @@
             state.blocked_until = now + FULL_BACKOFF_S
             return
         self._health.record_success(server.key, ratio, now)
+        # Times of calls differ with their pieces, so that ratios are compared.
+        rollouts = self._cluster_view.rollouts
+        if any(result.failure is PieceFailure.ERROR for result in results):
+            rollouts.record_failure(server, CALLS_ROUTE)
+        else:
+            rollouts.record_answer(server, CALLS_ROUTE, ratio)
 
     def record_call_failure(
         self, server: Server, now: float, *, is_unreachable: bool
@@ -293,6 +304,7 @@
             self._health.record_unreachable(server.key, now)
         else:
             self._health.record_failure(server.key, now)
+        self._cluster_view.rollouts.record_failure(server, CALLS_ROUTE)
         self.state(server).blocked_until = now + (
             UNREACHABLE_BACKOFF_S if is_unreachable else BACKOFF_S
         )
--- a/packages/persimmonlink-router/src/persimmonlink_router/store.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/store.py
@@ -3,7 +3,10 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from typing import Protocol
+from typing import TYPE_CHECKING, Protocol
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
 
 READ_TIMEOUT_S = 1.2  # Calls take milliseconds, at bad times 100 times as long.
 WATCH_MARGIN_S = 1.0  # Usual time in which a watch is answered after its wait.
@@ -111,6 +114,16 @@
         """
         ...
 
+    async def put_if_unchanged(
+        self, values: Mapping[str, bytes], revision_by_key: Mapping[str, int]
+    ) -> int | None:
+        """Write keys without a lease, all or none, and return the revision.
+
+        Returns None, and writes nothing, unless each key of `revision_by_key` still has
+        that revision, 0 for one without a value.
+        """
+        ...
+
     async def grant_lease(self, ttl_s: float) -> int:
         """Create a lease and return its id."""
         ...
--- a/packages/persimmonlink-router/src/persimmonlink_router/store_entries.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/store_entries.py
@@ -9,6 +9,7 @@
 
 if TYPE_CHECKING:
     from persimmonlink_router.configuration import Configuration
+    from persimmonlink_router.rollouts.rollout_records import RolloutOrderEntry
     from persimmonlink_router.store import StoredItem
 
 
@@ -44,7 +45,9 @@
 
     prefixes: tuple[str, ...]
 
-    def read(self, item: StoredItem) -> Configuration | ServerEntry | DrainEntry | None:
+    def read(
+        self, item: StoredItem
+    ) -> Configuration | ServerEntry | DrainEntry | RolloutOrderEntry | None:
         """Translate an item; raise `WireFormatError` if it is malformed.
 
         Returns None for an item that the router does not use.
--- a/tests/router/test_stage_servers.py
+++ b/tests/router/test_stage_servers.py
@@ -7,7 +7,9 @@
 import pytest
 from tests.router.chains import SPEC, make_server
 
+from persimmonlink_router.rollouts.rollout_book import RolloutBook
 from persimmonlink_router.server_health import ServerHealth
+from persimmonlink_router.servers import ServerDirectory
 from persimmonlink_router.stage_servers import StageServers, StageServerState
 from persimmonlink_router.wire_messages import PieceFailure, PieceResult
 
@@ -17,6 +19,10 @@
 class NoServers:
     """Cluster view without servers."""
 
+    def __init__(self) -> None:
+        self.servers = ServerDirectory()
+        self.rollouts = RolloutBook(self.servers)
+
 
 def make_servers() -> StageServers:
     return StageServers(NoServers(), ServerHealth())
