--- a/packages/persimmonlink-router/src/persimmonlink_router/rollouts/rollout_book.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/rollouts/rollout_book.py
@@ -176,36 +176,44 @@
         rollout = self.rollout_by_service.get(service)
         return rollout is not None and not rollout.is_over
 
+    def is_new(self, server: Server) -> bool:
+        """Whether a server has the version that its service is moved to."""
+        rollout = self.rollout_by_service.get(server.service)
+        return rollout is not None and (
+            server.software_version == rollout.order.version
+        )
+
     def record_answer(self, server: Server, route: str, time_s: float) -> None:
         """Record a good response that began after a time in seconds.
 
         The times of a server that has just started tell nothing of its version.
         """
-        rollout = self.rollout_by_service.get(server.service)
-        if rollout is None or rollout.is_over:
+        evidence = self._find_evidence(server)
+        if evidence is None:
             return
-        is_new = server.software_version == rollout.order.version
         is_warm = self._servers.is_warm(server, boot_time())
-        rollout.evidence.record_answer(
-            route, time_s if is_warm else None, is_new=is_new
+        evidence.record_answer(
+            route, time_s if is_warm else None, is_new=self.is_new(server)
         )
 
     def record_given_up(self, server: Server, route: str, time_s: float) -> None:
         """Record a request that was given up before its response began."""
-        rollout = self.rollout_by_service.get(server.service)
-        if rollout is None or rollout.is_over:
-            return
-        is_new = server.software_version == rollout.order.version
-        if self._servers.is_warm(server, boot_time()):
-            rollout.evidence.record_given_up(route, time_s, is_new=is_new)
+        evidence = self._find_evidence(server)
+        if evidence is not None and self._servers.is_warm(server, boot_time()):
+            evidence.record_given_up(route, time_s, is_new=self.is_new(server))
 
     def record_failure(self, server: Server, route: str) -> None:
         """Record a request that a server failed."""
+        evidence = self._find_evidence(server)
+        if evidence is not None:
+            evidence.record_failure(route, is_new=self.is_new(server))
+
+    def _find_evidence(self, server: Server) -> VersionEvidence | None:
+        """Return the evidence on the service of a server, None if it isn't moved."""
         rollout = self.rollout_by_service.get(server.service)
         if rollout is None or rollout.is_over:
-            return
-        is_new = server.software_version == rollout.order.version
-        rollout.evidence.record_failure(route, is_new=is_new)
+            return None
+        return rollout.evidence
 
     def _update_share(self, service: str) -> None:
         """Derive what the versions of a service may get."""
--- a/packages/persimmonlink-router/src/persimmonlink_router/server_sender.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/server_sender.py
@@ -336,23 +336,7 @@
             inputs.handles,
             last_event_id or state.metadata.last_event_id,
         )
-        self.version_pinning.record_send(state, server)
-        if self._cluster_view.rollouts.is_moving(state.service):
-            version = server.software_version
-            labels = f'service="{state.service}",version="{version}"'
-            self._metrics.count("rollout_requests_total", labels)
-        if state.sends == 0:
-            self._budget.record_request(state.service, now)
-        state.sends += 1
-        state.last_sent_at = now
-        state.servers.append(server.server_id)
-        state.server_versions.append(server.software_version)
-        state.send_bases.append(self._cluster_view.describe_send(server))
-        self._health.record_sent(server.key, state.metadata.prompt_tokens, now)
-        self._reach.record_sent(server.key, now)
-        self._chooser.prompt_cache.record_prompt(
-            server.key, state.metadata.prompt_parts
-        )
+        self._record_send(server, state, now)
         is_open = False
         was_rejected = False
         try:
@@ -392,6 +376,27 @@
         state.may_have_run = True
         return OpenResponse(server, connection, head, info, now, place)
 
+    def _record_send(self, server: Server, state: RequestState, now: float) -> None:
+        """Record a send of a request to a server at a boot time, in seconds."""
+        self.version_pinning.record_send(state, server)
+        rollouts = self._cluster_view.rollouts
+        if rollouts.is_moving(state.service):
+            side = "new" if rollouts.is_new(server) else "old"
+            labels = f'service="{state.service}",side="{side}"'
+            self._metrics.count("rollout_requests_total", labels)
+        if state.sends == 0:
+            self._budget.record_request(state.service, now)
+        state.sends += 1
+        state.last_sent_at = now
+        state.servers.append(server.server_id)
+        state.server_versions.append(server.software_version)
+        state.send_bases.append(self._cluster_view.describe_send(server))
+        self._health.record_sent(server.key, state.metadata.prompt_tokens, now)
+        self._reach.record_sent(server.key, now)
+        self._chooser.prompt_cache.record_prompt(
+            server.key, state.metadata.prompt_parts
+        )
+
     async def _connect(
         self, server: Server, state: RequestState
     ) -> tuple[HttpClientConnection, Place]:
