Give the play of stages the version shares that stage servers read

The play's view of the cluster is a stub that lacked what StageServers reads since a service can be moved to another version.

--- a/tests/router/stage_play.py
+++ b/tests/router/stage_play.py
@@ -19,7 +19,10 @@
 
 from persimmonlink_router.boot_clock import boot_time
 from persimmonlink_router.configuration import BatchSpec
+from persimmonlink_router.rollouts.rollout_book import RolloutBook
+from persimmonlink_router.rollouts.version_shares import VersionShares
 from persimmonlink_router.server_health import ServerHealth
+from persimmonlink_router.servers import ServerDirectory
 from persimmonlink_router.stage_job import StageJob, StageNeed
 from persimmonlink_router.stage_outcome import StageState
 from persimmonlink_router.stage_scheduler import DISPATCH_INTERVAL_S, StageScheduler
@@ -183,12 +186,17 @@
         list_usable=lambda name: listed.get(name, []),
         server_by_id={s.server_id: s for group in listed.values() for s in group},
         pause_left_s=lambda _server, _now: 0.0,
+        version_shares=VersionShares(),
     )
     services = {
         name: SimpleNamespace(name=name, batch=spec)
         for name, spec in spec_by_service.items()
     }
-    view = SimpleNamespace(servers=directory, find_service=services.get)
+    view = SimpleNamespace(
+        servers=directory,
+        find_service=services.get,
+        rollouts=RolloutBook(ServerDirectory()),
+    )
     guard = SimpleNamespace(find_hold=lambda _: None, is_suspect=lambda _: False)
     budget = SimpleNamespace(
         record_request=lambda *_: None, try_acquire=lambda *_: True
