Bound what clients take of memory, descriptors and the processor's turns

Crowds of legal size took a router's memory and turns. Causes: budgets were constants that no machine's memory was asked for; 64 KB of each body, buffers and connections counted nowhere; a long answer was held twice; clients without progress kept their room; each busy connection parsed 32 events before anybody's turn.

memory_mb and max_descriptors, which the platform fills in, divide the memory; short bodies have a part of their own; above a mark clients without progress for 1 s are ended; busy connections go on one in each turn of the loop.

--- a/packages/persimmonlink-router/src/persimmonlink_router/bounded_reads.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/bounded_reads.py
@@ -5,9 +5,9 @@
 import asyncio
 import threading
 
-READ_BYTES = 65536  # Most bytes that are read from a connection at once.
+READ_BYTES = 32768  # Most bytes that are read from a connection at once.
 # Bytes that were received and not yet read, at which a connection receives no more.
-READ_PAUSE_BYTES = 65536
+READ_PAUSE_BYTES = 32768
 
 
 class _ReadBuffer(threading.local):
--- /dev/null
+++ b/packages/persimmonlink-router/src/persimmonlink_router/client_pressure/__init__.py
@@ -0,0 +1,1 @@
+"""Bounds on the memory and the processor time that clients take together."""
--- /dev/null
+++ b/packages/persimmonlink-router/src/persimmonlink_router/client_pressure/memory_plan.py
@@ -0,0 +1,97 @@
+"""How the memory and the descriptors of an entry VM are divided."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+
+BYTES_PER_MB = 1_000_000
+USABLE_SHARE = 0.8  # Part of the memory that is planned; the rest is for peaks.
+# Memory of a router without clients, and of each connection with a request under way
+# beside its bodies.
+BASE_BYTES = 42_000_000
+CONNECTION_BYTES = 40_000
+MIN_BUFFER_BYTES = 8_000_000  # Least memory for bodies and buffers.
+# Most bytes of bodies of requests, of responses, and of responses of stage servers,
+# also where there is more memory.
+MAX_REQUEST_BYTES = 67_108_864
+MAX_RESPONSE_BYTES = 50_331_648
+MAX_STAGE_BYTES = 16_777_216
+REQUEST_SHARE = 0.35
+RESPONSE_SHARE = 0.3
+STAGE_SHARE = 0.2
+# Part of the descriptors that clients may take; the others are for servers, peers, the
+# store, and the readiness, directory and metrics addresses.
+CLIENT_DESCRIPTOR_SHARE = 0.6
+SMALL_SHARE = 0.3  # Part of the bodies' memory that short ones have to themselves.
+CONNECTION_SHARE = 0.3  # Part of the memory that connections without bytes may take.
+
+
+@dataclass(frozen=True, slots=True)
+class MemoryPlan:
+    """What clients' bytes may take, by what they are for.
+
+    Parameters
+    ----------
+    request_bytes : int
+        Bodies of requests.
+    response_bytes : int
+        Bodies of responses.
+    stage_bytes : int
+        Responses of stage servers.
+    small_request_bytes, small_response_bytes : float
+        What of them short bodies may take, and the first part of long ones.
+    connections : int or None
+        Connections of clients; None for no limit.
+    """
+
+    request_bytes: int = MAX_REQUEST_BYTES
+    response_bytes: int = MAX_RESPONSE_BYTES
+    stage_bytes: int = MAX_STAGE_BYTES
+    small_request_bytes: float = math.inf
+    small_response_bytes: float = math.inf
+    connections: int | None = None
+
+    @property
+    def client_bytes(self) -> int:
+        """Bytes that all client connections may hold together."""
+        bodies = self.request_bytes + self.response_bytes
+        small = self.small_request_bytes + self.small_response_bytes
+        return bodies if math.isinf(small) else bodies + int(small)
+
+
+def plan_memory(memory_mb: float, max_descriptors: int) -> MemoryPlan:
+    """Divide the memory and the descriptors of an entry VM.
+
+    Parameters
+    ----------
+    memory_mb : float
+        Memory of the VM, in megabytes; 0 if unknown.
+    max_descriptors : int
+        Descriptors that the process may open; 0 if unknown.
+    """
+    connections = None
+    if max_descriptors:
+        connections = int(CLIENT_DESCRIPTOR_SHARE * max_descriptors)
+    if not memory_mb:
+        return MemoryPlan(connections=connections)
+    usable_bytes = USABLE_SHARE * memory_mb * BYTES_PER_MB - BASE_BYTES
+    by_memory = int(max(0.0, CONNECTION_SHARE * usable_bytes) / CONNECTION_BYTES)
+    connections = by_memory if connections is None else min(connections, by_memory)
+    connections = max(64, connections)
+    buffers = max(MIN_BUFFER_BYTES, (1 - CONNECTION_SHARE) * usable_bytes)
+    requests = min(MAX_REQUEST_BYTES, int(REQUEST_SHARE * buffers))
+    responses = min(MAX_RESPONSE_BYTES, int(RESPONSE_SHARE * buffers))
+    small_requests = int(SMALL_SHARE * requests)
+    small_responses = int(SMALL_SHARE * responses)
+    return MemoryPlan(
+        requests - small_requests,
+        responses - small_responses,
+        min(MAX_STAGE_BYTES, int(STAGE_SHARE * buffers)),
+        small_requests,
+        small_responses,
+        connections,
+    )
+
+
+__all__ = ("MAX_RESPONSE_BYTES", "MemoryPlan", "plan_memory")
--- a/packages/persimmonlink-router/src/persimmonlink_router/http_client.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/http_client.py
@@ -14,6 +14,7 @@
 from persimmonlink_router.socket_options import bound_silence
 
 MAX_HEAD_BYTES = 65536  # Largest response head.
+MAX_STATUS = 599  # Largest status that HTTP has.
 MAX_INFORMATIONAL_RESPONSES = 8  # Most interim responses before the final one.
 # Events read from one connection before others get a turn: received bytes may hold
 # thousands of chunks.
@@ -170,6 +171,10 @@
                 continue
             if not isinstance(event, h11.Response):
                 raise ConnectionLostError(f"{self.address}: no response head")
+            if event.status_code > MAX_STATUS:
+                raise ConnectionLostError(
+                    f"{self.address}: {event.status_code} is no status of HTTP"
+                )
             headers = tuple((bytes(k), bytes(v)) for k, v in event.headers)
             self._parse_keep_alive(headers)
             return HttpResponseHead(event.status_code, headers)
--- a/packages/persimmonlink-router/src/persimmonlink_router/http_connection.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/http_connection.py
@@ -24,6 +24,7 @@
 from persimmonlink_router.socket_options import (
     count_unacknowledged_bytes,
     count_waiting_bytes,
+    has_peer_closed,
     reset_on_close,
 )
 from persimmonlink_router.stop_record import ConnectionState
@@ -33,6 +34,13 @@
 
 # Events read from one connection before others get a turn.
 MAX_EVENTS_PER_TURN = 32
+# Turns after which a busy connection is asked whether its client has left: its reading
+# is paused, so that the end of its bytes isn't seen.
+TURNS_PER_CHECK = 16
+WRITE_BUFFER_BYTES = 65536  # Bytes that wait in the process for a client to read.
+WRITE_SLICE_BYTES = 32768  # Largest part of a body that is written at once.
+# What a blocked response holds beside what it has written: bytes of its server.
+BLOCKED_READ_BYTES = 65536
 # Least time in which a client reads nothing before its response ends, also where the
 # idle timeout is shorter: its link may be cut for seconds.
 MIN_UNREAD_S = 10.0
@@ -58,8 +66,15 @@
         self._events_in_turn = 0
         self._reservation: Reservation | None = None
         self._is_paused = False
+        self._is_reading_body = False
+        self._body_bytes = 0
         self._is_ending = False
+        self._turns_taken = 0
+        self._is_stalled = False
+        # Bytes of a response that are still to be written.
+        self.unwritten_bytes = 0
         now = boot_time()
+        self._progress_at = now
         self.use = ConnectionUse(now, now)
         self.is_serving = False
 
@@ -76,7 +91,10 @@
     def connection_made(self, transport: Any) -> None:
         """Start the task of the connection."""
         self._transport = transport
-        self._server.connections.add(self)
+        if not self._server.admit(self):
+            transport.abort()
+            return
+        transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
         self._task = asyncio.get_running_loop().create_task(self._run())
 
     def data_received(self, data: bytes) -> None:
@@ -88,7 +106,7 @@
         except h11.RemoteProtocolError:
             self.close()
             return
-        self.use.active_at = boot_time()
+        self.use.active_at = self._progress_at = boot_time()
         self._unread_bytes += len(data)
         if self._unread_bytes > READ_PAUSE_BYTES and self._transport is not None:
             self._is_paused = True
@@ -114,6 +132,7 @@
 
     def resume_writing(self) -> None:
         """Unblock `drain` once the client has read enough."""
+        self._progress_at = boot_time()
         self._can_write.set()
 
     def send(self, event: Any) -> None:
@@ -141,6 +160,44 @@
                     self._end_unread()
                     raise ClientDisconnectedError from None
 
+    async def write_body(self, body: bytes) -> None:
+        """Write a body as fast as the client takes it, without a copy of the rest."""
+        view = memoryview(body)
+        self._progress_at = boot_time()
+        try:
+            for start in range(0, len(body), WRITE_SLICE_BYTES):
+                self.unwritten_bytes = len(body) - start
+                data: Any = view[start : start + WRITE_SLICE_BYTES]
+                self.send(h11.Data(data=data))
+                await self.drain()
+                self._progress_at = boot_time()
+        finally:
+            self.unwritten_bytes = 0
+
+    def count_held_bytes(self) -> int:
+        """Return the bytes that are held for the client, in either direction."""
+        held = self._count_unsent_bytes() + self.unwritten_bytes + self._body_bytes
+        held += len(self._h11.trailing_data[0]) if not self.is_serving else 0
+        if not self._can_write.is_set():
+            held += BLOCKED_READ_BYTES
+        return held
+
+    def stalled_s(self, now: float) -> float:
+        """Return the time for which the client has made no progress, in seconds.
+
+        A client whose request is being served has nothing to do.
+        """
+        is_waited_for = self._is_reading_body or not self._can_write.is_set()
+        return now - self._progress_at if is_waited_for else 0.0
+
+    def end_stalled(self) -> None:
+        """End a client that makes no progress, to give its room to others."""
+        if self._is_reading_body:
+            self._is_stalled = True
+            self._wake.set()
+            return
+        self._end_unread()
+
     def _count_unsent_bytes(self) -> int:
         """Return the bytes that wait in the write buffer of the process."""
         if self._transport is None:
@@ -301,6 +358,8 @@
         headers = tuple((bytes(k), bytes(v)) for k, v in first.headers)
         validate_head(headers, bytes(first.target), limits)
         body = bytearray()
+        self._is_reading_body = True
+        self._progress_at = boot_time()
         deadline = asyncio.get_running_loop().time() + max(
             limits.header_timeout_s, limits.idle_timeout_s
         )
@@ -316,9 +375,11 @@
             if not isinstance(event, h11.Data):
                 return None
             body += event.data
+            self._body_bytes = len(body)
             if len(body) > limits.body_bytes:
                 raise BadRequestError(413, "the request body is over the limit")
             self._reserve_body(len(body))
+        self._is_reading_body = False
         return HttpRequest(
             bytes(first.method), bytes(first.target), headers, bytes(body)
         )
@@ -336,6 +397,8 @@
             raise BadRequestError(503, str(error)) from error
 
     def _release_body(self) -> None:
+        self._is_reading_body = False
+        self._body_bytes = 0
         if self._reservation is not None:
             self._reservation.release()
             self._reservation = None
@@ -345,8 +408,11 @@
         self._events_in_turn += 1
         if self._events_in_turn > MAX_EVENTS_PER_TURN:
             self._events_in_turn = 0
-            await asyncio.sleep(0)
+            await self._server.turns.wait()
+            self._require_client()
         while True:
+            if self._is_stalled:
+                raise BadRequestError(408, "the request body does not arrive")
             event = self._h11.next_event()
             if event is not NEED_DATA:
                 return event
@@ -359,6 +425,14 @@
                 return None
             self._events_in_turn = 0
 
+    def _require_client(self) -> None:
+        """Raise `ClientDisconnectedError` if the client has left."""
+        self._turns_taken += 1
+        if self._turns_taken % TURNS_PER_CHECK or self._transport is None:
+            return
+        if has_peer_closed(self._transport.get_extra_info("socket")):
+            raise ClientDisconnectedError
+
     def _resume_reading(self) -> None:
         self._unread_bytes = 0
         if self._is_paused and self._transport is not None:
--- a/packages/persimmonlink-router/src/persimmonlink_router/http_exchange.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/http_exchange.py
@@ -86,7 +86,7 @@
         framed = [*headers, (b"content-length", str(len(body)).encode())]
         self._start(status, framed)
         if body and self.request.method != b"HEAD":
-            self._connection.send(h11.Data(data=body))
+            await self._connection.write_body(body)
         await self.end()
 
     def start_stream(
--- a/packages/persimmonlink-router/src/persimmonlink_router/http_listeners.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/http_listeners.py
@@ -7,6 +7,7 @@
 from persimmonlink_router.http_server import HttpServer, RequestLimits
 
 if TYPE_CHECKING:
+    from persimmonlink_router.client_pressure.memory_plan import MemoryPlan
     from persimmonlink_router.http_server import Handler
 
 
@@ -22,7 +23,11 @@
         return [server for _, server in self._addressed_servers]
 
     def add(
-        self, address: str, handler: Handler, limits: RequestLimits | None = None
+        self,
+        address: str,
+        handler: Handler,
+        limits: RequestLimits | None = None,
+        plan: MemoryPlan | None = None,
     ) -> HttpServer:
         """Return a new server, which does not listen yet.
 
@@ -34,8 +39,10 @@
             Coroutine function that serves one exchange.
         limits : RequestLimits or None
             Limits on client requests; None for the default ones.
+        plan : MemoryPlan or None
+            What the bytes of its clients may take; None for the default.
         """
-        server = HttpServer(handler, limits or RequestLimits())
+        server = HttpServer(handler, limits or RequestLimits(), plan)
         self._addressed_servers.append((address, server))
         return server
 
--- a/packages/persimmonlink-router/src/persimmonlink_router/http_server.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/http_server.py
@@ -10,7 +10,15 @@
 
 from loguru import logger
 
+from persimmonlink_router.boot_clock import boot_time
 from persimmonlink_router.byte_budget import ByteBudget
+from persimmonlink_router.client_pressure.memory_plan import MemoryPlan
+from persimmonlink_router.client_pressure.stalled_clients import (
+    STALLED_S,
+    HeldBytes,
+    choose_stalled,
+)
+from persimmonlink_router.client_pressure.turn_gate import TurnGate
 from persimmonlink_router.http_connection import HttpServerConnection
 from persimmonlink_router.http_exchange import (
     BadRequestError,
@@ -23,7 +31,6 @@
     from persimmonlink_router.stop_record import StopRecord
 
 LISTEN_BACKLOG = 512  # Connections that wait to be accepted.
-MAX_REQUEST_BYTES = 67108864  # Largest size of all request bodies that are buffered.
 
 Handler = Callable[[Exchange], Awaitable[None]]
 
@@ -37,12 +44,20 @@
         Coroutine function that serves one exchange.
     limits : RequestLimits
         Limits on client requests.
+    plan : MemoryPlan
+        What the bytes of clients may take together.
     """
 
-    def __init__(self, handler: Handler, limits: RequestLimits) -> None:
+    def __init__(
+        self, handler: Handler, limits: RequestLimits, plan: MemoryPlan | None = None
+    ) -> None:
         self.handler = handler
         self.limits = limits
-        self.body_budget = ByteBudget(MAX_REQUEST_BYTES)
+        self.plan = plan or MemoryPlan()
+        self.body_budget = ByteBudget(
+            self.plan.request_bytes, self.plan.small_request_bytes
+        )
+        self.turns = TurnGate()
         self.connections: set[HttpServerConnection] = set()
         self.is_stopping = False
         # Boot time from which clients that go on sending are told to leave, too.
@@ -83,6 +98,48 @@
             sock.setblocking(False)
             await loop.connect_accepted_socket(lambda: HttpServerConnection(self), sock)
 
+    def admit(self, connection: HttpServerConnection) -> bool:
+        """Add a new connection; return whether there is room for it.
+
+        In place of one too many, the connection that has been idle for longest is
+        closed.
+        """
+        limit = self.plan.connections
+        if limit is not None and len(self.connections) >= limit:
+            idle = [c for c in self.connections if not c.is_serving]
+            oldest = min(idle, key=lambda c: c.use.active_at, default=None)
+            if oldest is None or boot_time() - oldest.use.active_at < STALLED_S:
+                logger.bind(connections=len(self.connections)).info(
+                    "connection.refused"
+                )
+                return False
+            oldest.close()
+        self.connections.add(connection)
+        return True
+
+    def end_stalled(self, now: float) -> int:
+        """End clients that make no progress if others need their room; count them.
+
+        Parameters
+        ----------
+        now : float
+            Boot time, in seconds.
+        """
+        held = [
+            HeldBytes(c, c.count_held_bytes(), c.stalled_s(now))
+            for c in self.connections
+        ]
+        chosen = choose_stalled(held, self.plan.client_bytes)
+        for each in chosen:
+            each.holder.end_stalled()
+        if chosen:
+            logger.bind(
+                connections=len(chosen),
+                held_bytes=sum(each.size for each in chosen),
+                all_held_bytes=sum(each.size for each in held),
+            ).warning("connections.stalled_ended")
+        return len(chosen)
+
     def count_active_requests(self) -> int:
         """Return the number of requests being read or served."""
         return sum(1 for connection in self.connections if connection.is_serving)
--- a/packages/persimmonlink-router/src/persimmonlink_router/router.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/router.py
@@ -15,6 +15,7 @@
 from persimmonlink_router.background_tasks import BackgroundTasks
 from persimmonlink_router.boot_clock import boot_time
 from persimmonlink_router.client_directory import ClientDirectory, DirectoryWire
+from persimmonlink_router.client_pressure.memory_plan import plan_memory
 from persimmonlink_router.client_use_times import DIRECTORY_TTL_S
 from persimmonlink_router.cluster_membership import MEMBER_PREFIX, ClusterMembership
 from persimmonlink_router.cluster_view import ClusterView, EntryReader
@@ -134,6 +135,7 @@
         self._adapters = adapters
         self._rng = random.Random()
         limits = settings.limits
+        plan = plan_memory(settings.memory_mb, settings.max_descriptors)
         self.metrics = RouterMetrics()
         self._loop_lag = LoopLagMonitor(TICK_INTERVAL_S, self.metrics)
         self._store = CountedStore(adapters.store, self.metrics)
@@ -293,6 +295,7 @@
             self.metrics,
             self._reach,
             self._places,
+            plan,
         )
         self._forwarder = RequestForwarder(
             self.membership,
@@ -331,7 +334,10 @@
         self._client_limits = RequestLimits()
         self._listeners = HttpListeners()
         self._client_server = self._listeners.add(
-            settings.listen.clients, self._request_service.handle, self._client_limits
+            settings.listen.clients,
+            self._request_service.handle,
+            self._client_limits,
+            plan,
         )
         status = RouterStatus(
             self.metrics,
@@ -472,6 +478,7 @@
                 self.stream_version_saver.tick,
                 self._reach_monitor.tick,
                 self.rollouts.tick,
+                self._end_stalled_clients,
                 self._tick_leadership,
             ),
         )
@@ -480,6 +487,11 @@
         if self.cluster_view.tick(boot_time()):
             self._follower.refresh()
 
+    def _end_stalled_clients(self) -> None:
+        count = self._client_server.end_stalled(boot_time())
+        if count:
+            self.metrics.count("stalled_connections_ended_total", amount=count)
+
     def _tick_leadership(self) -> None:
         if self._reach.unreached_services:
             self._stage_leadership.update()
--- a/packages/persimmonlink-router/src/persimmonlink_router/router_settings.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/router_settings.py
@@ -17,8 +17,12 @@
 
     from returns.result import Result
 
+# Least memory and descriptors with which a router serves anybody.
+MIN_MEMORY_MB = 64
+MIN_DESCRIPTORS = 256
 Address = Annotated[str, Meta(pattern=r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$")]
 MAX_NUMBER = 1e9  # Larger limits, times and shares say nothing of use.
+MAX_DESCRIPTORS = 1 << 30
 NonNegative = Annotated[float, Meta(ge=0, le=MAX_NUMBER)]
 Positive = Annotated[float, Meta(gt=0, le=MAX_NUMBER)]
 Share = Annotated[float, Meta(ge=0, le=1)]
@@ -110,6 +114,10 @@
         Region of that failure domain; requests are only passed on inside it.
     log_level : str
         Lowest level that is logged.
+    memory_mb : float
+        Memory that the process may take, in megabytes; 0 if unknown.
+    max_descriptors : int
+        Descriptors that the process may open; 0 if unknown.
     """
 
     node: Annotated[str, Meta(min_length=1)]
@@ -122,6 +130,8 @@
     core_speed: Positive = 1.0
     region: str = ""
     log_level: Annotated[str, Meta(pattern="^(DEBUG|INFO|WARNING|ERROR)$")] = "INFO"
+    memory_mb: NonNegative = 0.0
+    max_descriptors: Annotated[int, Meta(ge=0, le=MAX_DESCRIPTORS)] = 0
 
 
 def read_router_settings(path: Path) -> Result[RouterSettings, tuple[Fault, ...]]:
@@ -153,6 +163,14 @@
         # The system chooses the port of one that is 0.
         address_by_path[f"listen.{name}"] = f"{host}:1" if port == "0" else address
     faults = []
+    if 0 < settings.memory_mb < MIN_MEMORY_MB:
+        expected = f"at least {MIN_MEMORY_MB} MB, or 0 if unknown"
+        faults.append(Fault("memory_mb", f"{settings.memory_mb:g} is not {expected}"))
+    if 0 < settings.max_descriptors < MIN_DESCRIPTORS:
+        expected = f"at least {MIN_DESCRIPTORS}, or 0 if unknown"
+        faults.append(
+            Fault("max_descriptors", f"{settings.max_descriptors} is not {expected}")
+        )
     for path, text in text_by_path.items():
         try:
             text.encode()
--- a/packages/persimmonlink-router/src/persimmonlink_router/server_sender.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/server_sender.py
@@ -9,6 +9,7 @@
 
 from persimmonlink_router.boot_clock import boot_time
 from persimmonlink_router.byte_budget import ByteBudget
+from persimmonlink_router.client_pressure.memory_plan import MAX_RESPONSE_BYTES
 from persimmonlink_router.held_requests import HeldRequests
 from persimmonlink_router.http_client import (
     ConnectError,
@@ -36,6 +37,7 @@
 if TYPE_CHECKING:
     from collections.abc import Collection
 
+    from persimmonlink_router.client_pressure.memory_plan import MemoryPlan
     from persimmonlink_router.cluster_membership import ClusterMembership
     from persimmonlink_router.cluster_view import ClusterView
     from persimmonlink_router.connection_pool import ConnectionPool
@@ -57,7 +59,8 @@
 SERVER_POLL_INTERVAL_S = 0.02  # Interval of looking for such a server.
 NO_SERVER_RETRY_AFTER_S = 0.3  # Retry-After if no server accepts a request.
 MAX_REJECTIONS = 4  # A request that more servers than this reject is refused.
-MAX_BUFFERED_BYTES = 50331648  # Largest size of all responses that are buffered.
+# Largest size of all responses that are buffered, where memory doesn't bound it more.
+MAX_BUFFERED_BYTES = MAX_RESPONSE_BYTES
 # Longest idle time of connections that carry requests which must not run twice.
 NON_REPEATABLE_MAX_IDLE_S = 2.0
 
@@ -103,6 +106,8 @@
         Which servers this node reaches.
     places : ServerPlaces
         Keeps brittle servers from rejecting.
+    plan : MemoryPlan
+        What responses may take together.
     """
 
     def __init__(
@@ -121,6 +126,7 @@
         metrics: RouterMetrics,
         reach: ServerReach,
         places: ServerPlaces,
+        plan: MemoryPlan,
     ) -> None:
         self._chooser = chooser
         self._cluster_view = cluster_view
@@ -147,7 +153,7 @@
             places,
             self.responses.record_lost_request,
         )
-        self.body_budget = ByteBudget(MAX_BUFFERED_BYTES)
+        self.body_budget = ByteBudget(plan.response_bytes, plan.small_response_bytes)
 
     async def send(
         self,
--- a/packages/persimmonlink-router/src/persimmonlink_router/socket_options.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/socket_options.py
@@ -15,6 +15,9 @@
 KEEPALIVE_IDLE_S = 1  # Time without traffic after which probes are sent.
 KEEPALIVE_INTERVAL_S = 1  # Interval of the probes.
 KEEPALIVE_COUNT = 2  # Probes after which a connection is closed.
+# States of a connection, as the kernel tells them (tcp_states.h).
+TCP_CLOSE = b"\x07"
+TCP_CLOSE_WAIT = b"\x08"
 RESET = struct.pack("ii", 1, 0)  # SO_LINGER: on, for 0 seconds.
 
 
@@ -66,10 +69,30 @@
     return int(struct.unpack("i", count)[0])
 
 
+def has_peer_closed(sock: Any) -> bool:
+    """Whether the other end has closed a connection, whatever it sent before.
+
+    False if the system does not tell.
+
+    Parameters
+    ----------
+    sock : socket.socket or asyncio.trsock.TransportSocket
+        A TCP socket; a closed one counts as closed by both ends.
+    """
+    if sock is None or sock.fileno() < 0:
+        return True
+    try:
+        state = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
+    except OSError:
+        return False
+    return state[:1] in (TCP_CLOSE, TCP_CLOSE_WAIT)
+
+
 __all__ = (
     "USER_TIMEOUT_MS",
     "bound_silence",
     "count_unacknowledged_bytes",
     "count_waiting_bytes",
+    "has_peer_closed",
     "reset_on_close",
 )
--- a/tests/router/test_byte_budget.py
+++ b/tests/router/test_byte_budget.py
@@ -10,6 +10,7 @@
     SMALL_BODY_BYTES,
     BudgetExhaustedError,
     ByteBudget,
+    Reservation,
 )
 
 ROOM_BYTES = 100_000
@@ -55,3 +56,20 @@
             pass
     assert budget.try_reserve(ROOM_BYTES)
     assert not budget.try_reserve(1)
+
+
+@given(SIZES, st.integers(0, 200_000))
+def test_short_bodies_never_take_more_than_their_part(sizes, small_bytes):
+    budget = ByteBudget(ROOM_BYTES, small_bytes)
+    held = []
+    for size in sizes:
+        reservation = Reservation(budget)
+        try:
+            reservation.resize(size)
+        except BudgetExhaustedError:
+            continue
+        held.append((reservation, min(size, SMALL_BODY_BYTES)))
+        assert sum(small for _, small in held) <= small_bytes
+    for reservation, _ in held:
+        reservation.release()
+    assert budget.try_reserve(ROOM_BYTES, small_bytes)
