--- a/packages/persimmonlink-router/src/persimmonlink_router/router_settings.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/router_settings.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+import os
 from dataclasses import asdict, dataclass
 from typing import TYPE_CHECKING, Annotated
 
@@ -13,10 +15,17 @@
 from persimmonlink_router.foreign_values import MAX_PORT, is_address
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
     from pathlib import Path
 
     from returns.result import Result
 
+# Settings that variables of the environment may set.
+PATH_BY_VARIABLE = {
+    "PERSIMMONLINK_MEMORY_MB": ("memory_mb",),
+    "PERSIMMONLINK_MAX_DESCRIPTORS": ("max_descriptors",),
+    "PERSIMMONLINK_CANARY_SHARE": ("limits", "canary_share"),
+}
 # Least memory and descriptors with which a router serves anybody.
 MIN_MEMORY_MB = 64
 MIN_DESCRIPTORS = 256
@@ -135,9 +144,16 @@
 
 
 def read_router_settings(path: Path) -> Result[RouterSettings, tuple[Fault, ...]]:
-    """Read and check a settings file; a failure holds every fault found."""
+    """Read and check a settings file; a failure holds every fault found.
+
+    Variables of the environment that are set and not empty go before the file, for
+    those settings that not every platform has.
+    """
     try:
         raw = jsonc.loads(path.read_text(encoding="utf-8"))
+        faults = _apply_environment(raw, os.environ)
+        if faults:
+            return Err(faults)
         result = validate(raw, RouterSettings)
     except (OSError, ValueError, RecursionError) as error:
         return Err((Fault("", str(error)),))
@@ -147,6 +163,32 @@
     return Err(faults) if faults else result
 
 
+def _apply_environment(
+    raw: object, environment: Mapping[str, str]
+) -> tuple[Fault, ...]:
+    """Set the settings that the environment has; return those that are no numbers."""
+    faults: list[Fault] = []
+    if not isinstance(raw, dict):
+        return ()
+    for variable, path in PATH_BY_VARIABLE.items():
+        text = environment.get(variable, "").strip()
+        if not text:
+            continue
+        target = raw
+        for name in path[:-1]:
+            target = target.setdefault(name, {})
+        try:
+            number = float(text)
+        except ValueError:
+            number = math.nan
+        if not math.isfinite(number):
+            faults.append(Fault(".".join(path), f"{variable}={text[:40]} is no number"))
+            continue
+        if isinstance(target, dict):
+            target[path[-1]] = int(number) if number.is_integer() else number
+    return tuple(faults)
+
+
 def _list_faults(settings: RouterSettings) -> tuple[Fault, ...]:
     """Return the faults that the types of the fields don't tell."""
     text_by_path = {
--- a/tests/router/test_router_settings.py
+++ b/tests/router/test_router_settings.py
@@ -65,3 +65,32 @@
 
 def test_a_file_that_is_not_json_is_a_fault(tmp_path):
     assert isinstance(read(tmp_path, "{"), Failure)
+
+
+def test_the_environment_sets_what_only_some_platforms_have(tmp_path, monkeypatch):
+    monkeypatch.setenv("PERSIMMONLINK_MEMORY_MB", "160")
+    monkeypatch.setenv("PERSIMMONLINK_MAX_DESCRIPTORS", "1638")
+    monkeypatch.setenv("PERSIMMONLINK_CANARY_SHARE", "")
+    settings = read(tmp_path, json.dumps(VALID_SETTINGS)).unwrap()
+    assert (settings.memory_mb, settings.max_descriptors) == (160, 1638)
+    assert settings.limits.canary_share == 0.1
+
+
+@pytest.mark.parametrize(
+    ("variable", "text", "path"),
+    [
+        ("PERSIMMONLINK_MEMORY_MB", "much", "memory_mb"),
+        ("PERSIMMONLINK_MEMORY_MB", "nan", "memory_mb"),
+        ("PERSIMMONLINK_MEMORY_MB", "12", "memory_mb"),
+        ("PERSIMMONLINK_MAX_DESCRIPTORS", "1.5", "max_descriptors"),
+        ("PERSIMMONLINK_MAX_DESCRIPTORS", "20", "max_descriptors"),
+        ("PERSIMMONLINK_CANARY_SHARE", "2", "limits.canary_share"),
+    ],
+)
+def test_a_bad_value_of_the_environment_is_one_fault(
+    tmp_path, monkeypatch, variable, text, path
+):
+    monkeypatch.setenv(variable, text)
+    result = read(tmp_path, json.dumps(VALID_SETTINGS))
+    assert isinstance(result, Failure)
+    assert [fault.path for fault in result.failure()] == [path]
--- a/tests/upgrade/trees.py
+++ b/tests/upgrade/trees.py
@@ -74,13 +74,6 @@
             value = fields[name]
             return json.dumps(value) if form == "json" else str(value)
 
-        def choose(match: re.Match[str]) -> str:
-            return match.group(2) if match.group(1) in fields else ""
-
-        # A section is left out if the platform doesn't have its field.
-        template = re.sub(
-            r"\{\{#([^{}]+)\}\}(.*?)\{\{/\1\}\}", choose, template, flags=re.DOTALL
-        )
         return re.sub(r"\{\{([^{}]+)\}\}", fill, template)
 
 
