Read what stage servers report of their speed, and trust it as far as it foretells

Servers that share their machines say by which factor work takes longer now; nothing read it, and they were ranked by a mean of past calls. The adapter decodes the report, the coordinator keeps the last one for 2 s, and uses it for a service while it predicts calls better than their mean does.

--- a/packages/persimmonlink-router/src/persimmonlink_router/stage_calls.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stage_calls.py
@@ -176,6 +176,8 @@
         self._cluster_view.apply_response(server, info)
         self._limiter.record_response(server, info)
         self._places.record_response(server, info)
+        if info.load is not None:
+            self._servers.forecast.record_report(server.key, info.load, boot_time())
         if info.was_not_run or info.is_other_server:
             return None
         if head.status != 200:
--- a/packages/persimmonlink-router/src/persimmonlink_router/stage_servers.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/stage_servers.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from persimmonlink_router.server_load.slowness_forecast import SlownessForecast
 from persimmonlink_router.stage_queue import estimate_call_s
 from persimmonlink_router.wire_messages import PieceFailure
 
@@ -120,11 +121,17 @@
         Directory of the servers.
     health : ServerHealth
         Latency and failures of the servers.
+
+    Attributes
+    ----------
+    forecast : SlownessForecast
+        Predicts how long calls take, from what servers report too.
     """
 
     def __init__(self, cluster_view: ClusterView, health: ServerHealth) -> None:
         self._cluster_view = cluster_view
         self._health = health
+        self.forecast = SlownessForecast()
         self._state_by_key: dict[Hashable, StageServerState] = {}
         self._fill_fraction_by_service: dict[str, float] = {}
         self._all_shared_until = -math.inf
@@ -204,9 +211,7 @@
             if self._health.failure_share(server.key, now) > MAX_FAILURE_SHARE:
                 continue
             pause_s = self._cluster_view.servers.pause_left_s(server, now)
-            effective_servers += 1 / max(
-                1.0, self._health.latency_ratio(server.key, now)
-            )
+            effective_servers += 1 / max(1.0, self._predict_ratio(server, now))
             until_free_s.append(max(pause_s, self.state(server).busy_until - now))
         return effective_servers, min(until_free_s, default=0.0)
 
@@ -227,7 +232,7 @@
 
     def slowness(self, server: Server, now: float) -> float:
         """Return the ratio of actual to expected time, increased by failures."""
-        latency_ratio = max(1.0, self._health.latency_ratio(server.key, now))
+        latency_ratio = max(1.0, self._predict_ratio(server, now))
         failure_share = self._health.failure_share(server.key, now)
         return latency_ratio * (1 + FAILURE_SLOWNESS_FACTOR * failure_share)
 
@@ -251,9 +256,9 @@
         state = self.state(server)
         state.calls_in_flight += 1
         state.held_bytes += size_bytes
-        state.busy_until = now + expected_s * self._health.latency_ratio(
-            server.key, now
-        )
+        state.busy_until = now + expected_s * self._predict_ratio(server, now)
+        shown = self._health.latency_ratio(server.key, now)
+        self.forecast.record_start(server.key, shown, now)
 
     def record_call_end(self, server: Server, now: float) -> None:
         """Record that a call has ended, whatever its outcome."""
@@ -289,6 +294,7 @@
             state.blocked_until = now + FULL_BACKOFF_S
             return
         self._health.record_success(server.key, ratio, now)
+        self.forecast.record_end(server.key, server.service, ratio)
         # Times of calls differ with their pieces, so that ratios are compared.
         rollouts = self._cluster_view.rollouts
         if any(result.failure is PieceFailure.ERROR for result in results):
@@ -325,8 +331,14 @@
         """Whether another node may send a server calls too."""
         return max(self.state(server).shared_until, self._all_shared_until) > now
 
+    def _predict_ratio(self, server: Server, now: float) -> float:
+        """Return the expected ratio of actual to expected time of the next call."""
+        shown = self._health.latency_ratio(server.key, now)
+        return self.forecast.predict(server.key, server.service, shown, now)
+
     def discard_absent(self, keys: Collection[Hashable]) -> None:
         """Discard the state of servers that are gone and have no calls in flight."""
+        self.forecast.retain_servers(keys)
         for key, state in list(self._state_by_key.items()):
             if key not in keys and state.calls_in_flight == 0:
                 del self._state_by_key[key]
--- a/packages/persimmonlink-router/src/persimmonlink_router/wire_messages.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/wire_messages.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING, Protocol
 
 from persimmonlink_router.http_messages import Headers
+from persimmonlink_router.server_load.load_report import LoadReport
 from persimmonlink_router.servers import Server
 
 if TYPE_CHECKING:
@@ -127,6 +128,8 @@
     max_rejections_per_s : float or None
         Rejections a second for want of room over which the server ends; None if it
         names none.
+    load : LoadReport or None
+        What the server says of its load; None if it says nothing, or what is odd.
     """
 
     request_id: str
@@ -138,6 +141,7 @@
     pause_s: float = 0.0
     rate_limit_per_s: float | None = None
     max_rejections_per_s: float | None = None
+    load: LoadReport | None = None
 
 
 @dataclass(frozen=True, slots=True)
