Count a connection with what was read on it, and look only at those that wait

A connection now counts 80 KB. Connections that wait for their client are kept in a set, so that the look for those without progress costs nothing in calm.

--- a/packages/persimmonlink-router/src/persimmonlink_router/client_pressure/memory_plan.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/client_pressure/memory_plan.py
@@ -7,10 +7,10 @@
 
 BYTES_PER_MB = 1_000_000
 USABLE_SHARE = 0.8  # Part of the memory that is planned; the rest is for peaks.
-# Memory of a router without clients, and of each connection with a request under way
-# beside its bodies.
+# Memory of a router without clients, and of a connection with a request under way: its
+# task, and what was read of client and server and not yet parsed.
 BASE_BYTES = 42_000_000
-CONNECTION_BYTES = 40_000
+CONNECTION_BYTES = 80_000
 MIN_BUFFER_BYTES = 8_000_000  # Least memory for bodies and buffers.
 # Most bytes of bodies of requests, of responses, and of responses of stage servers,
 # also where there is more memory.
@@ -24,7 +24,7 @@
 # store, and the readiness, directory and metrics addresses.
 CLIENT_DESCRIPTOR_SHARE = 0.6
 SMALL_SHARE = 0.3  # Part of the bodies' memory that short ones have to themselves.
-CONNECTION_SHARE = 0.3  # Part of the memory that connections without bytes may take.
+CONNECTION_SHARE = 0.4  # Part of the memory that connections without bytes may take.
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/persimmonlink-router/src/persimmonlink_router/http_connection.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/http_connection.py
@@ -123,17 +123,20 @@
         self._transport = None
         self._can_write.set()
         self._server.connections.discard(self)
+        self._server.waiting_connections.discard(self)
         if self._task is not None and not self._task.done():
             self._task.cancel()
 
     def pause_writing(self) -> None:
         """Block `drain` while the write buffer is full."""
         self._can_write.clear()
+        self._server.waiting_connections.add(self)
 
     def resume_writing(self) -> None:
         """Unblock `drain` once the client has read enough."""
         self._progress_at = boot_time()
         self._can_write.set()
+        self._end_waiting()
 
     def send(self, event: Any) -> None:
         """Write an h11 event; raise `ClientDisconnectedError` if the client left."""
@@ -177,7 +180,6 @@
     def count_held_bytes(self) -> int:
         """Return the bytes that are held for the client, in either direction."""
         held = self._count_unsent_bytes() + self.unwritten_bytes + self._body_bytes
-        held += len(self._h11.trailing_data[0]) if not self.is_serving else 0
         if not self._can_write.is_set():
             held += BLOCKED_READ_BYTES
         return held
@@ -359,6 +361,7 @@
         validate_head(headers, bytes(first.target), limits)
         body = bytearray()
         self._is_reading_body = True
+        self._server.waiting_connections.add(self)
         self._progress_at = boot_time()
         deadline = asyncio.get_running_loop().time() + max(
             limits.header_timeout_s, limits.idle_timeout_s
@@ -380,6 +383,7 @@
                 raise BadRequestError(413, "the request body is over the limit")
             self._reserve_body(len(body))
         self._is_reading_body = False
+        self._end_waiting()
         return HttpRequest(
             bytes(first.method), bytes(first.target), headers, bytes(body)
         )
@@ -396,9 +400,15 @@
         except BudgetExhaustedError as error:
             raise BadRequestError(503, str(error)) from error
 
+    def _end_waiting(self) -> None:
+        """Stop counting the connection as one that waits, if it waits for nothing."""
+        if self._can_write.is_set() and not self._is_reading_body:
+            self._server.waiting_connections.discard(self)
+
     def _release_body(self) -> None:
         self._is_reading_body = False
         self._body_bytes = 0
+        self._end_waiting()
         if self._reservation is not None:
             self._reservation.release()
             self._reservation = None
--- a/packages/persimmonlink-router/src/persimmonlink_router/http_server.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/http_server.py
@@ -59,6 +59,8 @@
         )
         self.turns = TurnGate()
         self.connections: set[HttpServerConnection] = set()
+        # Connections that wait for their client: for its body, or for it to read.
+        self.waiting_connections: set[HttpServerConnection] = set()
         self.is_stopping = False
         # Boot time from which clients that go on sending are told to leave, too.
         self.tells_all_from = math.inf
@@ -127,7 +129,7 @@
         """
         held = [
             HeldBytes(c, c.count_held_bytes(), c.stalled_s(now))
-            for c in self.connections
+            for c in self.waiting_connections
         ]
         chosen = choose_stalled(held, self.plan.client_bytes)
         for each in chosen:
