Keep a version that was taken back out under the next order too

Servers of a version that was taken back run on for seconds; an order for a third version that came meanwhile counted them as old ones, so that they got most requests again. The versions taken back go along in the record of the next order, until an order names them. test_a_version_taken_back_gets_nothing_under_the_next_order_either; 50 of 50 of the rollouts' tests passed.

--- a/packages/persimmonlink-router/src/persimmonlink_router/rollouts/rollout_book.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/rollouts/rollout_book.py
@@ -42,6 +42,8 @@
         Outcomes that this node has seen.
     judge : VersionJudge
         Follows the outcomes that this node knows of.
+    banned_versions : frozenset of str
+        Versions that earlier orders were reverted from. Their servers may still run.
     shifted_at : float
         Boot time from which this node knows of the shift, in seconds; 0 before it.
     """
@@ -54,6 +56,7 @@
     is_suspended: bool = False
     evidence: VersionEvidence = field(default_factory=VersionEvidence)
     judge: VersionJudge = field(default_factory=VersionJudge)
+    banned_versions: frozenset[str] = frozenset()
     shifted_at: float = 0.0
 
     @property
@@ -110,7 +113,11 @@
             return
         if known is not None and known.order_revision >= revision:
             return
-        self.rollout_by_service[service] = Rollout(order, revision, now)
+        rollout = Rollout(order, revision, now)
+        if known is not None:
+            rollout.banned_versions = known.banned_versions
+            _ban_reverted(rollout, known.record)
+        self.rollout_by_service[service] = rollout
         logger.bind(
             service=service,
             server_version=order.version,
@@ -120,6 +127,7 @@
         ).info("rollout.ordered")
         record, record_revision = self._early_record_by_service.pop(service, (None, 0))
         if record is not None:
+            _ban_reverted(rollout, record)
             self.apply_record(record, record_revision, now)
         self._update_share(service)
 
@@ -132,7 +140,10 @@
                 self._update_share(record.service)
             return
         if rollout.order_revision != record.order_revision:
+            _ban_reverted(rollout, record)
+            self._update_share(record.service)
             return
+        rollout.banned_versions |= frozenset(record.banned_versions)
         before = rollout.phase
         rollout.record = record
         rollout.raise_elapsed(record.elapsed_s, now)
@@ -224,13 +235,15 @@
                 return
             version, order_revision = record.version, record.order_revision
             is_suspended = False
+            banned_versions = frozenset(record.banned_versions)
         else:
             record = rollout.record
             version, order_revision = rollout.order.version, rollout.order_revision
             is_suspended = rollout.is_suspended and not rollout.is_over
-        if not version and record is None:
-            # An order that can't be followed changes nothing.
-            return
+            banned_versions = rollout.banned_versions
+            if rollout.order.error and record is None:
+                # An order that can't be followed changes nothing.
+                return
         phase = RolloutPhase.TRIAL if record is None else record.phase
         old_versions = () if record is None else record.old_versions
         self._shares.set_share(
@@ -242,8 +255,26 @@
                 self.trial_share,
                 is_suspended,
                 frozenset(old_versions),
+                banned_versions,
             ),
         )
 
 
+def _ban_reverted(rollout: Rollout, earlier: RolloutRecord | None) -> None:
+    """Keep the version out that an earlier order was reverted from.
+
+    Its servers may run for seconds, and are none of the old ones. An order that names
+    the version again lets it back in.
+    """
+    if earlier is None:
+        return
+    banned = set(earlier.banned_versions)
+    is_earlier = earlier.order_revision < rollout.order_revision
+    if is_earlier and earlier.phase is RolloutPhase.REVERTED:
+        banned.add(earlier.version)
+    rollout.banned_versions = (rollout.banned_versions | banned) - {
+        rollout.order.version
+    }
+
+
 __all__ = ("Rollout", "RolloutBook")
--- a/packages/persimmonlink-router/src/persimmonlink_router/rollouts/rollout_controller.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/rollouts/rollout_controller.py
@@ -267,6 +267,7 @@
             facts.old_versions,
             decision.fault.value if decision.fault is not None else 0,
             decision.reason,
+            tuple(sorted(rollout.banned_versions)),
         )
         key = ROLLOUT_PREFIX + order.service
         status_key, status = self._status_writer.build_rollout_status(record)
--- a/packages/persimmonlink-router/src/persimmonlink_router/rollouts/rollout_records.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/rollouts/rollout_records.py
@@ -70,6 +70,8 @@
         Number of the reason for which it was reverted; 0 for none.
     reason : str
         That reason in words.
+    banned_versions : tuple of str
+        Versions that earlier orders were reverted from, which get nothing either.
     """
 
     order_revision: int
@@ -81,6 +83,7 @@
     old_versions: tuple[str, ...] = ()
     code: int = 0
     reason: str = ""
+    banned_versions: tuple[str, ...] = ()
 
 
 def read_rollout_record(item: StoredItem) -> RolloutRecord | None:
--- a/packages/persimmonlink-router/src/persimmonlink_router/rollouts/version_shares.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/rollouts/version_shares.py
@@ -39,6 +39,8 @@
         Whether the new version gets nothing for now.
     old_versions : frozenset of str
         Versions that get nothing once the rollout is complete.
+    banned_versions : frozenset of str
+        Versions that earlier orders were reverted from.
     """
 
     version: str
@@ -47,15 +49,16 @@
     share: float
     is_suspended: bool = False
     old_versions: frozenset[str] = frozenset()
+    banned_versions: frozenset[str] = frozenset()
 
     @property
     def excluded_versions(self) -> frozenset[str]:
         """Versions whose servers get no new work."""
         if self.is_suspended or self.phase is RolloutPhase.REVERTED:
-            return frozenset((self.version,))
+            return self.banned_versions | {self.version}
         if self.phase is RolloutPhase.COMPLETE:
-            return self.old_versions - {self.version}
-        return frozenset()
+            return (self.banned_versions | self.old_versions) - {self.version}
+        return self.banned_versions - {self.version}
 
     def draws_new(self, request_id: str) -> bool:
         """Whether a request goes to the new version in a trial."""
--- a/tests/router/rollouts/test_rollouts_of_routers.py
+++ b/tests/router/rollouts/test_rollouts_of_routers.py
@@ -275,3 +275,30 @@
             assert status["to"] == "v1"
 
     run(scenario())
+
+
+def test_a_version_taken_back_gets_nothing_under_the_next_order_either():
+    # Its servers drain some seconds later, and would count as old ones.
+    async def scenario():
+        async with make_rig(routers=2) as rig, serve_load(rig, "/book/1", (0, 1)):
+            await add_new_version(rig, PLAIN_SERVICE)
+            for server in rig.server_by_id.values():
+                if server.version == "v2":
+                    server.faults.responds_500 = True
+            order(rig, PLAIN_SERVICE)
+            await wait_for_end(rig, PLAIN_SERVICE)
+            await asyncio.sleep(0.3)
+            reached = count_arrivals(rig, "v2")
+            await add_server(rig, PLAIN_SERVICE, "third", version="v3")
+            order(rig, PLAIN_SERVICE, version="v3", period_s=4.0)
+            await wait_until(
+                lambda: read_status(rig, PLAIN_SERVICE).get("to") == "v3", 3.0
+            )
+            status = await wait_for_end(rig, PLAIN_SERVICE)
+            assert status["to"] == "v3"
+            await stop_router(rig.routers[0])
+            await restart_router(rig, 0)
+            await asyncio.sleep(1.0)
+            assert count_arrivals(rig, "v2") == reached
+
+    run(scenario())
