--- a/review/play_2/rig.py
+++ b/review/play_2/rig.py
@@ -107,6 +107,8 @@
         self.record = record
         self.store = MetadataStoreStandIn()
         self.routers: list[RouterProcess] = []
+        # Monotonic times of starts and signals, by the names of the routers.
+        self.disturbed_at_by_name: dict[str, list[float]] = {}
         self._folder = tempfile.TemporaryDirectory()
 
     async def start_store(self) -> None:
@@ -162,14 +164,20 @@
                 stdout=log,
                 stderr=log,
             )
+        self._record_disturbance(router)
         self.record.add(f"{router.name} started, clients at {router.clients}")
 
     def signal_router(self, router: RouterProcess, number: signal.Signals) -> None:
         """Send a signal to a router that this deployment started."""
         if router.process is not None and router.process.poll() is None:
             router.process.send_signal(number)
+            self._record_disturbance(router)
             self.record.add(f"{router.name} gets {number.name}")
 
+    def _record_disturbance(self, router: RouterProcess) -> None:
+        times = self.disturbed_at_by_name.setdefault(router.name, [])
+        times.append(time.monotonic())
+
     def read_log(self, router: RouterProcess) -> str:
         """Return what a router has written."""
         path = Path(self._folder.name) / f"{router.name}.log"
