Bound what anybody may send to the peers' address

What operators saw: a router that ran out of memory or descriptors, without a request.

Cause: nothing bounded the length of a message, the number and the time of those that have arrived in part, or the connections.

Change: MessageReceiver receives a message in pieces of 64 KB, each reserved from a budget of the memory plan (0.15 of the buffers, 4.5 MB at least), within 5 s, 1,024 at most; without room the call ends with RESOURCE_EXHAUSTED. The windows of what a server receives are 64 KB a call and 512 KB a connection. Connections have 0.2 of the descriptors, 512 at most; one too many closes one that has brought no whole message, or else the one without calls for longest. The bodies of requests that peers pass on share the same figure in place of a constant of 32 MB.

--- a/packages/persimmonlink-peers/src/persimmonlink_peers/connection_settings.py
+++ b/packages/persimmonlink-peers/src/persimmonlink_peers/connection_settings.py
@@ -2,12 +2,35 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 from grpclib.config import Configuration
 
 # Unread bytes of one call, and of all calls of a connection: a reply that nobody reads
 # must not hold up the others.
 STREAM_WINDOW_BYTES = 131072
 CONNECTION_WINDOW_BYTES = 67108864
+# The same for what a server receives. It reads all messages as they arrive, so that a
+# message which nobody reads holds up no sound peer.
+SERVER_STREAM_WINDOW_BYTES = 65536
+SERVER_CONNECTION_WINDOW_BYTES = 524288
+
+
+def build_server_configuration(interval_s: float, timeout_s: float) -> Configuration:
+    """Return the configuration of the connections that a server accepts.
+
+    Parameters
+    ----------
+    interval_s : float
+        Time between pings, in seconds.
+    timeout_s : float
+        Timeout for the reply, in seconds, after which the connection is closed.
+    """
+    return replace(
+        build_connection_configuration(interval_s, timeout_s),
+        http2_stream_window_size=SERVER_STREAM_WINDOW_BYTES,
+        http2_connection_window_size=SERVER_CONNECTION_WINDOW_BYTES,
+    )
 
 
 def build_connection_configuration(
@@ -36,4 +59,4 @@
     )
 
 
-__all__ = ("build_connection_configuration",)
+__all__ = ("build_connection_configuration", "build_server_configuration")
--- a/packages/persimmonlink-peers/src/persimmonlink_peers/peer_server.py
+++ b/packages/persimmonlink-peers/src/persimmonlink_peers/peer_server.py
@@ -12,12 +12,15 @@
 
 from persimmonlink_model.result_code import ResultCode
 from persimmonlink_peers.codec import CODE_BY_STATUS, MessagePackCodec
-from persimmonlink_peers.connection_settings import build_connection_configuration
+from persimmonlink_peers.connection_settings import build_server_configuration
 from persimmonlink_peers.grpc_server import GrpcServer
+from persimmonlink_peers.message_receiver import MessageReceiver
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable, Mapping
 
+    from persimmonlink_peers.message_receiver import MessageMemory
+
 SERVICE_NAME = "persimmonlink.Peer"
 # Longer than the interval and timeout of the client side, which detects a dead
 # connection first.
@@ -39,10 +42,22 @@
     ----------
     on_invalid : callable
         Called with the result code of each rejected message.
+    memory : MessageMemory or None
+        Bounds the bytes of messages that have arrived in part; None for no bound.
+    max_connections : int or None
+        Most connections at once; None for no limit.
     """
 
-    def __init__(self, on_invalid: Callable[[ResultCode], None]) -> None:
+    def __init__(
+        self,
+        on_invalid: Callable[[ResultCode], None],
+        memory: MessageMemory | None = None,
+        max_connections: int | None = None,
+    ) -> None:
         self._on_invalid = on_invalid
+        self._max_connections = max_connections
+        self._codec = MessagePackCodec()
+        self._receiver = MessageReceiver(self._codec, memory)
         self._handler_by_path: dict[str, Handler] = {}
         self._server: GrpcServer | None = None
         self._call_count = 0
@@ -59,12 +74,7 @@
         """
 
         async def serve(stream: Any) -> None:
-            try:
-                message = await stream.recv_message()
-            except GRPCError as error:
-                code = CODE_BY_STATUS.get(error.status, ResultCode.PEER_MESSAGE_INVALID)
-                self._report_invalid(code, str(error.message))
-                raise
+            message = await self._receive(stream, request_type)
             if message is None:
                 return
             self._call_count += 1
@@ -91,12 +101,7 @@
         """
 
         async def serve(stream: Any) -> None:
-            try:
-                message = await stream.recv_message()
-            except GRPCError as error:
-                code = CODE_BY_STATUS.get(error.status, ResultCode.PEER_MESSAGE_INVALID)
-                self._report_invalid(code, str(error.message))
-                raise
+            message = await self._receive(stream, request_type)
             if message is None:
                 return
             self._call_count += 1
@@ -116,8 +121,13 @@
 
     async def start(self, host: str, port: int) -> None:
         """Start to listen for peers."""
-        settings = build_connection_configuration(PING_INTERVAL_S, PING_TIMEOUT_S)
-        self._server = GrpcServer([self], codec=MessagePackCodec(), config=settings)
+        settings = build_server_configuration(PING_INTERVAL_S, PING_TIMEOUT_S)
+        self._server = GrpcServer(
+            [self],
+            codec=self._codec,
+            config=settings,
+            max_connections=self._max_connections,
+        )
         await self._server.start(host, port)
 
     async def finish(self, timeout_s: float) -> None:
@@ -152,6 +162,18 @@
         self._server.close_connections()
         await self._server.wait_closed()
 
+    async def _receive(self, stream: Any, request_type: type) -> Any:
+        """Return the message of a call, or None if the call has none."""
+        try:
+            message = await self._receiver.receive(stream, request_type)
+        except GRPCError as error:
+            code = CODE_BY_STATUS.get(error.status, ResultCode.PEER_MESSAGE_INVALID)
+            self._report_invalid(code, str(error.message))
+            raise
+        if self._server is not None and message is not None:
+            self._server.record_message(stream.peer.addr())
+        return message
+
     def _report_invalid(self, code: ResultCode, detail: str) -> None:
         logger.warning("result code {}: rejected peer message: {}", code.value, detail)
         self._on_invalid(code)
--- a/packages/persimmonlink-router/src/persimmonlink_router/byte_budget.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/byte_budget.py
@@ -98,6 +98,14 @@
 
         Raises `BudgetExhaustedError` if it has grown and there is no room.
         """
+        if not self.try_resize(size):
+            raise BudgetExhaustedError("too many long bodies are buffered")
+
+    def try_resize(self, size: int) -> bool:
+        """Reserve what a body of a size in bytes needs; return whether there is room.
+
+        One that shrinks always has room.
+        """
         excess = count_excess(size)
         change = excess - self._reserved_bytes
         small_change = size - excess - self._reserved_small_bytes
@@ -105,10 +113,11 @@
         if (growth or small_growth) and not self._budget.try_reserve(
             growth, small_growth
         ):
-            raise BudgetExhaustedError("too many long bodies are buffered")
+            return False
         self._budget.release(max(0, -change), max(0, -small_change))
         self._reserved_bytes += change
         self._reserved_small_bytes += small_change
+        return True
 
     def release(self) -> None:
         """Give all bytes back."""
--- a/packages/persimmonlink-router/src/persimmonlink_router/client_pressure/memory_plan.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/client_pressure/memory_plan.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 BYTES_PER_MB = 1_000_000
 USABLE_SHARE = 0.8  # Part of the memory that is planned; the rest is for peaks.
@@ -11,6 +11,7 @@
 # task, and what was read of client and server and not yet parsed.
 BASE_BYTES = 42_000_000
 CONNECTION_BYTES = 80_000
+MIN_CLIENT_CONNECTIONS = 64
 MIN_BUFFER_BYTES = 8_000_000  # Least memory for bodies and buffers.
 # Most bytes of bodies of requests, of responses, and of responses of stage servers,
 # also where there is more memory.
@@ -20,9 +21,15 @@
 REQUEST_SHARE = 0.35
 RESPONSE_SHARE = 0.3
 STAGE_SHARE = 0.2
+# Bodies and unfinished messages of peers; one body of a usual limit fits.
+MAX_PEER_BYTES = 33_554_432
+MIN_PEER_BYTES = 4_500_000
+PEER_SHARE = 0.15
 # Part of the descriptors that clients may take; the others are for servers, peers, the
 # store, and the readiness, directory and metrics addresses.
 CLIENT_DESCRIPTOR_SHARE = 0.6
+PEER_DESCRIPTOR_SHARE = 0.2  # Part that connections of peers may take.
+MAX_PEER_CONNECTIONS = 512  # More than there are nodes.
 SMALL_SHARE = 0.3  # Part of the bodies' memory that short ones have to themselves.
 CONNECTION_SHARE = 0.4  # Part of the memory that connections without bytes may take.
 
@@ -43,6 +50,10 @@
         What of them short bodies may take, and the first part of long ones.
     connections : int or None
         Connections of clients; None for no limit.
+    peer_bytes : int
+        Bodies of requests that peers pass on, and messages that have arrived in part.
+    peer_connections : int or None
+        Connections at the peers' address; None for no limit.
     """
 
     request_bytes: int = MAX_REQUEST_BYTES
@@ -51,6 +62,13 @@
     small_request_bytes: float = math.inf
     small_response_bytes: float = math.inf
     connections: int | None = None
+    peer_bytes: int = MAX_PEER_BYTES
+    peer_connections: int | None = None
+
+    @property
+    def small_peer_bytes(self) -> int:
+        """Bytes that short messages of peers have to themselves."""
+        return int(SMALL_SHARE * self.peer_bytes)
 
     @property
     def client_bytes(self) -> int:
@@ -70,28 +88,40 @@
     max_descriptors : int
         Descriptors that the process may open; 0 if unknown.
     """
-    connections = None
+    plan = MemoryPlan()
     if max_descriptors:
-        connections = int(CLIENT_DESCRIPTOR_SHARE * max_descriptors)
+        plan = _limit_connections(max_descriptors)
     if not memory_mb:
-        return MemoryPlan(connections=connections)
+        return plan
     usable_bytes = USABLE_SHARE * memory_mb * BYTES_PER_MB - BASE_BYTES
     by_memory = int(max(0.0, CONNECTION_SHARE * usable_bytes) / CONNECTION_BYTES)
-    connections = by_memory if connections is None else min(connections, by_memory)
-    connections = max(64, connections)
+    connections = by_memory
+    if plan.connections is not None:
+        connections = min(plan.connections, by_memory)
     buffers = max(MIN_BUFFER_BYTES, (1 - CONNECTION_SHARE) * usable_bytes)
     requests = min(MAX_REQUEST_BYTES, int(REQUEST_SHARE * buffers))
     responses = min(MAX_RESPONSE_BYTES, int(RESPONSE_SHARE * buffers))
     small_requests = int(SMALL_SHARE * requests)
     small_responses = int(SMALL_SHARE * responses)
+    return replace(
+        plan,
+        request_bytes=requests - small_requests,
+        response_bytes=responses - small_responses,
+        stage_bytes=min(MAX_STAGE_BYTES, int(STAGE_SHARE * buffers)),
+        small_request_bytes=small_requests,
+        small_response_bytes=small_responses,
+        connections=max(MIN_CLIENT_CONNECTIONS, connections),
+        peer_bytes=min(MAX_PEER_BYTES, max(MIN_PEER_BYTES, int(PEER_SHARE * buffers))),
+    )
+
+
+def _limit_connections(max_descriptors: int) -> MemoryPlan:
+    """Divide the descriptors of an entry VM."""
+    peers = int(PEER_DESCRIPTOR_SHARE * max_descriptors)
     return MemoryPlan(
-        requests - small_requests,
-        responses - small_responses,
-        min(MAX_STAGE_BYTES, int(STAGE_SHARE * buffers)),
-        small_requests,
-        small_responses,
-        connections,
+        connections=int(CLIENT_DESCRIPTOR_SHARE * max_descriptors),
+        peer_connections=min(MAX_PEER_CONNECTIONS, peers),
     )
 
 
-__all__ = ("MAX_RESPONSE_BYTES", "MemoryPlan", "plan_memory")
+__all__ = ("MAX_PEER_BYTES", "MAX_RESPONSE_BYTES", "MemoryPlan", "plan_memory")
--- a/packages/persimmonlink-router/src/persimmonlink_router/router.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/router.py
@@ -14,6 +14,7 @@
 from persimmonlink_peers.peer_server import PeerServer
 from persimmonlink_router.background_tasks import BackgroundTasks
 from persimmonlink_router.boot_clock import boot_time
+from persimmonlink_router.byte_budget import ByteBudget
 from persimmonlink_router.client_directory import ClientDirectory, DirectoryWire
 from persimmonlink_router.client_pressure.memory_plan import plan_memory
 from persimmonlink_router.client_use_times import DIRECTORY_TTL_S
@@ -314,6 +315,7 @@
             self._rng,
             self._forwarder,
             self._stop_clock,
+            plan.peer_bytes,
         )
         self._follower = StoreFollower(
             self._store,
@@ -367,7 +369,11 @@
         self._listeners.add(settings.listen.readiness, self._respond_readiness)
         self._listeners.add(settings.listen.directory, directory.handle)
         self._listeners.add(settings.listen.metrics, operator_api.handle)
-        self._peer_server = PeerServer(self._count_invalid_message)
+        self._peer_server = PeerServer(
+            self._count_invalid_message,
+            ByteBudget(plan.peer_bytes, plan.small_peer_bytes),
+            plan.peer_connections,
+        )
         self._graceful_stop = GracefulStop(
             self._stop_clock,
             self._client_server,
