Bound connections and bodies at the addresses that are not meant for clients

Cause: these listeners had the default plan, which has no limit of connections and a budget of 64 MB for bodies each. The clients' address had 0.6 of the descriptors, though each client may need a connection to a server beside its own.

Change: the descriptors are divided between all addresses: clients 0.33 (430 on a VM of 160 MB, as before, since its memory bears no more), directory 0.06, readiness and metrics 0.02 each, 8 at least. Bodies there have 4 KB.

--- a/packages/persimmonlink-router/src/persimmonlink_router/client_pressure/memory_plan.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/client_pressure/memory_plan.py
@@ -25,11 +25,15 @@
 MAX_PEER_BYTES = 33_554_432
 MIN_PEER_BYTES = 4_500_000
 PEER_SHARE = 0.15
-# Part of the descriptors that clients may take; the others are for servers, peers, the
-# store, and the readiness, directory and metrics addresses.
-CLIENT_DESCRIPTOR_SHARE = 0.6
+# Part of the descriptors that clients may take. Each of them may need a connection to a
+# server; the others are for peers, the store, and the other addresses.
+CLIENT_DESCRIPTOR_SHARE = 0.33
 PEER_DESCRIPTOR_SHARE = 0.2  # Part that connections of peers may take.
 MAX_PEER_CONNECTIONS = 512  # More than there are nodes.
+LOOKUP_DESCRIPTOR_SHARE = 0.06  # Part for lookups of entry addresses.
+# Part for the readiness address, and as much for the metrics address.
+OPERATOR_DESCRIPTOR_SHARE = 0.02
+MIN_CONNECTIONS = 8  # Connections that each of these addresses has at least.
 SMALL_SHARE = 0.3  # Part of the bodies' memory that short ones have to themselves.
 CONNECTION_SHARE = 0.4  # Part of the memory that connections without bytes may take.
 
@@ -52,8 +56,9 @@
         Connections of clients; None for no limit.
     peer_bytes : int
         Bodies of requests that peers pass on, and messages that have arrived in part.
-    peer_connections : int or None
-        Connections at the peers' address; None for no limit.
+    peer_connections, lookup_connections, operator_connections : int or None
+        Connections at the peers' and the directory's address, and at each of those of
+        readiness and metrics; None for no limit.
     """
 
     request_bytes: int = MAX_REQUEST_BYTES
@@ -64,6 +69,8 @@
     connections: int | None = None
     peer_bytes: int = MAX_PEER_BYTES
     peer_connections: int | None = None
+    lookup_connections: int | None = None
+    operator_connections: int | None = None
 
     @property
     def small_peer_bytes(self) -> int:
@@ -77,6 +84,14 @@
         small = self.small_request_bytes + self.small_response_bytes
         return bodies if math.isinf(small) else bodies + int(small)
 
+    def for_lookups(self) -> MemoryPlan:
+        """Return the plan of the directory's address."""
+        return MemoryPlan(connections=self.lookup_connections)
+
+    def for_operators(self) -> MemoryPlan:
+        """Return the plan of the address of readiness checks, or of metrics."""
+        return MemoryPlan(connections=self.operator_connections)
+
 
 def plan_memory(memory_mb: float, max_descriptors: int) -> MemoryPlan:
     """Divide the memory and the descriptors of an entry VM.
@@ -117,10 +132,14 @@
 
 def _limit_connections(max_descriptors: int) -> MemoryPlan:
     """Divide the descriptors of an entry VM."""
+    operators = int(OPERATOR_DESCRIPTOR_SHARE * max_descriptors)
+    lookups = int(LOOKUP_DESCRIPTOR_SHARE * max_descriptors)
     peers = int(PEER_DESCRIPTOR_SHARE * max_descriptors)
     return MemoryPlan(
         connections=int(CLIENT_DESCRIPTOR_SHARE * max_descriptors),
         peer_connections=min(MAX_PEER_CONNECTIONS, peers),
+        lookup_connections=max(MIN_CONNECTIONS, lookups),
+        operator_connections=max(MIN_CONNECTIONS, operators),
     )
 
 
--- a/packages/persimmonlink-router/src/persimmonlink_router/router.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/router.py
@@ -92,6 +92,8 @@
 # Part of the allowed share of a new version that is used: requests are drawn by chance.
 CANARY_MARGIN = 0.8
 TICK_INTERVAL_S = 0.1  # Interval of the check for a suspension of the VM.
+# Largest body of a request to the directory, or for readiness or metrics.
+MAX_SERVICE_BODY_BYTES = 4096
 SWEEP_INTERVAL_S = 1.0  # Interval of closing idle connections and discarding old state.
 
 
@@ -366,9 +368,13 @@
             lambda: min(DIRECTORY_TTL_S, self._settings.limits.directory_ttl_s),
             self._rng,
         )
-        self._listeners.add(settings.listen.readiness, self._respond_readiness)
-        self._listeners.add(settings.listen.directory, directory.handle)
-        self._listeners.add(settings.listen.metrics, operator_api.handle)
+        for address, handler, address_plan in (
+            (settings.listen.readiness, self._respond_readiness, plan.for_operators()),
+            (settings.listen.directory, directory.handle, plan.for_lookups()),
+            (settings.listen.metrics, operator_api.handle, plan.for_operators()),
+        ):
+            limits_there = RequestLimits(body_bytes=MAX_SERVICE_BODY_BYTES)
+            self._listeners.add(address, handler, limits_there, address_plan)
         self._peer_server = PeerServer(
             self._count_invalid_message,
             ByteBudget(plan.peer_bytes, plan.small_peer_bytes),
