Give places to new connections while clients that are behind hold them

Callers saw: no answer for as long as a crowd of 200 clients held the places of a small VM (84) with a line of a head, a byte of a body or a chunk every 0.3 s, and none after one that had sent tiny chunks had left. Each return of a refused client cost an accept, a task, an answer and a log line, and all connections that waited were accepted, 512 in a turn, before the first was refused (299 descriptors of 256).

Cause: only an idle connection gave way to a new one, a head that trickled in never counted as idle, each byte renewed the time of a head, and a body whose bytes had arrived was parsed to its end whatever its time.

--- /dev/null
+++ b/packages/persimmonlink-router/src/persimmonlink_router/client_pressure/acceptor.py
@@ -0,0 +1,124 @@
+"""Accepts connections, a few in each turn of the event loop."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Protocol
+
+from loguru import logger
+
+from persimmonlink_router.client_pressure.place_limit import PlaceOffer
+
+if TYPE_CHECKING:
+    import socket
+
+# Connections that are accepted in one turn: others wait in the kernel, while what was
+# accepted before gets its turn.
+ACCEPTS_PER_TURN = 8
+# The same while places are short, so that a request which was sent at once is read
+# before its connection would give way.
+ACCEPTS_PER_SHORT_TURN = 1
+PLACE_WAIT_S = 0.005  # Pause until a connection may give way for a new one.
+# Pause after an accept has failed for want of descriptors or memory.
+FAILURE_PAUSE_S = 0.1
+
+
+class Admission(Protocol):
+    """Gives places to connections."""
+
+    @property
+    def is_short(self) -> bool:
+        """Whether places are short."""
+        ...
+
+    def find_place(self) -> PlaceOffer:
+        """Return whether the next connection has a place."""
+        ...
+
+    def admit(self, sock: socket.socket) -> None:
+        """Serve a connection, and close it in the end."""
+        ...
+
+    def refuse(self, sock: socket.socket) -> None:
+        """Close a connection that has no place."""
+        ...
+
+
+class Acceptor:
+    """Accepts the connections of one listening socket.
+
+    Parameters
+    ----------
+    sock : socket.socket
+        The socket, which listens already.
+    admission : Admission
+        Gets the connections.
+    """
+
+    def __init__(self, sock: socket.socket, admission: Admission) -> None:
+        sock.setblocking(False)
+        self._sock = sock
+        self._admission = admission
+        self._resume_handle: asyncio.TimerHandle | None = None
+
+    def start(self) -> None:
+        """Accept connections from now on."""
+        asyncio.get_running_loop().add_reader(self._sock, self._accept_some)
+
+    def accept_waiting(self, most: int) -> None:
+        """Accept the connections that wait already, `most` at most."""
+        for _ in range(most):
+            if not self._accept_one(self._admission.find_place()):
+                break
+
+    def close(self) -> None:
+        """Stop listening."""
+        if self._resume_handle is not None:
+            self._resume_handle.cancel()
+        if self._sock.fileno() >= 0:
+            asyncio.get_running_loop().remove_reader(self._sock)
+        self._sock.close()
+
+    def _accept_some(self) -> None:
+        most = ACCEPTS_PER_TURN
+        if self._admission.is_short:
+            most = ACCEPTS_PER_SHORT_TURN
+        for _ in range(most):
+            offer = self._admission.find_place()
+            if offer is PlaceOffer.SOON:
+                self._pause(PLACE_WAIT_S)
+                return
+            if not self._accept_one(offer):
+                return
+
+    def _accept_one(self, offer: PlaceOffer) -> bool:
+        """Accept a connection; return whether others may wait behind it."""
+        try:
+            accepted = self._sock.accept()[0]
+        except (BlockingIOError, InterruptedError):
+            return False
+        except ConnectionError as error:
+            # Of this connection only; others may wait behind it.
+            logger.bind(error=repr(error)).info("connection.not_accepted")
+            return True
+        except OSError as error:
+            logger.bind(error=repr(error)).warning("connection.not_accepted")
+            self._pause(FAILURE_PAUSE_S)
+            return False
+        accepted.setblocking(False)
+        if offer is PlaceOffer.FREE:
+            self._admission.admit(accepted)
+        else:
+            self._admission.refuse(accepted)
+        return True
+
+    def _pause(self, pause_s: float) -> None:
+        """Accept no more for a time, in seconds."""
+        if self._sock.fileno() < 0:
+            return
+        loop = asyncio.get_running_loop()
+        loop.remove_reader(self._sock)
+        self._resume_handle = loop.call_later(pause_s, self.start)
+
+
+__all__ = ("Acceptor", "Admission")
--- /dev/null
+++ b/packages/persimmonlink-router/src/persimmonlink_router/client_pressure/place_choice.py
@@ -0,0 +1,69 @@
+"""Which connection gives its place to a new one when all places are taken."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Generic, TypeVar
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+# Time after which a connection without a request gives way. Clients are promised more,
+# but one that returns loses a round trip only.
+MIN_IDLE_S = 1.0
+# Time by which a client is behind at least before it gives way.
+MIN_BEHIND_S = 0.002
+
+Holder = TypeVar("Holder")
+
+
+@dataclass(frozen=True, slots=True)
+class Occupant(Generic[Holder]):
+    """A connection that is not needed for a request at a server.
+
+    Parameters
+    ----------
+    holder : object
+        The connection.
+    address : str
+        IP address of the client.
+    idle_s : float
+        Time since its last request, in seconds; 0 if one is under way.
+    behind_s : float
+        Time by which the client is behind with a request or with reading, in seconds.
+    """
+
+    holder: Holder
+    address: str
+    idle_s: float = 0.0
+    behind_s: float = 0.0
+
+
+def rank_occupants(
+    occupants: Sequence[Occupant[Holder]],
+) -> list[Occupant[Holder]]:
+    """Return the connections that give way, the first one first.
+
+    Idle ones before all others; then those of the address that has most of them, and
+    among these the one that is furthest behind. Callers may share an address, so that
+    it decides on the order only.
+
+    Parameters
+    ----------
+    occupants : sequence of Occupant
+        Connections that are not needed for a request at a server.
+    """
+    idle = [each for each in occupants if each.idle_s >= MIN_IDLE_S]
+    behind = [
+        each
+        for each in occupants
+        if each.idle_s < MIN_IDLE_S and each.behind_s >= MIN_BEHIND_S
+    ]
+    count_by_address = Counter(each.address for each in behind)
+    idle.sort(key=lambda each: -each.idle_s)
+    behind.sort(key=lambda each: (-count_by_address[each.address], -each.behind_s))
+    return idle + behind
+
+
+__all__ = ("MIN_BEHIND_S", "MIN_IDLE_S", "Occupant", "rank_occupants")
--- a/packages/persimmonlink-router/src/persimmonlink_router/http_listeners.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/http_listeners.py
@@ -9,12 +9,20 @@
 if TYPE_CHECKING:
     from persimmonlink_router.client_pressure.memory_plan import MemoryPlan
     from persimmonlink_router.http_server import Handler
+    from persimmonlink_router.metrics import RouterMetrics
 
 
 class HttpListeners:
-    """Starts and closes HTTP servers together."""
+    """Starts and closes HTTP servers together.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    metrics : RouterMetrics or None
+        Counts clients that are refused or closed, by cause.
+    """
+
+    def __init__(self, metrics: RouterMetrics | None = None) -> None:
+        self._metrics = metrics
         self._addressed_servers: list[tuple[str, HttpServer]] = []
 
     @property
@@ -42,7 +50,7 @@
         plan : MemoryPlan or None
             What the bytes of its clients may take; None for the default.
         """
-        server = HttpServer(handler, limits or RequestLimits(), plan)
+        server = HttpServer(handler, limits or RequestLimits(), plan, self._metrics)
         self._addressed_servers.append((address, server))
         return server
 
--- a/packages/persimmonlink-router/src/persimmonlink_router/http_server.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/http_server.py
@@ -12,9 +12,14 @@
 
 from persimmonlink_router.boot_clock import boot_time
 from persimmonlink_router.byte_budget import ByteBudget
+from persimmonlink_router.client_pressure.acceptor import Acceptor
+from persimmonlink_router.client_pressure.bounded_log import BoundedLog
 from persimmonlink_router.client_pressure.memory_plan import MemoryPlan
+from persimmonlink_router.client_pressure.place_limit import (
+    PlaceLimit,
+    PlaceOffer,
+)
 from persimmonlink_router.client_pressure.stalled_clients import (
-    STALLED_S,
     HeldBytes,
     choose_stalled,
 )
@@ -26,8 +31,10 @@
     Exchange,
     RequestLimits,
 )
+from persimmonlink_router.socket_options import reset_on_close
 
 if TYPE_CHECKING:
+    from persimmonlink_router.metrics import RouterMetrics
     from persimmonlink_router.stop_record import StopRecord
 
 LISTEN_BACKLOG = 512  # Connections that wait to be accepted.
@@ -46,10 +53,16 @@
         Limits on client requests.
     plan : MemoryPlan
         What the bytes of clients may take together.
+    metrics : RouterMetrics or None
+        Counts clients that are refused or closed, by cause.
     """
 
     def __init__(
-        self, handler: Handler, limits: RequestLimits, plan: MemoryPlan | None = None
+        self,
+        handler: Handler,
+        limits: RequestLimits,
+        plan: MemoryPlan | None = None,
+        metrics: RouterMetrics | None = None,
     ) -> None:
         self.handler = handler
         self.limits = limits
@@ -64,60 +77,63 @@
         self.is_stopping = False
         # Boot time from which clients that go on sending are told to leave, too.
         self.tells_all_from = math.inf
-        self._server: asyncio.Server | None = None
-        self._socket: socket.socket | None = None
+        self.log = BoundedLog(metrics)
+        self._places: PlaceLimit[HttpServerConnection] = PlaceLimit(
+            self.plan.connections
+        )
+        self._acceptor: Acceptor | None = None
+        self._connecting: set[asyncio.Task[object]] = set()
+        self.port = 0
+
+    @property
+    def is_short(self) -> bool:
+        """Whether places for connections are short."""
+        return self._places.is_short(self.connections)
 
     async def start(self, host: str, port: int) -> None:
         """Start listening."""
-        loop = asyncio.get_running_loop()
-        self._socket = socket.create_server((host, port), backlog=LISTEN_BACKLOG)
-        self._server = await loop.create_server(
-            lambda: HttpServerConnection(self),
-            sock=self._socket,
-            backlog=LISTEN_BACKLOG,
-        )
+        sock = socket.create_server((host, port), backlog=LISTEN_BACKLOG)
+        self.port = sock.getsockname()[1]
+        self._acceptor = Acceptor(sock, self)
+        self._acceptor.start()
 
     async def stop_listening(self) -> None:
         """Accept the connections that wait for it, and stop listening."""
-        if self._server is None or self._socket is None:
+        if self._acceptor is None:
             return
-        accepted = []
-        for _ in range(LISTEN_BACKLOG):
-            try:
-                accepted.append(self._socket.accept()[0])
-            except BlockingIOError:
-                break
-            except ConnectionError as error:
-                # Of this connection only; others may wait behind it.
-                logger.bind(error=repr(error)).info("connection.not_accepted")
-            except OSError as error:
-                logger.bind(error=repr(error)).warning("connection.not_accepted")
-                break
-        self._server.close()
-        self._socket = None
-        loop = asyncio.get_running_loop()
-        for sock in accepted:
-            sock.setblocking(False)
-            await loop.connect_accepted_socket(lambda: HttpServerConnection(self), sock)
-
-    def admit(self, connection: HttpServerConnection) -> bool:
-        """Add a new connection; return whether there is room for it.
-
-        In place of one too many, the connection that has been idle for longest is
-        closed.
-        """
-        limit = self.plan.connections
-        if limit is not None and len(self.connections) >= limit:
-            idle = [c for c in self.connections if not c.is_serving]
-            oldest = min(idle, key=lambda c: c.use.active_at, default=None)
-            if oldest is None or boot_time() - oldest.use.active_at < STALLED_S:
-                logger.bind(connections=len(self.connections)).info(
-                    "connection.refused"
-                )
-                return False
-            oldest.close()
+        self._acceptor.accept_waiting(LISTEN_BACKLOG)
+        self._acceptor.close()
+        self._acceptor = None
+        if self._connecting:
+            await asyncio.wait(self._connecting)
+
+    def find_place(self) -> PlaceOffer:
+        """Return whether the next connection has a place; one may give way for it."""
+        return self._places.find_place(self.connections, boot_time())
+
+    def admit(self, sock: socket.socket) -> None:
+        """Serve an accepted connection."""
+        connection = HttpServerConnection(self)
         self.connections.add(connection)
-        return True
+        task = asyncio.get_running_loop().create_task(self._connect(connection, sock))
+        self._connecting.add(task)
+        task.add_done_callback(self._connecting.discard)
+
+    def refuse(self, sock: socket.socket) -> None:
+        """Reset an accepted connection, since requests need all places."""
+        self.log.write("INFO", "connection.refused", connections=len(self.connections))
+        reset_on_close(sock)
+        sock.close()
+
+    async def _connect(
+        self, connection: HttpServerConnection, sock: socket.socket
+    ) -> None:
+        loop = asyncio.get_running_loop()
+        try:
+            await loop.connect_accepted_socket(lambda: connection, sock)
+        except OSError as error:
+            self.connections.discard(connection)
+            self.log.write("INFO", "connection.not_accepted", error=repr(error))
 
     def end_stalled(self, now: float) -> int:
         """End clients that make no progress if others need their room; count them.
@@ -168,8 +184,9 @@
 
     def close(self) -> None:
         """Stop listening and close all connections."""
-        if self._server is not None:
-            self._server.close()
+        if self._acceptor is not None:
+            self._acceptor.close()
+            self._acceptor = None
         for connection in list(self.connections):
             connection.close()
 
--- a/packages/persimmonlink-router/src/persimmonlink_router/router.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/router.py
@@ -336,7 +336,7 @@
             StoreBackoff(self._get_outage_interval_s, self._rng),
         )
         self._client_limits = RequestLimits()
-        self._listeners = HttpListeners()
+        self._listeners = HttpListeners(self.metrics)
         self._client_server = self._listeners.add(
             settings.listen.clients,
             self._request_service.handle,
@@ -500,7 +500,9 @@
             self._follower.refresh()
 
     def _end_stalled_clients(self) -> None:
-        count = self._client_server.end_stalled(boot_time())
+        count = 0
+        for server in self._listeners.servers:
+            count += server.end_stalled(boot_time())
         if count:
             self.metrics.count("stalled_connections_ended_total", amount=count)
 
--- a/tests/router/test_connections_of_a_stop.py
+++ b/tests/router/test_connections_of_a_stop.py
@@ -27,7 +27,7 @@
     """Run an HTTP server; give it and its address."""
     server = HttpServer(handle, limits or RequestLimits())
     await server.start(HOST, 0)
-    port = server._server.sockets[0].getsockname()[1]
+    port = server.port
     try:
         yield server, f"{HOST}:{port}"
     finally:
--- a/tests/router/test_framing.py
+++ b/tests/router/test_framing.py
@@ -178,7 +178,7 @@
         handle, limits or RequestLimits(header_timeout_s=0.3, idle_timeout_s=0.3)
     )
     await server.start(HOST, 0)
-    port = server._server.sockets[0].getsockname()[1]
+    port = server.port
     reader, writer = await asyncio.open_connection(HOST, port)
     writer.write(data)
     response = b""
