Take all whole chunks at once, and bound what the kernel holds unread

Cause: h11 makes an event of each chunk, which costs some 8 times its parsing, and the receive buffers of connections grow to megabytes by themselves, also of those that wait to be accepted.

Change: JoinedChunkReader makes one event of all whole chunks that have arrived, 64 at most; lines of more than 64 bytes, which have extensions, are left to h11. A connection has 8 events in a turn. The kernel receives 64 KB a connection, and no more connections wait to be accepted than there are places (64 at least).

--- a/packages/persimmonlink-router/src/persimmonlink_router/http_framing.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/http_framing.py
@@ -7,6 +7,8 @@
 import h11
 from h11 import _readers
 
+from persimmonlink_router.http_readers import install_readers
+
 # The same texts match as with h11's own patterns. Those try each way to divide a run of
 # blanks between two parts of a pattern if the line doesn't match.
 HEADER_FIELD = re.compile(
@@ -19,6 +21,7 @@
 )
 _readers.header_field_re = HEADER_FIELD
 _readers.chunk_header_re = CHUNK_HEADER
+install_readers()
 
 
 def create_framing(
--- a/packages/persimmonlink-router/src/persimmonlink_router/http_server.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/http_server.py
@@ -31,13 +31,16 @@
     Exchange,
     RequestLimits,
 )
-from persimmonlink_router.socket_options import reset_on_close
+from persimmonlink_router.socket_options import bound_unread_bytes, reset_on_close
 
 if TYPE_CHECKING:
     from persimmonlink_router.metrics import RouterMetrics
     from persimmonlink_router.stop_record import StopRecord
 
-LISTEN_BACKLOG = 512  # Connections that wait to be accepted.
+# Connections that wait to be accepted. What they have sent waits in the kernel, so that
+# they are no more than there are places, or this least number.
+LISTEN_BACKLOG = 512
+MIN_BACKLOG = 64
 
 Handler = Callable[[Exchange], Awaitable[None]]
 
@@ -92,7 +95,11 @@
 
     async def start(self, host: str, port: int) -> None:
         """Start listening."""
-        sock = socket.create_server((host, port), backlog=LISTEN_BACKLOG)
+        backlog = LISTEN_BACKLOG
+        if self.plan.connections is not None:
+            backlog = max(MIN_BACKLOG, min(backlog, self.plan.connections))
+        sock = socket.create_server((host, port), backlog=backlog)
+        bound_unread_bytes(sock)
         self.port = sock.getsockname()[1]
         self._acceptor = Acceptor(sock, self)
         self._acceptor.start()
--- a/packages/persimmonlink-router/src/persimmonlink_router/request_reader.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/request_reader.py
@@ -27,7 +27,7 @@
     from persimmonlink_router.http_server import HttpServer
 
 # Events read from one connection before others get a turn.
-MAX_EVENTS_PER_TURN = 32
+MAX_EVENTS_PER_TURN = 8
 # Turns after which a busy connection is asked whether its client has left: its reading
 # is paused, so that the end of its bytes isn't seen.
 TURNS_PER_CHECK = 16
--- a/packages/persimmonlink-router/src/persimmonlink_router/socket_options.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/socket_options.py
@@ -18,6 +18,9 @@
 # States of a connection, as the kernel tells them (tcp_states.h).
 TCP_CLOSE = b"\x07"
 TCP_CLOSE_WAIT = b"\x08"
+# Bytes of a client that the kernel receives before the process reads them; without this
+# bound they grow to megabytes.
+UNREAD_BYTES = 65536
 RESET = struct.pack("ii", 1, 0)  # SO_LINGER: on, for 0 seconds.
 
 
@@ -36,6 +39,11 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
 
 
+def bound_unread_bytes(sock: socket.socket) -> None:
+    """Bound what the kernel receives for the connections that a socket accepts."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, UNREAD_BYTES)
+
+
 def count_waiting_bytes(sock: Any) -> int:
     """Return the bytes that the kernel has received and the process hasn't read.
 
@@ -91,6 +99,7 @@
 __all__ = (
     "USER_TIMEOUT_MS",
     "bound_silence",
+    "bound_unread_bytes",
     "count_unacknowledged_bytes",
     "count_waiting_bytes",
     "has_peer_closed",
