Ignore a few empty lines before a request

Callers saw: 400 "no request line received" for a request after an empty line, which some clients send after a body.

Cause: h11 takes the first empty line for a request. RFC 9112, section 2.2, asks a server to ignore at least one.

--- a/tests/router/test_http_readers.py
+++ b/tests/router/test_http_readers.py
@@ -10,7 +10,7 @@
 from hypothesis import strategies as st
 
 from persimmonlink_router.http_framing import create_framing
-from persimmonlink_router.http_readers import MAX_JOINED_CHUNKS
+from persimmonlink_router.http_readers import MAX_EMPTY_LINES, MAX_JOINED_CHUNKS
 
 HEAD = b"POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
 MAX_HEAD_BYTES = 20_000
@@ -67,3 +67,15 @@
 def test_malformed_chunks_are_rejected(chunks):
     with pytest.raises(h11.RemoteProtocolError):
         read_all([HEAD + b"1\r\nx\r\n" + chunks + b"1\r\nx\r\n"])
+
+
+@pytest.mark.parametrize("count", range(MAX_EMPTY_LINES + 1))
+def test_a_few_empty_lines_before_a_request_are_ignored(count):
+    data = b"\r\n" * count + HEAD + b"0\r\n\r\n"
+    assert read_all([data]) == (b"", 0, True)
+    assert read_all([bytes([byte]) for byte in data]) == (b"", 0, True)
+
+
+def test_a_run_of_empty_lines_is_rejected():
+    with pytest.raises(h11.RemoteProtocolError):
+        read_all([b"\r\n" * (MAX_EMPTY_LINES + 1) + HEAD])
