See that a client has left while its request is served

Cause: reading is paused once more than 32 KB wait to be parsed, and was resumed only as the parser asked for more. If the rest of a body was in the buffer it never did, so that the end of the client's bytes waited in the kernel until the response.

--- a/packages/persimmonlink-router/src/persimmonlink_router/http_connection.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/http_connection.py
@@ -25,6 +25,7 @@
 from persimmonlink_router.socket_options import (
     count_unacknowledged_bytes,
     count_waiting_bytes,
+    has_peer_closed,
     reset_on_close,
 )
 from persimmonlink_router.stop_record import ConnectionState
@@ -227,6 +228,15 @@
             self._reject(BadRequestError(408, "the request arrives too slowly"))
         self._transport.close()
 
+    def close_if_departed(self) -> None:
+        """Close the connection if its client has left while nothing is read."""
+        if not self._reader.is_paused or not self.is_serving:
+            return
+        if self._transport is None or self._progress.waits_for is not WaitsFor.NOTHING:
+            return
+        if has_peer_closed(self._transport.get_extra_info("socket")):
+            self.close()
+
     def end_stalled(self) -> None:
         """End a client that makes no progress, to give its room to others."""
         if not self._can_write.is_set():
--- a/packages/persimmonlink-router/src/persimmonlink_router/http_server.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/http_server.py
@@ -165,6 +165,11 @@
             ).warning("connections.stalled_ended")
         return len(chosen)
 
+    def close_departed(self) -> None:
+        """Close the connections of clients that have left while nothing is read."""
+        for connection in list(self.connections):
+            connection.close_if_departed()
+
     def count_active_requests(self) -> int:
         """Return the number of requests being read or served."""
         return sum(1 for connection in self.connections if connection.is_serving)
--- a/packages/persimmonlink-router/src/persimmonlink_router/request_reader.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/request_reader.py
@@ -39,7 +39,8 @@
 class RequestReader:
     """Turns the bytes of a connection into requests.
 
-    Reading is paused while bytes wait to be parsed.
+    Reading is paused while bytes wait to be parsed. While a request is served it goes
+    on, so that the client's close is seen.
 
     Parameters
     ----------
@@ -70,6 +71,11 @@
         self.has_request = False
         self.progress = ClientProgress(use.opened_at)
 
+    @property
+    def is_paused(self) -> bool:
+        """Whether nothing is read, so that a close by the client isn't seen."""
+        return self._is_paused
+
     @property
     def held_bytes(self) -> int:
         """Bytes of the head or the body that have arrived."""
@@ -127,6 +133,7 @@
         if body is None:
             return None
         self.progress.begin(WaitsFor.NOTHING, boot_time())
+        self._watch_for_close()
         return HttpRequest(bytes(first.method), bytes(first.target), headers, body)
 
     def finish(self) -> None:
@@ -237,6 +244,13 @@
         self._events_in_turn = 0
         return True
 
+    def _watch_for_close(self) -> None:
+        """Read on while the request is served, unless much more has arrived."""
+        waiting = len(self._framing.trailing_data[0])
+        if waiting <= READ_PAUSE_BYTES:
+            self.resume()
+        self._unparsed_bytes = waiting
+
     def _send_continue(self) -> None:
         if self._transport is None:
             raise ClientDisconnectedError
--- a/packages/persimmonlink-router/src/persimmonlink_router/router.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/router.py
@@ -502,6 +502,7 @@
     def _end_stalled_clients(self) -> None:
         count = 0
         for server in self._listeners.servers:
+            server.close_departed()
             count += server.end_stalled(boot_time())
         if count:
             self.metrics.count("stalled_connections_ended_total", amount=count)
