Bound the log lines of refused requests

Operators saw: each request without a route or a key wrote a line, up to the 400 a second of the whole log, so that a crowd hid all other lines.

Change: 50 lines a second for each status; further ones are counted in the next line (left_out) and, all of them, in client_events_total.

Evidence: test_bounded_log.py; lines of one cause don't hide those of another.

--- a/packages/persimmonlink-router/src/persimmonlink_router/request_log.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/request_log.py
@@ -7,6 +7,7 @@
 from loguru import logger
 
 from persimmonlink_router.boot_clock import boot_time
+from persimmonlink_router.client_pressure.bounded_log import BoundedLog
 
 if TYPE_CHECKING:
     from persimmonlink_router.cluster_view import ClusterView
@@ -16,6 +17,7 @@
     from persimmonlink_router.stop_clock import StopClock
 
 MAX_LOGGED_PATH_CHARACTERS = 80
+MAX_REFUSED_LINES = 50  # Lines a second for refused requests of each status.
 
 
 class RequestLog:
@@ -37,6 +39,7 @@
         self._cluster_view = cluster_view
         self._stop_clock = stop_clock
         self._metrics = metrics
+        self._refused = BoundedLog(metrics, MAX_REFUSED_LINES)
 
     def record_refused(
         self, request: HttpRequest, status: int, reason: str, arrived_at: float
@@ -54,14 +57,17 @@
         arrived_at : float
             Boot time of its arrival, in seconds.
         """
-        logger.bind(
+        self._refused.write(
+            "INFO",
+            "request.refused",
+            str(status),
             host=request.host,
             path=request.path[:MAX_LOGGED_PATH_CHARACTERS],
             status=status,
             reason=reason,
             version=self._find_version(),
             after_stop_s=self._stop_clock.since_began_s(arrived_at),
-        ).info("request.refused")
+        )
 
     def record_completed(self, state: RequestState, status: int, reason: str) -> None:
         """Log a request that has a route.
