Keep to the limits of the machine where the settings name none

Change: a router whose settings leave them out takes the memory of the machine, or of its control group, and the process's limit of open files. The greatest budgets are as before, so that nothing changes on large machines but the limit of connections.

--- a/packages/persimmonlink-router/src/persimmonlink_router/router.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/router.py
@@ -16,6 +16,10 @@
 from persimmonlink_router.boot_clock import boot_time
 from persimmonlink_router.byte_budget import ByteBudget
 from persimmonlink_router.client_directory import ClientDirectory, DirectoryWire
+from persimmonlink_router.client_pressure.machine_limits import (
+    read_max_descriptors,
+    read_memory_mb,
+)
 from persimmonlink_router.client_pressure.memory_plan import plan_memory
 from persimmonlink_router.client_use_times import DIRECTORY_TTL_S
 from persimmonlink_router.cluster_membership import MEMBER_PREFIX, ClusterMembership
@@ -138,7 +142,10 @@
         self._adapters = adapters
         self._rng = random.Random()
         limits = settings.limits
-        plan = plan_memory(settings.memory_mb, settings.max_descriptors)
+        plan = plan_memory(
+            settings.memory_mb or read_memory_mb(),
+            settings.max_descriptors or read_max_descriptors(),
+        )
         self.metrics = RouterMetrics()
         self._loop_lag = LoopLagMonitor(TICK_INTERVAL_S, self.metrics)
         self._store = CountedStore(adapters.store, self.metrics)
