Give the memory of freed bodies back to the system

Cause: traced to the heap of the C library: its threshold for mapping blocks rises with the first large body that is freed, so that the bodies of a crowd, whose sum the budget bounds, leave a heap that can't shrink.

--- a/packages/persimmonlink-router/src/persimmonlink_router/run.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/run.py
@@ -11,6 +11,7 @@
 from loguru import logger
 from returns.result import Failure as Err
 
+from persimmonlink_router.client_pressure.allocator import return_freed_memory
 from persimmonlink_router.router import Adapters, Router
 from persimmonlink_router.router_settings import RouterSettings, read_router_settings
 from persimmonlink_router.structured_log import set_up_structured_log
@@ -57,6 +58,7 @@
         print(f"{path}: valid")
         return 0
     log = set_up_structured_log(settings.node, settings.log_level)
+    return_freed_memory()
     gc.freeze()
     try:
         return asyncio.run(_serve(path, settings, create_adapters))
