Reset the connection of a request that is given up

Cause: HttpClientConnection.close aborted the transport, which drops what asyncio holds and closes the socket in order; the kernel went on sending what it held.

Change: while a request is under way, also one whose response was left unread or that was not sent whole, the connection is reset. A connection without one is closed in order, as before.

What a cut holds up behind a reset isn't bounded here.

--- a/packages/persimmonlink-router/src/persimmonlink_router/http_client.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/http_client.py
@@ -11,7 +11,7 @@
 from persimmonlink_router.byte_budget import BudgetExhaustedError, ByteBudget
 from persimmonlink_router.http_framing import create_framing
 from persimmonlink_router.http_messages import Headers, HttpResponseHead
-from persimmonlink_router.socket_options import bound_silence
+from persimmonlink_router.socket_options import bound_silence, reset_on_close
 
 MAX_HEAD_BYTES = 65536  # Largest response head.
 MAX_STATUS = 599  # Largest status that HTTP has.
@@ -250,14 +250,17 @@
 
         Returns whether it is kept idle from `now`, a boot time in seconds.
         """
-        self._is_busy = False
-        self._request = None
         rest, _ = self._h11.trailing_data
         is_sent = (
             self._transport is not None and self._transport.get_write_buffer_size() == 0
         )
         is_done = self._h11.our_state is h11.DONE and self._h11.their_state is h11.DONE
-        if rest or not is_done or not is_sent or not self._is_open:
+        is_whole = is_sent and is_done
+        if not is_whole:
+            self.close()
+        self._is_busy = False
+        self._request = None
+        if rest or not is_whole or not self._is_open:
             self.close()
             return False
         self._h11.start_next_cycle()
@@ -266,10 +269,17 @@
         return True
 
     def close(self) -> None:
-        """Abort the connection, which cancels the request at the server."""
+        """Abort the connection, which cancels the request at the server.
+
+        A request under way is given up by a reset, so that what the kernel still holds
+        of it never reaches the server, however long the way is cut.
+        """
         self._is_dirty = True
-        if self._transport is not None:
-            self._transport.abort()
+        if self._transport is None:
+            return
+        if self._is_busy:
+            reset_on_close(self._transport.get_extra_info("socket"))
+        self._transport.abort()
 
     async def _next_event(self) -> Any:
         self._events_in_turn += 1
--- a/packages/persimmonlink-router/src/persimmonlink_router/socket_options.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/socket_options.py
@@ -25,7 +25,15 @@
 
 
 def reset_on_close(sock: Any) -> None:
-    """Have the close of a connection reset it."""
+    """Have the close of a connection reset it.
+
+    Parameters
+    ----------
+    sock : socket.socket or asyncio.trsock.TransportSocket
+        A TCP socket; nothing happens to a closed one.
+    """
+    if sock is None or sock.fileno() < 0:
+        return
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
 
 
