Name the eviction of connections in the field's terms

"Place" already means permission for a request at a server that is brittle. The code that makes room for connections speaks of eviction now: ConnectionLimit, Room, EvictionCandidate, rank_candidates, the log event connection.evicted. Nothing else is changed.

--- a/packages/persimmonlink-peers/src/persimmonlink_peers/grpc_server.py
+++ b/packages/persimmonlink-peers/src/persimmonlink_peers/grpc_server.py
@@ -16,7 +16,7 @@
 
 # Calls of one peer at a time; further ones wait at the peer until others have ended.
 MAX_CALLS_PER_CONNECTION = 10000
-# Time after which a connection that has brought no whole message gives way to others.
+# Time after which a connection that has brought no whole message may be evicted.
 MIN_SILENCE_S = 0.5
 
 
@@ -93,7 +93,7 @@
         )
         if is_full:
             now = time.monotonic()
-            spare = [c for c in self._connections if c.can_give_way(now)]
+            spare = [c for c in self._connections if c.can_be_evicted(now)]
             chosen = min(
                 spare,
                 key=lambda c: (c.has_brought_message, c.active_at),
@@ -145,7 +145,7 @@
             return
         self._protocol.connection_made(transport)
 
-    def can_give_way(self, now: float) -> bool:
+    def can_be_evicted(self, now: float) -> bool:
         """Whether the connection may be closed for a new one."""
         if now - self.active_at < MIN_SILENCE_S:
             return False
--- a/packages/persimmonlink-router/src/persimmonlink_router/client_pressure/acceptor.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/client_pressure/acceptor.py
@@ -7,7 +7,7 @@
 
 from loguru import logger
 
-from persimmonlink_router.client_pressure.place_limit import PlaceOffer
+from persimmonlink_router.client_pressure.connection_limit import Room
 
 if TYPE_CHECKING:
     import socket
@@ -15,24 +15,24 @@
 # Connections that are accepted in one turn: others wait in the kernel, while what was
 # accepted before gets its turn.
 ACCEPTS_PER_TURN = 8
-# The same while places are short, so that a request which was sent at once is read
-# before its connection would give way.
+# The same while connections are short, so that a request which was sent at once is
+# read before its connection would be evicted.
 ACCEPTS_PER_SHORT_TURN = 1
-PLACE_WAIT_S = 0.005  # Pause until a connection may give way for a new one.
+ROOM_WAIT_S = 0.005  # Pause until a connection may be evicted.
 # Pause after an accept has failed for want of descriptors or memory.
 FAILURE_PAUSE_S = 0.1
 
 
 class Admission(Protocol):
-    """Gives places to connections."""
+    """Decides which connections are served."""
 
     @property
     def is_short(self) -> bool:
-        """Whether places are short."""
+        """Whether there are nearly too many connections."""
         ...
 
-    def find_place(self) -> PlaceOffer:
-        """Return whether the next connection has a place."""
+    def find_room(self) -> Room:
+        """Return whether there is room for the next connection."""
         ...
 
     def admit(self, sock: socket.socket) -> None:
@@ -40,7 +40,7 @@
         ...
 
     def refuse(self, sock: socket.socket) -> None:
-        """Close a connection that has no place."""
+        """Close a connection for which there is no room."""
         ...
 
 
@@ -68,7 +68,7 @@
     def accept_waiting(self, most: int) -> None:
         """Accept the connections that wait already, `most` at most."""
         for _ in range(most):
-            if not self._accept_one(self._admission.find_place()):
+            if not self._accept_one(self._admission.find_room()):
                 break
 
     def close(self) -> None:
@@ -84,14 +84,14 @@
         if self._admission.is_short:
             most = ACCEPTS_PER_SHORT_TURN
         for _ in range(most):
-            offer = self._admission.find_place()
-            if offer is PlaceOffer.SOON:
-                self._pause(PLACE_WAIT_S)
+            room = self._admission.find_room()
+            if room is Room.SOON:
+                self._pause(ROOM_WAIT_S)
                 return
-            if not self._accept_one(offer):
+            if not self._accept_one(room):
                 return
 
-    def _accept_one(self, offer: PlaceOffer) -> bool:
+    def _accept_one(self, room: Room) -> bool:
         """Accept a connection; return whether others may wait behind it."""
         try:
             accepted = self._sock.accept()[0]
@@ -106,7 +106,7 @@
             self._pause(FAILURE_PAUSE_S)
             return False
         accepted.setblocking(False)
-        if offer is PlaceOffer.FREE:
+        if room is Room.FREE:
             self._admission.admit(accepted)
         else:
             self._admission.refuse(accepted)
--- a/packages/persimmonlink-router/src/persimmonlink_router/client_pressure/client_progress.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/client_pressure/client_progress.py
@@ -4,8 +4,8 @@
 
 from enum import StrEnum
 
-# Rate at which a client sends a request at least, in bytes a second, to keep its place
-# while places are short.
+# Rate at which a client sends a request at least, in bytes a second, not to be
+# evicted while connections are short.
 LEAST_BYTES_PER_S = 4096
 
 
--- a/packages/persimmonlink-router/src/persimmonlink_router/client_pressure/connection_limit.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/client_pressure/connection_limit.py
@@ -5,53 +5,55 @@
 from enum import Enum, auto
 from typing import TYPE_CHECKING, Generic, Protocol, TypeVar
 
-from persimmonlink_router.client_pressure.place_choice import (
+from persimmonlink_router.client_pressure.eviction_order import (
     MIN_BEHIND_S,
-    Occupant,
-    rank_occupants,
+    EvictionCandidate,
+    rank_candidates,
 )
 
 if TYPE_CHECKING:
     from collections.abc import Collection
 
-# Connections give way in the same order for so long, unless all of them have.
+# Connections are evicted in the same order for so long, unless all of them were.
 RANK_INTERVAL_S = 0.1
 
 
-class PlaceOffer(Enum):
-    """Whether there is a place for a new connection."""
+class Room(Enum):
+    """Whether there is room for a new connection."""
 
     FREE = auto()
     SOON = auto()  # Connections will have been behind for long enough.
     NONE = auto()  # All are needed for requests.
 
 
-class Place(Protocol):
-    """A connection that takes a place."""
+class EvictableConnection(Protocol):
+    """A connection that can be closed for a new one."""
 
     @property
     def is_open(self) -> bool:
-        """Whether it still takes its place."""
+        """Whether neither end has closed it."""
         ...
 
-    def describe_occupant(self, now: float) -> Occupant[Place] | None:
-        """Return what it does with its place; None if it can't give way."""
+    def describe_candidate(
+        self, now: float
+    ) -> EvictionCandidate[EvictableConnection] | None:
+        """Return how it ranks for eviction; None if it can't be closed."""
         ...
 
     def behind_s(self, now: float) -> float:
         """Return the time by which its client is behind, or idle, in seconds."""
         ...
 
-    def give_way(self) -> None:
+    def evict(self) -> None:
         """Close it."""
         ...
 
 
-PlaceT = TypeVar("PlaceT", bound=Place)
+ConnectionT = TypeVar("ConnectionT", bound=EvictableConnection)
 
 
-class PlaceLimit(Generic[PlaceT]):
-    """Finds a place for each new connection while another one can give way.
+class ConnectionLimit(Generic[ConnectionT]):
+    """Makes room for each new connection while another one can be evicted.
 
     Parameters
     ----------
@@ -61,47 +63,47 @@
 
     def __init__(self, limit: int | None) -> None:
         self._limit = limit
-        self._ranked: list[Occupant[Place]] = []
+        self._ranked: list[EvictionCandidate[EvictableConnection]] = []
         self._ranked_at = 0.0
         self._has_waiting = False
 
-    def is_short(self, places: Collection[PlaceT]) -> bool:
-        """Whether a new connection would take the last place, or none is free."""
-        return self._limit is not None and len(places) + 1 >= self._limit
+    def is_short(self, connections: Collection[ConnectionT]) -> bool:
+        """Whether a new connection would be the last one, or one too many."""
+        return self._limit is not None and len(connections) + 1 >= self._limit
 
-    def find_place(self, places: Collection[PlaceT], now: float) -> PlaceOffer:
-        """Return whether a new connection has a place; one may give way for it.
+    def find_room(self, connections: Collection[ConnectionT], now: float) -> Room:
+        """Return whether there is room for a new connection; one may be evicted.
 
         Parameters
         ----------
-        places : collection of Place
+        connections : collection of EvictableConnection
             All connections.
         now : float
             Boot time, in seconds.
         """
-        if self._limit is None or len(places) < self._limit:
-            return PlaceOffer.FREE
+        if self._limit is None or len(connections) < self._limit:
+            return Room.FREE
         if not self._ranked or now - self._ranked_at > RANK_INTERVAL_S:
-            self._rank(places, now)
+            self._rank(connections, now)
         while self._ranked:
             chosen = self._ranked.pop().holder
             # It may have gone on since.
             if not chosen.is_open or chosen.behind_s(now) < MIN_BEHIND_S:
                 continue
-            chosen.give_way()
-            return PlaceOffer.FREE
-        return PlaceOffer.SOON if self._has_waiting else PlaceOffer.NONE
-
-    def _rank(self, places: Collection[PlaceT], now: float) -> None:
-        occupants = []
-        for place in places:
-            occupant = place.describe_occupant(now)
-            if occupant is not None:
-                occupants.append(occupant)
-        self._has_waiting = bool(occupants)
-        self._ranked = rank_occupants(occupants)
+            chosen.evict()
+            return Room.FREE
+        return Room.SOON if self._has_waiting else Room.NONE
+
+    def _rank(self, connections: Collection[ConnectionT], now: float) -> None:
+        candidates = []
+        for connection in connections:
+            candidate = connection.describe_candidate(now)
+            if candidate is not None:
+                candidates.append(candidate)
+        self._has_waiting = bool(candidates)
+        self._ranked = rank_candidates(candidates)
         self._ranked.reverse()
         self._ranked_at = now
 
 
-__all__ = ("Place", "PlaceLimit", "PlaceOffer")
+__all__ = ("ConnectionLimit", "EvictableConnection", "Room")
--- a/packages/persimmonlink-router/src/persimmonlink_router/client_pressure/eviction_order.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/client_pressure/eviction_order.py
@@ -1,4 +1,4 @@
-"""Which connection gives its place to a new one when all places are taken."""
+"""Which connection is evicted for a new one when there are too many."""
 
 from __future__ import annotations
 
@@ -9,17 +9,18 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-# Time after which a connection without a request gives way. Clients are promised more,
+# Time after which a connection without a request may be evicted. Clients are promised
+# more,
 # but one that returns loses a round trip only.
 MIN_IDLE_S = 1.0
-# Time by which a client is behind at least before it gives way.
+# Time by which a client is behind at least before it may be evicted.
 MIN_BEHIND_S = 0.002
 
 Holder = TypeVar("Holder")
 
 
 @dataclass(frozen=True, slots=True)
-class Occupant(Generic[Holder]):
+class EvictionCandidate(Generic[Holder]):
     """A connection that is not needed for a request at a server.
 
     Parameters
@@ -40,10 +41,10 @@
     behind_s: float = 0.0
 
 
-def rank_occupants(
-    occupants: Sequence[Occupant[Holder]],
-) -> list[Occupant[Holder]]:
-    """Return the connections that give way, the first one first.
+def rank_candidates(
+    candidates: Sequence[EvictionCandidate[Holder]],
+) -> list[EvictionCandidate[Holder]]:
+    """Return the connections that may be evicted, the first one first.
 
     Idle ones before all others; then those of the address that has most of them, and
     among these the one that is furthest behind. Callers may share an address, so that
@@ -51,13 +52,13 @@
 
     Parameters
     ----------
-    occupants : sequence of Occupant
+    candidates : sequence of EvictionCandidate
         Connections that are not needed for a request at a server.
     """
-    idle = [each for each in occupants if each.idle_s >= MIN_IDLE_S]
+    idle = [each for each in candidates if each.idle_s >= MIN_IDLE_S]
     behind = [
         each
-        for each in occupants
+        for each in candidates
         if each.idle_s < MIN_IDLE_S and each.behind_s >= MIN_BEHIND_S
     ]
     count_by_address = Counter(each.address for each in behind)
@@ -66,4 +67,4 @@
     return idle + behind
 
 
-__all__ = ("MIN_BEHIND_S", "MIN_IDLE_S", "Occupant", "rank_occupants")
+__all__ = ("MIN_BEHIND_S", "MIN_IDLE_S", "EvictionCandidate", "rank_candidates")
--- a/packages/persimmonlink-router/src/persimmonlink_router/http_connection.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/http_connection.py
@@ -13,7 +13,7 @@
 from persimmonlink_router.boot_clock import boot_time
 from persimmonlink_router.bounded_reads import BoundedReads
 from persimmonlink_router.client_pressure.client_progress import WaitsFor
-from persimmonlink_router.client_pressure.place_choice import Occupant
+from persimmonlink_router.client_pressure.eviction_order import EvictionCandidate
 from persimmonlink_router.client_use_times import ConnectionUse
 from persimmonlink_router.http_exchange import (
     BadRequestError,
@@ -195,18 +195,18 @@
             return self._progress.behind_s(now)
         return 0.0 if self.is_serving else now - self.use.active_at
 
-    def describe_occupant(self, now: float) -> Occupant[Any] | None:
-        """Return what the client does with its place; None while it is served."""
+    def describe_candidate(self, now: float) -> EvictionCandidate[Any] | None:
+        """Return how the connection ranks for eviction; None while it is served."""
         if self._is_ending:
-            return Occupant(self, self._address, idle_s=math.inf)
+            return EvictionCandidate(self, self._address, idle_s=math.inf)
         if self._progress.waits_for is not WaitsFor.NOTHING:
             behind_s = self._progress.behind_s(now)
-            return Occupant(self, self._address, behind_s=behind_s)
+            return EvictionCandidate(self, self._address, behind_s=behind_s)
         if self.is_serving:
             return None
-        return Occupant(self, self._address, idle_s=now - self.use.active_at)
+        return EvictionCandidate(self, self._address, idle_s=now - self.use.active_at)
 
-    def give_way(self) -> None:
+    def evict(self) -> None:
         """Close the connection for the sake of a new one."""
         self._is_unwanted = True
         self._server.connections.discard(self)
@@ -214,7 +214,7 @@
         waits_for = self._progress.waits_for
         self._server.log.write(
             "INFO",
-            "connection.gave_way",
+            "connection.evicted",
             waits_for,
             waits_for=waits_for,
             **asdict(self.describe()),
--- a/packages/persimmonlink-router/src/persimmonlink_router/http_server.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/http_server.py
@@ -14,11 +14,11 @@
 from persimmonlink_router.byte_budget import ByteBudget
 from persimmonlink_router.client_pressure.acceptor import Acceptor
 from persimmonlink_router.client_pressure.bounded_log import BoundedLog
-from persimmonlink_router.client_pressure.memory_plan import MemoryPlan
-from persimmonlink_router.client_pressure.place_limit import (
-    PlaceLimit,
-    PlaceOffer,
+from persimmonlink_router.client_pressure.connection_limit import (
+    ConnectionLimit,
+    Room,
 )
+from persimmonlink_router.client_pressure.memory_plan import MemoryPlan
 from persimmonlink_router.client_pressure.stalled_clients import (
     HeldBytes,
     choose_stalled,
@@ -38,7 +38,7 @@
     from persimmonlink_router.stop_record import StopRecord
 
 # Connections that wait to be accepted. What they have sent waits in the kernel, so that
-# they are no more than there are places, or this least number.
+# they are no more than may be served, or this least number.
 LISTEN_BACKLOG = 512
 MIN_BACKLOG = 64
 
@@ -81,7 +81,7 @@
         # Boot time from which clients that go on sending are told to leave, too.
         self.tells_all_from = math.inf
         self.log = BoundedLog(metrics)
-        self._places: PlaceLimit[HttpServerConnection] = PlaceLimit(
+        self._limit: ConnectionLimit[HttpServerConnection] = ConnectionLimit(
             self.plan.connections
         )
         self._acceptor: Acceptor | None = None
@@ -90,8 +90,8 @@
 
     @property
     def is_short(self) -> bool:
-        """Whether places for connections are short."""
-        return self._places.is_short(self.connections)
+        """Whether there are nearly too many connections."""
+        return self._limit.is_short(self.connections)
 
     async def start(self, host: str, port: int) -> None:
         """Start listening."""
@@ -114,9 +114,9 @@
         if self._connecting:
             await asyncio.wait(self._connecting)
 
-    def find_place(self) -> PlaceOffer:
-        """Return whether the next connection has a place; one may give way for it."""
-        return self._places.find_place(self.connections, boot_time())
+    def find_room(self) -> Room:
+        """Return whether there is room for the next connection; one may be evicted."""
+        return self._limit.find_room(self.connections, boot_time())
 
     def admit(self, sock: socket.socket) -> None:
         """Serve an accepted connection."""
@@ -127,7 +127,7 @@
         task.add_done_callback(self._connecting.discard)
 
     def refuse(self, sock: socket.socket) -> None:
-        """Reset an accepted connection, since requests need all places."""
+        """Reset an accepted connection, since requests need all others."""
         self.log.write("INFO", "connection.refused", connections=len(self.connections))
         reset_on_close(sock)
         sock.close()
