Hold at most half as much of each client in the kernel

Cause: the kernel doubles the receive buffer that is asked for, so that 64 KB a connection are up to 128 KB, also of those that wait to be accepted.

Change: 32 KB.

test_memory_of_bodies.py took for granted that a body of 90 KB arrives whole before the next one begins, which the larger buffers gave. It now waits until each has arrived, so that the first ones hold the budget as before; its checks are unchanged.

--- a/packages/persimmonlink-router/src/persimmonlink_router/socket_options.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/socket_options.py
@@ -20,7 +20,7 @@
 TCP_CLOSE_WAIT = b"\x08"
 # Bytes of a client that the kernel receives before the process reads them; without this
 # bound they grow to megabytes.
-UNREAD_BYTES = 65536
+UNREAD_BYTES = 32768
 RESET = struct.pack("ii", 1, 0)  # SO_LINGER: on, for 0 seconds.
 
 
--- a/tests/router/test_memory_of_bodies.py
+++ b/tests/router/test_memory_of_bodies.py
@@ -20,6 +20,7 @@
 
 from persimmonlink_router.byte_budget import SMALL_BODY_BYTES, ByteBudget
 from persimmonlink_router.server_sender import MAX_BUFFERED_BYTES
+from persimmonlink_router.socket_options import count_unacknowledged_bytes
 from persimmonlink_stand_ins.link import Cut
 
 BODY_BYTES = 8_000_000
@@ -96,6 +97,8 @@
                     deadline_ms=3000,
                 )
                 await asyncio.get_running_loop().sock_sendall(sock, data[:-1])
+                # The next body competes only once this one has arrived.
+                await wait_until(lambda sock=sock: not count_unacknowledged_bytes(sock))
             fitting = BUDGET_BYTES // (UPLOAD_BYTES - SMALL_BODY_BYTES)
             for sock in socks[fitting:]:
                 refusal = await read_to_end(sock, b"buffered")
