--- a/packages/persimmonlink-router/src/persimmonlink_router/client_pressure/eviction_order.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/client_pressure/eviction_order.py
@@ -10,8 +10,7 @@
     from collections.abc import Sequence
 
 # Time after which a connection without a request may be evicted. Clients are promised
-# more,
-# but one that returns loses a round trip only.
+# more, but one that returns loses a round trip only.
 MIN_IDLE_S = 1.0
 # Time by which a client is behind at least before it may be evicted.
 MIN_BEHIND_S = 0.002
