Let the stand-in for servers notice a reset

Cause: since a request that is given up resets its connection, asyncio's reader at the stand-in holds an error and never reaches its end; the stand-in looked for the end only and went on with the request, where a real server drops it on either.

Change: it stops at an error, too. No check is changed.

--- a/stand_ins/src/persimmonlink_stand_ins/raw_server.py
+++ b/stand_ins/src/persimmonlink_stand_ins/raw_server.py
@@ -145,7 +145,8 @@
 
 
 async def _wait_for_disconnect(reader: asyncio.StreamReader) -> None:
-    while not reader.at_eof():
+    """Wait until the other end has closed or reset the connection."""
+    while not reader.at_eof() and reader.exception() is None:
         await asyncio.sleep(0.01)
 
 
