--- a/packages/persimmonlink-peers/src/persimmonlink_peers/peer_server.py
+++ b/packages/persimmonlink-peers/src/persimmonlink_peers/peer_server.py
@@ -46,6 +46,8 @@
         Bounds the bytes of messages that have arrived in part; None for no bound.
     max_connections : int or None
         Most connections at once; None for no limit.
+    log_invalid : callable
+        Called with the code and the reason of each rejected message.
     """
 
     def __init__(
@@ -53,8 +55,10 @@
         on_invalid: Callable[[ResultCode], None],
         memory: MessageMemory | None = None,
         max_connections: int | None = None,
+        log_invalid: Callable[[ResultCode, str], None] | None = None,
     ) -> None:
         self._on_invalid = on_invalid
+        self._log_invalid = log_invalid or _log_invalid
         self._max_connections = max_connections
         self._codec = MessagePackCodec()
         self._receiver = MessageReceiver(self._codec, memory)
@@ -175,10 +179,15 @@
         return message
 
     def _report_invalid(self, code: ResultCode, detail: str) -> None:
-        logger.warning("result code {}: rejected peer message: {}", code.value, detail)
+        self._log_invalid(code, detail)
         self._on_invalid(code)
 
 
+def _log_invalid(code: ResultCode, detail: str) -> None:
+    """Log a rejected message."""
+    logger.warning("result code {}: rejected peer message: {}", code.value, detail)
+
+
 async def _wait_while(is_waiting: Callable[[], bool], ends_at: float) -> None:
     """Wait until a condition ends, at most until a time of the monotonic clock."""
     while is_waiting() and time.monotonic() < ends_at:
