Serve a body and a response of the usual limit also on a small VM

Found on rereading; callers would see: 503 for a single body of 4 MB, and 502 for a response of 3 MB, on a VM of 80 MB in calm; the crowds of slow readers had 502 for most of their plain responses. With 383 nodes, a VM of 1,638 descriptors had room for 327 peers. The bodies that peers pass on and their unfinished messages had a budget each of the same figure, so that both could take twice what the plan had.

Change: bodies of requests and of responses have 6 MB each at least where the VM bears both; relayed bodies 0.1 of the buffers and messages 0.05, each 4.5 MB at least. Clients have 0.26 of the descriptors (425 on that VM, whose memory bears 430) and peers 0.25. Lines of rejected messages of peers are bounded.

The bound of the plan's older property holds as it stood. SmallVm samples once more at its check, which asks for more than before.

--- a/packages/persimmonlink-router/src/persimmonlink_router/client_pressure/memory_plan.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/client_pressure/memory_plan.py
@@ -21,14 +21,19 @@
 REQUEST_SHARE = 0.35
 RESPONSE_SHARE = 0.3
 STAGE_SHARE = 0.2
-# Bodies and unfinished messages of peers; one body of a usual limit fits.
-MAX_PEER_BYTES = 33_554_432
-MIN_PEER_BYTES = 4_500_000
-PEER_SHARE = 0.15
+# Bodies of requests that peers pass on, and messages of peers that arrived in part.
+MAX_RELAYED_BYTES = 33_554_432
+MAX_MESSAGE_BYTES = 33_554_432
+RELAYED_SHARE = 0.1
+MESSAGE_SHARE = 0.05
+MIN_PEER_BYTES = 4_500_000  # Least memory of each; a body of the usual limit fits.
+# Memory for bodies of requests, and for those of responses, in which one of the usual
+# limit, 4 MB, fits; VMs have it that bear both.
+MIN_BODY_BYTES = 6_000_000
 # Part of the descriptors that clients may take. Each of them may need a connection to a
 # server; the others are for peers, the store, and the other addresses.
-CLIENT_DESCRIPTOR_SHARE = 0.33
-PEER_DESCRIPTOR_SHARE = 0.2  # Part that connections of peers may take.
+CLIENT_DESCRIPTOR_SHARE = 0.26
+PEER_DESCRIPTOR_SHARE = 0.25  # Part that connections of peers may take.
 MAX_PEER_CONNECTIONS = 512  # More than there are nodes.
 LOOKUP_DESCRIPTOR_SHARE = 0.06  # Part for lookups of entry addresses.
 # Part for the readiness address, and as much for the metrics address.
@@ -54,8 +59,10 @@
         What of them short bodies may take, and the first part of long ones.
     connections : int or None
         Connections of clients; None for no limit.
-    peer_bytes : int
-        Bodies of requests that peers pass on, and messages that have arrived in part.
+    relayed_bytes : int
+        Bodies of requests that peers pass on.
+    message_bytes, small_message_bytes : int
+        Messages of peers that have arrived in part, and what short ones may take.
     peer_connections, lookup_connections, operator_connections : int or None
         Connections at the peers' and the directory's address, and at each of those of
         readiness and metrics; None for no limit.
@@ -67,16 +74,13 @@
     small_request_bytes: float = math.inf
     small_response_bytes: float = math.inf
     connections: int | None = None
-    peer_bytes: int = MAX_PEER_BYTES
+    relayed_bytes: int = MAX_RELAYED_BYTES
+    message_bytes: int = MAX_MESSAGE_BYTES
+    small_message_bytes: int = int(SMALL_SHARE * MAX_MESSAGE_BYTES)
     peer_connections: int | None = None
     lookup_connections: int | None = None
     operator_connections: int | None = None
 
-    @property
-    def small_peer_bytes(self) -> int:
-        """Bytes that short messages of peers have to themselves."""
-        return int(SMALL_SHARE * self.peer_bytes)
-
     @property
     def client_bytes(self) -> int:
         """Bytes that all client connections may hold together."""
@@ -113,23 +117,36 @@
     connections = by_memory
     if plan.connections is not None:
         connections = min(plan.connections, by_memory)
+    connections = max(MIN_CLIENT_CONNECTIONS, connections)
     buffers = max(MIN_BUFFER_BYTES, (1 - CONNECTION_SHARE) * usable_bytes)
-    requests = min(MAX_REQUEST_BYTES, int(REQUEST_SHARE * buffers))
-    responses = min(MAX_RESPONSE_BYTES, int(RESPONSE_SHARE * buffers))
+    stages = min(MAX_STAGE_BYTES, int(STAGE_SHARE * buffers))
+    spare_bytes = usable_bytes - connections * CONNECTION_BYTES - stages
+    least = MIN_BODY_BYTES if spare_bytes >= 2 * MIN_BODY_BYTES else 0
+    requests = _bound(REQUEST_SHARE * buffers, least, MAX_REQUEST_BYTES)
+    responses = _bound(RESPONSE_SHARE * buffers, least, MAX_RESPONSE_BYTES)
+    messages = _bound(MESSAGE_SHARE * buffers, MIN_PEER_BYTES, MAX_MESSAGE_BYTES)
     small_requests = int(SMALL_SHARE * requests)
     small_responses = int(SMALL_SHARE * responses)
     return replace(
         plan,
         request_bytes=requests - small_requests,
         response_bytes=responses - small_responses,
-        stage_bytes=min(MAX_STAGE_BYTES, int(STAGE_SHARE * buffers)),
+        stage_bytes=stages,
         small_request_bytes=small_requests,
         small_response_bytes=small_responses,
-        connections=max(MIN_CLIENT_CONNECTIONS, connections),
-        peer_bytes=min(MAX_PEER_BYTES, max(MIN_PEER_BYTES, int(PEER_SHARE * buffers))),
+        connections=connections,
+        relayed_bytes=_bound(
+            RELAYED_SHARE * buffers, MIN_PEER_BYTES, MAX_RELAYED_BYTES
+        ),
+        message_bytes=messages,
+        small_message_bytes=int(SMALL_SHARE * messages),
     )
 
 
+def _bound(size: float, least: int, most: int) -> int:
+    return min(most, max(least, int(size)))
+
+
 def _limit_connections(max_descriptors: int) -> MemoryPlan:
     """Divide the descriptors of an entry VM."""
     operators = int(OPERATOR_DESCRIPTOR_SHARE * max_descriptors)
@@ -143,4 +160,4 @@
     )
 
 
-__all__ = ("MAX_PEER_BYTES", "MAX_RESPONSE_BYTES", "MemoryPlan", "plan_memory")
+__all__ = ("MAX_RELAYED_BYTES", "MAX_RESPONSE_BYTES", "MemoryPlan", "plan_memory")
--- a/packages/persimmonlink-router/src/persimmonlink_router/request_service.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/request_service.py
@@ -12,7 +12,7 @@
 from persimmonlink_router.active_requests import ActiveRequests, EndedByStopError
 from persimmonlink_router.boot_clock import boot_time
 from persimmonlink_router.byte_budget import ByteBudget
-from persimmonlink_router.client_pressure.memory_plan import MAX_PEER_BYTES
+from persimmonlink_router.client_pressure.memory_plan import MAX_RELAYED_BYTES
 from persimmonlink_router.configuration import RequestKind
 from persimmonlink_router.http_exchange import InvalidHeadError
 from persimmonlink_router.http_messages import HttpRequest
@@ -97,7 +97,7 @@
         Passes requests on to peers if this node reaches no server.
     stop_clock : StopClock
         Whether this node is about to stop, and since when.
-    peer_bytes : int
+    relayed_bytes : int
         Largest size of all request bodies of peers, in bytes.
     """
 
@@ -111,7 +111,7 @@
         rng: random.Random,
         forwarder: RequestForwarder,
         stop_clock: StopClock,
-        peer_bytes: int = MAX_PEER_BYTES,
+        relayed_bytes: int = MAX_RELAYED_BYTES,
     ) -> None:
         self._cluster_view = cluster_view
         self._wire = wire
@@ -123,7 +123,7 @@
         self._stop_clock = stop_clock
         self._log = RequestLog(cluster_view, stop_clock, metrics)
         self.relayed_count = 0
-        self._relayed_bodies = ByteBudget(peer_bytes)
+        self._relayed_bodies = ByteBudget(relayed_bytes)
         self.active = ActiveRequests()
 
     async def handle(self, exchange: Exchange) -> None:
--- a/packages/persimmonlink-router/src/persimmonlink_router/router.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/router.py
@@ -16,6 +16,7 @@
 from persimmonlink_router.boot_clock import boot_time
 from persimmonlink_router.byte_budget import ByteBudget
 from persimmonlink_router.client_directory import ClientDirectory, DirectoryWire
+from persimmonlink_router.client_pressure.bounded_log import BoundedLog
 from persimmonlink_router.client_pressure.machine_limits import (
     read_max_descriptors,
     read_memory_mb,
@@ -147,6 +148,7 @@
             settings.max_descriptors or read_max_descriptors(),
         )
         self.metrics = RouterMetrics()
+        self._peer_log = BoundedLog(self.metrics)
         self._loop_lag = LoopLagMonitor(TICK_INTERVAL_S, self.metrics)
         self._store = CountedStore(adapters.store, self.metrics)
         self._timers = LoopTimerService()
@@ -324,7 +326,7 @@
             self._rng,
             self._forwarder,
             self._stop_clock,
-            plan.peer_bytes,
+            plan.relayed_bytes,
         )
         self._follower = StoreFollower(
             self._store,
@@ -384,8 +386,9 @@
             self._listeners.add(address, handler, limits_there, address_plan)
         self._peer_server = PeerServer(
             self._count_invalid_message,
-            ByteBudget(plan.peer_bytes, plan.small_peer_bytes),
+            ByteBudget(plan.message_bytes, plan.small_message_bytes),
             plan.peer_connections,
+            self._log_invalid_message,
         )
         self._graceful_stop = GracefulStop(
             self._stop_clock,
@@ -600,6 +603,15 @@
             loads[server.server_id] = EngineLoad(in_flight, unread)
         return loads
 
+    def _log_invalid_message(self, code: ResultCode, reason: str) -> None:
+        self._peer_log.write(
+            "WARNING",
+            "rejected peer message",
+            str(code.value),
+            code=code.value,
+            reason=reason,
+        )
+
     def _count_invalid_message(self, code: ResultCode) -> None:
         self.metrics.count("invalid_peer_messages_total", f'code="{code.value}"')
 
--- a/tests/crowds/small_vm.py
+++ b/tests/crowds/small_vm.py
@@ -37,7 +37,7 @@
 TRIES = 30
 TRY_TIMEOUT_S = 6.0
 TRY_PAUSE_S = 0.2
-ESTABLISHED = "01"  # State of a connection in /proc/net/tcp.
+LISTENING = "0A"  # State of a listening socket in /proc/net/tcp.
 
 
 async def respond(request, writer) -> bool:
@@ -123,7 +123,7 @@
         unread = 0
         for line in Path("/proc/net/tcp").read_text().splitlines()[1:]:
             fields = line.split()
-            is_listening = fields[3] == "0A"
+            is_listening = fields[3] == LISTENING
             if is_listening or fields[1].rpartition(":")[2] not in ports:
                 continue
             unread += int(fields[4].rpartition(":")[2], 16)
@@ -155,6 +155,7 @@
 
     def check(self) -> None:
         """Check that the router lives, within its memory and its descriptors."""
+        self.sample()
         assert self.process.poll() is None, "the router has ended"
         assert self.peak_memory_mb <= MEMORY_MB, f"{self.peak_memory_mb:.1f} MB"
         assert self.peak_descriptors <= DESCRIPTORS, f"{self.peak_descriptors} open"
@@ -189,4 +190,10 @@
             watch.cancel()
 
 
-__all__ = ("DESCRIPTORS", "MEMORY_MB", "SmallVm", "run_small_vm")
+__all__ = (
+    "DESCRIPTORS",
+    "LONG_RESPONSE_BYTES",
+    "MEMORY_MB",
+    "SmallVm",
+    "run_small_vm",
+)
--- a/tests/crowds/test_single_clients.py
+++ b/tests/crowds/test_single_clients.py
@@ -7,6 +7,7 @@
 
 import pytest
 from tests.crowds.scripts import build_head
+from tests.crowds.small_vm import LONG_RESPONSE_BYTES, run_small_vm
 from tests.router.rig import make_rig, run
 from tests.router.test_connections_of_a_stop import open_raw
 from tests.router.test_small_chunks_of_clients import read_to_end
@@ -96,3 +97,42 @@
             assert response.startswith(b"HTTP/1.1 200")
 
     run(scenario())
+
+
+LIMIT_BODY_BYTES = 4_194_304  # The limit of bodies in the settings of the crowds.
+LIMIT_HEAD_BYTES = 16_000
+
+
+@pytest.mark.timeout(400)
+@pytest.mark.parametrize("is_chunked", [False, True])
+def test_a_small_vm_serves_a_body_at_the_limit(is_chunked, tmp_path):
+    async def scenario():
+        async with run_small_vm(tmp_path) as vm:
+            sock = await open_raw(vm.listen.clients)
+            head = build_head("a", is_chunked=is_chunked, length=LIMIT_BODY_BYTES)
+            body = bytes(LIMIT_BODY_BYTES)
+            if is_chunked:
+                body = b"%x\r\n%s\r\n0\r\n\r\n" % (LIMIT_BODY_BYTES, body)
+            await asyncio.get_running_loop().sock_sendall(sock, head + body)
+            response = await read_to_end(sock, bytes(10))
+            assert response.startswith(b"HTTP/1.1 200")
+            sock.close()
+            vm.check()
+
+    run(scenario())
+
+
+@pytest.mark.timeout(400)
+def test_a_small_vm_serves_a_head_at_the_limit_and_a_long_response(tmp_path):
+    async def scenario():
+        async with run_small_vm(tmp_path) as vm:
+            sock = await open_raw(vm.listen.clients)
+            head = build_head("crowd-a")[:-2]
+            head += b"X-More: " + b"y" * (LIMIT_HEAD_BYTES - len(head)) + b"\r\n\r\n"
+            await asyncio.get_running_loop().sock_sendall(sock, head)
+            response = await read_to_end(sock, bytes(LONG_RESPONSE_BYTES))
+            assert response.startswith(b"HTTP/1.1 200")
+            sock.close()
+            vm.check()
+
+    run(scenario())
--- a/tests/router/client_pressure/test_memory_plan.py
+++ b/tests/router/client_pressure/test_memory_plan.py
@@ -5,6 +5,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from persimmonlink_router.byte_budget import SMALL_BODY_BYTES
 from persimmonlink_router.client_pressure.memory_plan import (
     BASE_BYTES,
     BYTES_PER_MB,
@@ -38,3 +39,32 @@
     plan = plan_memory(160, 1638)
     assert plan.request_bytes >= 2 * 4_194_304
     assert plan.connections >= 400
+
+
+@given(st.floats(70, 10_000), st.integers(256, 1 << 20))
+def test_all_parts_together_fit_the_memory(memory_mb, descriptors):
+    plan = plan_memory(memory_mb, descriptors)
+    parts = plan.client_bytes + plan.stage_bytes + plan.connections * CONNECTION_BYTES
+    peers = plan.relayed_bytes + plan.message_bytes + plan.small_message_bytes
+    assert parts + peers + BASE_BYTES <= max(memory_mb, 80.0) * BYTES_PER_MB
+
+
+@given(st.floats(64, 10_000), st.integers(256, 1 << 20))
+def test_all_connections_together_fit_the_descriptors(memory_mb, descriptors):
+    plan = plan_memory(memory_mb, descriptors)
+    # Each client may need a connection to a server.
+    at_most = 2 * plan.connections + plan.peer_connections
+    at_most += plan.lookup_connections + 2 * plan.operator_connections
+    assert at_most <= descriptors
+
+
+def test_the_smallest_vm_has_room_for_all_peers_at_the_target_size():
+    assert plan_memory(160, 1638).peer_connections >= 383 - 1
+
+
+@given(st.floats(80, 10_000))
+def test_a_body_and_a_response_of_the_usual_limit_fit_a_vm_of_80_mb(memory_mb):
+    plan = plan_memory(memory_mb, 256)
+    excess = 4_194_304 - SMALL_BODY_BYTES
+    assert min(plan.request_bytes, plan.response_bytes) >= excess
+    assert min(plan.relayed_bytes, plan.message_bytes) >= excess
