Evict no client whose bytes are on their way

Found on rereading: while connections were nearly used up, a client could be evicted 2 ms after its last byte, so also an upload between two packets, or a reader of a response that had paused for that long, and with the response what a server had run for it. The figure came from one trial on loopback, in which nobody waited for room yet. Up to seven connections could be evicted in a turn in which no client waited.

Change: 0.1 s behind with a request, a few round trips; 1 s without reading, as where memory is short; new connections wait in the kernel until then. After each accept the acceptor looks again whether connections are nearly used up. Lines of failed accepts are bounded.

--- a/packages/persimmonlink-router/src/persimmonlink_router/client_pressure/acceptor.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/client_pressure/acceptor.py
@@ -5,29 +5,34 @@
 import asyncio
 from typing import TYPE_CHECKING, Protocol
 
-from loguru import logger
-
 from persimmonlink_router.client_pressure.connection_limit import Room
 
 if TYPE_CHECKING:
     import socket
 
+    from persimmonlink_router.client_pressure.bounded_log import BoundedLog
+
 # Connections that are accepted in one turn: others wait in the kernel, while what was
 # accepted before gets its turn.
 ACCEPTS_PER_TURN = 8
-# The same while connections are short, so that a request which was sent at once is
-# read before its connection would be evicted.
-ACCEPTS_PER_SHORT_TURN = 1
 ROOM_WAIT_S = 0.005  # Pause until a connection may be evicted.
 # Pause after an accept has failed for want of descriptors or memory.
 FAILURE_PAUSE_S = 0.1
 
 
 class Admission(Protocol):
-    """Decides which connections are served."""
+    """Decides which connections are served.
+
+    Attributes
+    ----------
+    log : BoundedLog
+        Log of what clients cause.
+    """
+
+    log: BoundedLog
 
     @property
-    def is_short(self) -> bool:
+    def is_nearly_full(self) -> bool:
         """Whether there are nearly too many connections."""
         ...
 
@@ -80,16 +85,17 @@
         self._sock.close()
 
     def _accept_some(self) -> None:
-        most = ACCEPTS_PER_TURN
-        if self._admission.is_short:
-            most = ACCEPTS_PER_SHORT_TURN
-        for _ in range(most):
+        for _ in range(ACCEPTS_PER_TURN):
             room = self._admission.find_room()
             if room is Room.SOON:
                 self._pause(ROOM_WAIT_S)
                 return
             if not self._accept_one(room):
                 return
+            # One at a time then: a request that was sent at once is read before its
+            # connection would be evicted, and none is evicted for nobody.
+            if self._admission.is_nearly_full:
+                return
 
     def _accept_one(self, room: Room) -> bool:
         """Accept a connection; return whether others may wait behind it."""
@@ -99,10 +105,14 @@
             return False
         except ConnectionError as error:
             # Of this connection only; others may wait behind it.
-            logger.bind(error=repr(error)).info("connection.not_accepted")
+            self._admission.log.write(
+                "INFO", "connection.not_accepted", error=repr(error)
+            )
             return True
         except OSError as error:
-            logger.bind(error=repr(error)).warning("connection.not_accepted")
+            self._admission.log.write(
+                "WARNING", "connection.not_accepted", error=repr(error)
+            )
             self._pause(FAILURE_PAUSE_S)
             return False
         accepted.setblocking(False)
--- a/packages/persimmonlink-router/src/persimmonlink_router/client_pressure/client_progress.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/client_pressure/client_progress.py
@@ -5,7 +5,7 @@
 from enum import StrEnum
 
 # Rate at which a client sends a request at least, in bytes a second, not to be
-# evicted while connections are short.
+# evicted while there are too many connections.
 LEAST_BYTES_PER_S = 4096
 
 
@@ -72,8 +72,8 @@
         now : float
             Boot time, in seconds.
         """
-        if self.waits_for in (WaitsFor.NOTHING, WaitsFor.READ):
-            return self.stalled_s(now)
+        if self.waits_for is WaitsFor.NOTHING:
+            return 0.0
         late_s = now - self._since - self.bytes / LEAST_BYTES_PER_S
         return max(self.stalled_s(now), late_s)
 
--- a/packages/persimmonlink-router/src/persimmonlink_router/client_pressure/connection_limit.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/client_pressure/connection_limit.py
@@ -6,7 +6,6 @@
 from typing import TYPE_CHECKING, Generic, Protocol, TypeVar
 
 from persimmonlink_router.client_pressure.eviction_order import (
-    MIN_BEHIND_S,
     EvictionCandidate,
     rank_candidates,
 )
@@ -40,10 +39,6 @@
         """Return how it ranks for eviction; None if it can't be closed."""
         ...
 
-    def behind_s(self, now: float) -> float:
-        """Return the time by which its client is behind, or idle, in seconds."""
-        ...
-
     def evict(self) -> None:
         """Close it."""
         ...
@@ -67,7 +62,7 @@
         self._ranked_at = 0.0
         self._has_waiting = False
 
-    def is_short(self, connections: Collection[ConnectionT]) -> bool:
+    def is_nearly_reached(self, connections: Collection[ConnectionT]) -> bool:
         """Whether a new connection would be the last one, or one too many."""
         return self._limit is not None and len(connections) + 1 >= self._limit
 
@@ -88,7 +83,8 @@
         while self._ranked:
             chosen = self._ranked.pop().holder
             # It may have gone on since.
-            if not chosen.is_open or chosen.behind_s(now) < MIN_BEHIND_S:
+            candidate = chosen.describe_candidate(now) if chosen.is_open else None
+            if candidate is None or not candidate.is_evictable:
                 continue
             chosen.evict()
             return Room.FREE
--- a/packages/persimmonlink-router/src/persimmonlink_router/http_connection.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/http_connection.py
@@ -189,18 +189,16 @@
         """
         return self._progress.stalled_s(now)
 
-    def behind_s(self, now: float) -> float:
-        """Return the time by which the client is behind, or idle, in seconds."""
-        if self._progress.waits_for is not WaitsFor.NOTHING:
-            return self._progress.behind_s(now)
-        return 0.0 if self.is_serving else now - self.use.active_at
-
     def describe_candidate(self, now: float) -> EvictionCandidate[Any] | None:
         """Return how the connection ranks for eviction; None while it is served."""
         if self._is_ending:
             return EvictionCandidate(self, self._address, idle_s=math.inf)
-        if self._progress.waits_for is not WaitsFor.NOTHING:
-            behind_s = self._progress.behind_s(now)
+        progress = self._progress
+        if progress.waits_for is WaitsFor.READ:
+            unread_s = progress.stalled_s(now)
+            return EvictionCandidate(self, self._address, unread_s=unread_s)
+        if progress.waits_for is not WaitsFor.NOTHING:
+            behind_s = progress.behind_s(now)
             return EvictionCandidate(self, self._address, behind_s=behind_s)
         if self.is_serving:
             return None
@@ -309,7 +307,7 @@
         In a stop not yet if the client has already sent more, which could not be
         answered then.
         """
-        if self._server.is_short:
+        if self._server.is_nearly_full:
             return True
         if not self._server.is_stopping:
             return False
--- a/packages/persimmonlink-router/src/persimmonlink_router/http_server.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/http_server.py
@@ -89,9 +89,9 @@
         self.port = 0
 
     @property
-    def is_short(self) -> bool:
+    def is_nearly_full(self) -> bool:
         """Whether there are nearly too many connections."""
-        return self._limit.is_short(self.connections)
+        return self._limit.is_nearly_reached(self.connections)
 
     async def start(self, host: str, port: int) -> None:
         """Start listening."""
--- a/packages/persimmonlink-router/src/persimmonlink_router/request_reader.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/request_reader.py
@@ -154,19 +154,24 @@
             event = await self._next_event(ends_at, "the request head")
             if event is not NEED_DATA:
                 return event
-            now = boot_time()
-            waiting = self._framing.trailing_data[0]
-            if self._head_began_at is None and waiting:
-                self._head_began_at = now
-                ends_at = now + limits.header_timeout_s
-                self.progress.begin(WaitsFor.HEAD, now)
-                self.progress.record(len(waiting), now)
+            if self._head_began_at is None and self._begin_head():
+                ends_at = boot_time() + limits.header_timeout_s
             if await self._wait_for_bytes(ends_at):
                 continue
             if self._head_began_at is None:
                 return None
             raise BadRequestError(408, "the request head did not arrive in time")
 
+    def _begin_head(self) -> bool:
+        """Return whether the first bytes of a head have arrived; count them."""
+        waiting = len(self._framing.trailing_data[0])
+        if not waiting:
+            return False
+        now = self._head_began_at = boot_time()
+        self.progress.begin(WaitsFor.HEAD, now)
+        self.progress.record(waiting, now)
+        return True
+
     async def _read_body(self) -> bytes | None:
         """Return a body, or None if the client breaks it off."""
         limits = self._server.limits
--- a/tests/router/client_pressure/test_eviction_order.py
+++ b/tests/router/client_pressure/test_eviction_order.py
@@ -8,6 +8,7 @@
 from persimmonlink_router.client_pressure.eviction_order import (
     MIN_BEHIND_S,
     MIN_IDLE_S,
+    MIN_UNREAD_S,
     EvictionCandidate,
     rank_candidates,
 )
@@ -33,6 +34,7 @@
     new = [
         EvictionCandidate("sends", "a", behind_s=MIN_BEHIND_S / 2),
         EvictionCandidate("has-answer", "a", idle_s=MIN_IDLE_S / 2),
+        EvictionCandidate("reads", "a", unread_s=MIN_UNREAD_S / 2),
     ]
     assert rank_candidates(new) == []
 
@@ -45,6 +47,7 @@
             st.sampled_from("abc"),
             st.floats(0, 30),
             st.floats(0, 30),
+            st.floats(0, 30),
         ),
         max_size=30,
     )
@@ -54,7 +57,9 @@
     may = [
         each
         for each in candidates
-        if each.idle_s >= MIN_IDLE_S or each.behind_s >= MIN_BEHIND_S
+        if each.idle_s >= MIN_IDLE_S
+        or each.behind_s >= MIN_BEHIND_S
+        or each.unread_s >= MIN_UNREAD_S
     ]
     assert len(ranked) == len(may)
     assert all(each in may for each in ranked)
