--- a/packages/persimmonlink-router/src/persimmonlink_router/http_connection.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/http_connection.py
@@ -15,15 +15,15 @@
 from persimmonlink_router.client_pressure.client_progress import WaitsFor
 from persimmonlink_router.client_pressure.eviction_order import EvictionCandidate
 from persimmonlink_router.client_use_times import ConnectionUse
+from persimmonlink_router.http1.request_reader import RequestReader
+from persimmonlink_router.http1.response_writer import ResponseWriter
 from persimmonlink_router.http_exchange import (
     BadRequestError,
     ClientDisconnectedError,
     Exchange,
 )
 from persimmonlink_router.http_framing import create_framing
-from persimmonlink_router.request_reader import RequestReader
 from persimmonlink_router.socket_options import (
-    count_unacknowledged_bytes,
     count_waiting_bytes,
     has_peer_closed,
     reset_on_close,
@@ -33,17 +33,10 @@
 if TYPE_CHECKING:
     from persimmonlink_router.http_server import HttpServer
 
-WRITE_BUFFER_BYTES = 65536  # Bytes that wait in the process for a client to read.
-WRITE_SLICE_BYTES = 32768  # Largest part of a body that is written at once.
-# What a blocked response holds beside what it has written: bytes of its server.
-BLOCKED_READ_BYTES = 65536
 # Least time in which a client reads nothing before its response ends, also where the
 # idle timeout is shorter: its link may be cut for seconds.
 MIN_UNREAD_S = 10.0
 HTTP_1_0 = b"1.0"  # Version without chunked encoding.
-# Statuses of requests that may come again, and the time after which they may.
-NOT_RUN_STATUSES = (408, 503)
-RETRY_AFTER_S = 0.5
 # Time for a client to close its end after the last response, in which what it still
 # sends is read: unread bytes would reset the connection, and the response with it.
 CLIENT_CLOSE_WAIT_S = 0.5
@@ -56,19 +49,16 @@
         self._server = server
         self._h11 = create_framing(h11.SERVER, server.limits.header_bytes + 4096)
         self._transport: asyncio.Transport | None = None
-        self._can_write = asyncio.Event()
-        self._can_write.set()
         self._task: asyncio.Task[None] | None = None
         self._address = ""
         # Whether it was closed before its transport was there.
         self._is_unwanted = False
         self._is_ending = False
-        # Bytes of a response that are still to be written.
-        self.unwritten_bytes = 0
         now = boot_time()
         self.use = ConnectionUse(now, now)
         self._reader = RequestReader(self._h11, server, self.use)
         self._progress = self._reader.progress
+        self._writer = ResponseWriter(self._h11, self._progress)
 
     @property
     def idle_timeout_s(self) -> float:
@@ -94,7 +84,7 @@
         peer = transport.get_extra_info("peername")
         self._address = peer[0] if peer else ""
         self._reader.attach(transport)
-        transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
+        self._writer.attach(transport)
         self._server.waiting_connections.add(self)
         self._task = asyncio.get_running_loop().create_task(self._run())
 
@@ -119,7 +109,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the task, because no client waits for the response."""
         self._transport = None
-        self._can_write.set()
+        self._writer.detach()
         self._server.connections.discard(self)
         self._server.waiting_connections.discard(self)
         if self._task is not None and not self._task.done():
@@ -127,23 +117,17 @@
 
     def pause_writing(self) -> None:
         """Block `drain` while the write buffer is full."""
-        self._can_write.clear()
-        self._progress.begin(WaitsFor.READ, boot_time())
+        self._writer.pause()
         self._server.waiting_connections.add(self)
 
     def resume_writing(self) -> None:
         """Unblock `drain` once the client has read enough."""
-        self._progress.begin(WaitsFor.NOTHING, boot_time())
-        self._can_write.set()
+        self._writer.resume()
         self._server.waiting_connections.discard(self)
 
     def send(self, event: Any) -> None:
         """Write an h11 event; raise `ClientDisconnectedError` if the client left."""
-        if self._transport is None:
-            raise ClientDisconnectedError
-        data = self._h11.send(event)
-        if data:
-            self._transport.write(data)
+        self._writer.send(event)
 
     async def drain(self) -> None:
         """Wait until the write buffer has room.
@@ -151,36 +135,19 @@
         Raises `ClientDisconnectedError` if the client reads nothing for the idle
         timeout, or `MIN_UNREAD_S` if that is longer.
         """
-        while not self._can_write.is_set():
-            before = self._count_untaken_bytes()
-            try:
-                async with asyncio.timeout(max(self.idle_timeout_s, MIN_UNREAD_S)):
-                    await self._can_write.wait()
-            except TimeoutError:
-                after = self._count_untaken_bytes()
-                if before is not None and after is not None and after >= before:
-                    self._end_unread()
-                    raise ClientDisconnectedError from None
+        if not await self._writer.drain(max(self.idle_timeout_s, MIN_UNREAD_S)):
+            self._end_unread()
+            raise ClientDisconnectedError
 
     async def write_body(self, body: bytes) -> None:
         """Write a body as fast as the client takes it, without a copy of the rest."""
-        view = memoryview(body)
-        try:
-            for start in range(0, len(body), WRITE_SLICE_BYTES):
-                self.unwritten_bytes = len(body) - start
-                data: Any = view[start : start + WRITE_SLICE_BYTES]
-                self.send(h11.Data(data=data))
-                await self.drain()
-        finally:
-            self.unwritten_bytes = 0
+        for part in self._writer.divide(body):
+            self.send(h11.Data(data=part))
+            await self.drain()
 
     def count_held_bytes(self) -> int:
         """Return the bytes that are held for the client, in either direction."""
-        held = self._count_unsent_bytes() + self.unwritten_bytes
-        held += self._reader.held_bytes
-        if not self._can_write.is_set():
-            held += BLOCKED_READ_BYTES
-        return held
+        return self._writer.held_bytes + self._reader.held_bytes
 
     def stalled_s(self, now: float) -> float:
         """Return the time for which the client has made no progress, in seconds.
@@ -219,7 +186,7 @@
         )
         if self._transport is None:
             return
-        if not self._can_write.is_set():
+        if self._writer.is_blocked:
             self._abort()
             return
         if self._reader.held_bytes and not self._transport.is_closing():
@@ -237,24 +204,11 @@
 
     def end_stalled(self) -> None:
         """End a client that makes no progress, to give its room to others."""
-        if not self._can_write.is_set():
+        if self._writer.is_blocked:
             self._end_unread()
             return
         self._reader.end_stalled()
 
-    def _count_unsent_bytes(self) -> int:
-        """Return the bytes that wait in the write buffer of the process."""
-        if self._transport is None:
-            return 0
-        return self._transport.get_write_buffer_size()
-
-    def _count_untaken_bytes(self) -> int | None:
-        """Return the bytes that the client has not acknowledged, None if unknown."""
-        if self._transport is None:
-            return None
-        in_kernel = count_unacknowledged_bytes(self._transport.get_extra_info("socket"))
-        return None if in_kernel is None else self._count_unsent_bytes() + in_kernel
-
     def _end_unread(self) -> None:
         """Reset the connection, and with it what the client does not read."""
         self._server.log.write("INFO", "connection.not_read", **asdict(self.describe()))
@@ -276,7 +230,7 @@
             self.use.responses,
             self.use.has_said_close,
             self.is_serving,
-            self._count_unsent_bytes(),
+            self._writer.unsent_bytes,
             self._count_unread_bytes(),
             round(boot_time() - self.use.active_at, 3),
         )
@@ -372,14 +326,8 @@
 
     async def _flush(self) -> None:
         """Wait until the kernel has all bytes of a response."""
-        transport = self._transport
-        if transport is None or not transport.get_write_buffer_size():
-            return
-        low, high = transport.get_write_buffer_limits()
-        transport.set_write_buffer_limits(high=0)
-        await self.drain()
-        if self._transport is not None:
-            transport.set_write_buffer_limits(high, low)
+        with self._writer.empty_buffer():
+            await self.drain()
 
     async def _end_in_order(self) -> None:
         """After the last response, let the client close the connection first."""
@@ -402,7 +350,7 @@
 
     def _finish_request(self) -> None:
         self._reader.finish()
-        if self._can_write.is_set():
+        if not self._writer.is_blocked:
             self._server.waiting_connections.discard(self)
 
     def _reject(self, error: BadRequestError) -> None:
@@ -411,19 +359,7 @@
         self._server.log.write(
             "INFO", "request.malformed", str(status), status=status, reason=str(error)
         )
-        if self._h11.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
-            return
-        body = str(error).encode()
-        headers = [
-            (b"content-type", b"text/plain"),
-            (b"content-length", str(len(body)).encode()),
-            (b"connection", b"close"),
-        ]
-        if status in NOT_RUN_STATUSES:
-            headers.append((b"retry-after", str(RETRY_AFTER_S).encode()))
-        self.send(h11.Response(status_code=error.status, headers=headers))
-        self.send(h11.Data(data=body))
-        self.send(h11.EndOfMessage())
+        self._writer.refuse(error)
 
 
 __all__ = ("HttpServerConnection",)
--- a/packages/persimmonlink-router/src/persimmonlink_router/http_framing.py
+++ b/packages/persimmonlink-router/src/persimmonlink_router/http_framing.py
@@ -7,7 +7,7 @@
 import h11
 from h11 import _readers
 
-from persimmonlink_router.http_readers import install_readers
+from persimmonlink_router.http1.readers import install_readers
 
 # The same texts match as with h11's own patterns. Those try each way to divide a run of
 # blanks between two parts of a pattern if the line doesn't match.
--- a/tests/router/test_http_readers.py
+++ b/tests/router/http1/test_readers.py
@@ -9,8 +9,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from persimmonlink_router.http1.readers import MAX_EMPTY_LINES, MAX_JOINED_CHUNKS
 from persimmonlink_router.http_framing import create_framing
-from persimmonlink_router.http_readers import MAX_EMPTY_LINES, MAX_JOINED_CHUNKS
 
 HEAD = b"POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
 MAX_HEAD_BYTES = 20_000
