Let clients that don't behave come during the soak

A crowd of 20 clients follows one of the scripts of tests/crowds at a random router for 0.5 to 2 s, again and again, beside all other faults.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -8,6 +8,8 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from tests.crowds.crowd import Crowd
+from tests.crowds.scripts import BUILD_BY_CROWD
 from tests.router.rig import (
     PLAIN_SERVICE,
     STAGE_SERVICE,
@@ -35,6 +37,7 @@
     "omits_length",
 )
 FALL_S = 0.1  # Time in which a server that falls by rejections tells so.
+CROWD_CLIENTS = 20
 RESTART_S = 0.5  # Time until a server that has ended starts again.
 PLAIN_ONLY_FAULTS = frozenset(("duplicates_responses", "omits_length", "responds_500"))
 
@@ -73,6 +76,8 @@
         Chooses the faults of what servers and the store say.
     trouble_rng : random.Random
         Chooses the servers that name limits, and those limits.
+    crowd_rng : random.Random
+        Chooses what clients that don't behave do, and at which router.
     """
 
     def __init__(
@@ -82,6 +87,7 @@
         folder: Path,
         protocol_rng: random.Random,
         trouble_rng: random.Random,
+        crowd_rng: random.Random,
     ) -> None:
         self._rig = rig
         self._rng = rng
@@ -93,6 +99,7 @@
         self._lock_by_index = {i: asyncio.Lock() for i in range(len(rig.processes))}
         self.injected_faults: list[str] = []
         self._trouble_rng = trouble_rng
+        self._crowd_rng = crowd_rng
         self._restarts: set[asyncio.Task[None]] = set()
         self.named_limits: list[NamedLimit] = []
         self.crashed_at: list[float] = []
@@ -154,6 +161,19 @@
         self.injected_faults.append(injection.__name__)
         await injection()
 
+    async def inject_crowd(self) -> None:
+        """Let clients that don't behave come to a router again and again for a time."""
+        rng = self._crowd_rng
+        name = rng.choice(sorted(BUILD_BY_CROWD))
+        address = rng.choice(self._rig.settings).listen.clients
+        self.injected_faults.append(f"crowd: {name}")
+        crowd = Crowd(address, BUILD_BY_CROWD[name], CROWD_CLIENTS)
+        try:
+            await crowd.come()
+            await asyncio.sleep(rng.uniform(0.5, 2.0))
+        finally:
+            await crowd.leave()
+
     async def _make_brittle(self) -> None:
         rng = self._trouble_rng
         service = rng.choice((PLAIN_SERVICE, STREAM_SERVICE, STAGE_SERVICE))
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -84,7 +84,8 @@
         # A generator of its own, so that each seed chooses the same other faults.
         protocol_rng = random.Random(-1 - seed)
         trouble_rng = random.Random(-2 - 2 * seed)
-        injector = FaultInjector(rig, rng, folder, protocol_rng, trouble_rng)
+        crowd_rng = random.Random(-3 - 3 * seed)
+        injector = FaultInjector(rig, rng, folder, protocol_rng, trouble_rng, crowd_rng)
         injector.arm_engines(FATAL_PART_ID)
         injector.arm_plain_servers(FATAL_BODY)
         injector_tasks = [
@@ -103,6 +104,9 @@
                 inject_faults(injector.inject_load_fault, trouble_rng)
             )
         )
+        injector_tasks.append(
+            asyncio.ensure_future(inject_faults(injector.inject_crowd, crowd_rng))
+        )
         sent = await send_requests(rig, rng, trouble_rng)
         await asyncio.gather(*injector_tasks)
         responses = await asyncio.gather(*(request.task for request in sent))
